--- /dev/null
+++ b/internal/adapter/storehttp/client.go
@@ -0,0 +1,157 @@
+package storehttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/port"
+)
+
+// Client is a port.Store over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ port.Store = (*Client)(nil)
+
+// NewClient returns a client of the store at base, such as
+// "http://127.0.0.1:7000". Deadlines come from the contexts of the calls.
+func NewClient(base string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	return &Client{base: base, http: &http.Client{Transport: transport}}
+}
+
+// Get implements port.Store.
+func (c *Client) Get(ctx context.Context, key string) (port.Entry, error) {
+	resp, err := c.call(ctx, pathGet, request{Key: key})
+	if err != nil {
+		return port.Entry{}, readError("get", err)
+	}
+	return resp.Entry.entry(), nil
+}
+
+// List implements port.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+	resp, err := c.call(ctx, pathList, request{Prefix: prefix})
+	if err != nil {
+		return nil, 0, readError("list", err)
+	}
+	list := make([]port.Entry, 0, len(resp.Entries))
+	for i := range resp.Entries {
+		list = append(list, resp.Entries[i].entry())
+	}
+	return list, resp.Revision, nil
+}
+
+// CompareAndSwap implements port.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (int64, error) {
+	resp, err := c.call(ctx, pathCAS, request{Key: key, Expected: expected, Value: value})
+	if err != nil {
+		return 0, writeError("compare-and-swap", key, err)
+	}
+	return resp.Revision, nil
+}
+
+// Delete implements port.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected int64) error {
+	_, err := c.call(ctx, pathDelete, request{Key: key, Expected: expected})
+	if err != nil {
+		return writeError("delete", key, err)
+	}
+	return nil
+}
+
+// Watch implements port.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (port.WatchResult, error) {
+	resp, err := c.call(ctx, pathWatch, request{Prefix: prefix, After: after, WaitMS: wait.Milliseconds()})
+	if err != nil {
+		return port.WatchResult{}, readError("watch", err)
+	}
+	result := port.WatchResult{Revision: resp.Revision, Gap: resp.Gap}
+	for i := range resp.Entries {
+		e := resp.Entries[i]
+		result.Events = append(result.Events, port.Event{Entry: e.entry(), Deleted: e.Deleted})
+	}
+	return result, nil
+}
+
+// statusError is an answer of the store other than success.
+type statusError struct {
+	status int
+	text   string
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("store answered status %d: %s", e.status, e.text)
+}
+
+func (c *Client) call(ctx context.Context, path string, req request) (*response, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode store request")
+	}
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build store request")
+	}
+	// GetBody is cleared so that the transport never repeats a write by itself.
+	hr.GetBody = nil
+	hr.Header.Set("Content-Type", "application/json")
+	answer, err := c.http.Do(hr)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return decodeAnswer(path, req, answer)
+}
+
+func decodeAnswer(path string, req request, answer *http.Response) (*response, error) {
+	limit := int64(maxMessageBytes)
+	if path == pathList || path == pathWatch {
+		limit = maxListBytes
+	}
+	var resp response
+	if err := json.NewDecoder(io.LimitReader(answer.Body, limit)).Decode(&resp); err != nil {
+		return nil, errors.Wrapf(err, "decode store answer with status %d", answer.StatusCode)
+	}
+	switch answer.StatusCode {
+	case http.StatusOK:
+		return &resp, nil
+	case http.StatusNotFound:
+		return nil, &port.NotFoundError{Key: req.Key}
+	case http.StatusConflict:
+		return nil, &port.ConflictError{Key: req.Key, Expected: req.Expected, Current: resp.Entry.entry()}
+	default:
+		return nil, &statusError{status: answer.StatusCode, text: resp.Error}
+	}
+}
+
+func readError(op string, err error) error {
+	var notFound *port.NotFoundError
+	if errors.As(err, &notFound) {
+		return notFound
+	}
+	return &port.UnavailableError{Op: op, Err: err}
+}
+
+// writeError maps a failed write. Only an answer of the store proves that the
+// write had no effect; any broken exchange leaves the outcome unknown.
+func writeError(op, key string, err error) error {
+	var conflict *port.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict
+	}
+	var status *statusError
+	if errors.As(err, &status) && status.status == http.StatusServiceUnavailable {
+		return &port.UnavailableError{Op: op, Err: err}
+	}
+	return &port.OutcomeUnknownError{Op: op, Key: key, Err: err}
+}
--- /dev/null
+++ b/internal/adapter/storehttp/handler.go
@@ -0,0 +1,89 @@
+package storehttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/port"
+)
+
+// maxWait bounds a long poll.
+const maxWait = time.Minute
+
+// Handler serves a store over the protocol of Client.
+func Handler(s port.Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathGet, serve(func(ctx context.Context, req request) (*response, error) {
+		e, err := s.Get(ctx, req.Key)
+		return &response{Entry: toWire(e)}, err
+	}))
+	mux.HandleFunc("POST "+pathList, serve(func(ctx context.Context, req request) (*response, error) {
+		list, revision, err := s.List(ctx, req.Prefix)
+		resp := &response{Revision: revision}
+		for _, e := range list {
+			resp.Entries = append(resp.Entries, *toWire(e))
+		}
+		return resp, err
+	}))
+	mux.HandleFunc("POST "+pathCAS, serve(func(ctx context.Context, req request) (*response, error) {
+		revision, err := s.CompareAndSwap(ctx, req.Key, req.Expected, req.Value)
+		return &response{Revision: revision}, err
+	}))
+	mux.HandleFunc("POST "+pathDelete, serve(func(ctx context.Context, req request) (*response, error) {
+		return &response{}, s.Delete(ctx, req.Key, req.Expected)
+	}))
+	mux.HandleFunc("POST "+pathWatch, serve(func(ctx context.Context, req request) (*response, error) {
+		wait := min(time.Duration(req.WaitMS)*time.Millisecond, maxWait)
+		result, err := s.Watch(ctx, req.Prefix, req.After, wait)
+		resp := &response{Revision: result.Revision, Gap: result.Gap}
+		for _, ev := range result.Events {
+			e := toWire(ev.Entry)
+			e.Deleted = ev.Deleted
+			resp.Entries = append(resp.Entries, *e)
+		}
+		return resp, err
+	}))
+	return mux
+}
+
+func serve(call func(context.Context, request) (*response, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req request
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&req); err != nil {
+			answer(w, http.StatusBadRequest, &response{Error: err.Error()})
+			return
+		}
+		resp, err := call(r.Context(), req)
+		if err != nil {
+			answerError(w, err)
+			return
+		}
+		answer(w, http.StatusOK, resp)
+	}
+}
+
+func answerError(w http.ResponseWriter, err error) {
+	var notFound *port.NotFoundError
+	var conflict *port.ConflictError
+	var unavailable *port.UnavailableError
+	switch {
+	case errors.As(err, &notFound):
+		answer(w, http.StatusNotFound, &response{Error: err.Error()})
+	case errors.As(err, &conflict):
+		answer(w, http.StatusConflict, &response{Error: err.Error(), Entry: toWire(conflict.Current)})
+	case errors.As(err, &unavailable):
+		answer(w, http.StatusServiceUnavailable, &response{Error: err.Error()})
+	default:
+		answer(w, http.StatusInternalServerError, &response{Error: err.Error()})
+	}
+}
+
+func answer(w http.ResponseWriter, status int, resp *response) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(resp)
+}
