--- /dev/null
+++ b/internal/adapter/workerhttp/handler.go
@@ -0,0 +1,61 @@
+package workerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/port"
+)
+
+// Handler serves a worker over the protocol of Client.
+func Handler(w port.Worker) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathAcquire, serve(func(ctx context.Context, r acquireRequest) (port.Lease, error) {
+		return w.AcquireLease(ctx, r.Holder, r.Epoch, r.TTL)
+	}))
+	mux.HandleFunc("POST "+pathRenew, serve(func(ctx context.Context, r renewRequest) (port.Lease, error) {
+		return w.RenewLease(ctx, r.Lease, r.Acknowledged)
+	}))
+	mux.HandleFunc("POST "+pathStart, serve(func(ctx context.Context, r startRequest) (emptyResponse, error) {
+		return emptyResponse{}, w.Start(ctx, r.Lease, r.Attempts)
+	}))
+	mux.HandleFunc("POST "+pathStop, serve(func(ctx context.Context, r attemptsRequest) (emptyResponse, error) {
+		return emptyResponse{}, w.Stop(ctx, r.Lease, r.Attempts)
+	}))
+	mux.HandleFunc("POST "+pathCheckpoint, serve(func(ctx context.Context, r attemptsRequest) (emptyResponse, error) {
+		return emptyResponse{}, w.Checkpoint(ctx, r.Lease, r.Attempts)
+	}))
+	mux.HandleFunc("POST "+pathThrottle, serve(func(ctx context.Context, r throttleRequest) (emptyResponse, error) {
+		return emptyResponse{}, w.Throttle(ctx, r.Lease, r.Attempt, r.CPUMilli)
+	}))
+	return mux
+}
+
+func serve[Q, R any](call func(context.Context, Q) (R, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req Q
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&req); err != nil {
+			answer(w, http.StatusBadRequest, refusedResponse{Error: err.Error()})
+			return
+		}
+		resp, err := call(r.Context(), req)
+		var refused *port.LeaseRefusedError
+		switch {
+		case err == nil:
+			answer(w, http.StatusOK, resp)
+		case errors.As(err, &refused):
+			answer(w, http.StatusConflict, refusedResponse{Worker: refused.Worker, Lease: refused.Lease, Current: refused.Current})
+		default:
+			answer(w, http.StatusInternalServerError, refusedResponse{Error: err.Error()})
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
