Add peer calls over gRPC and a first member list

Cause: the daemon needs calls between instances before failure detection is done. The membership types are declared for the parts that read the list.

--- /dev/null
+++ b/internal/app/peering/api.go
@@ -0,0 +1,124 @@
+// Package peering keeps the list of instances and carries the calls between
+// them. The other parts use it through the interfaces of this file.
+package peering
+
+import (
+	"context"
+	"time"
+
+	"auburnpier/internal/core/membership"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Members is the member list.
+type Members interface {
+	// Self returns the record of this instance.
+	Self() membership.Member
+	// List returns all known members but this instance, in the order of their IDs.
+	List() []membership.Member
+	// Get returns the member of that ID. It finds this instance as well.
+	Get(id domain.InstanceID) (membership.Member, bool)
+	// Owner returns the live member with the highest epoch for the partition.
+	Owner(partition domain.PartitionID) (membership.Member, domain.Epoch, bool)
+	// Subscribe returns a channel of changes. A change that finds the channel
+	// full is dropped and counted; the subscriber then reads the list again
+	// when it sees the next change. Cancel releases the channel.
+	Subscribe(name string, capacity int) (changes <-chan membership.Change, cancel func())
+}
+
+// Calls gives access to the gRPC calls of other instances.
+type Calls interface {
+	// Peer returns the calls of a member. It finds no member that left or
+	// provably ended. The calls of this instance run without a connection.
+	Peer(id domain.InstanceID) (port.Peer, bool)
+}
+
+// SelfState takes what this instance states about itself in its datagrams.
+type SelfState interface {
+	// SetConfigVersion states the version in force.
+	SetConfigVersion(version uint64)
+	// SetEditInFlight states whether an edit may have reached the store
+	// without its outcome being known. It returns after the statement holds
+	// for all later acknowledgements.
+	SetEditInFlight(inFlight bool)
+	// StoreConfirmed states that a store call that began at the time showed the version.
+	StoreConfirmed(version uint64, began time.Time)
+	// SetSlots states the free slots. Queues beyond membership.MaxQueues are left out.
+	SetSlots(slots []membership.QueueSlots)
+	// SetDraining states that this instance is about to leave.
+	SetDraining(draining bool)
+	// SetPartitions states the partitions that this instance owns.
+	SetPartitions(partitions []membership.OwnedPartition)
+}
+
+// Confirmation tells that at the time no version newer than Version was accepted.
+type Confirmation struct {
+	Version uint64
+	At      time.Time
+}
+
+// Freshness gives the confirmations that peers contribute to section 5.3 of
+// the design.
+type Freshness interface {
+	// Relayed returns the latest store confirmation that a peer relayed for
+	// the version, or the zero value.
+	Relayed(version uint64) Confirmation
+	// AllPeers returns the latest time that all known instances confirmed
+	// the version, or the zero value.
+	AllPeers(version uint64) Confirmation
+	// NewestVersion returns the highest version heard of and a member that has applied it.
+	NewestVersion() (version uint64, holder domain.InstanceID)
+}
+
+// Authority gives the times that section 5.4 of the design bounds to 6 s.
+type Authority interface {
+	// RegionAck returns the sending time of the latest ping that a member of
+	// this region acknowledged. It is zero if there is none.
+	RegionAck() time.Time
+	// SelfBarred reports whether a peer refused a ping because this incarnation is barred.
+	SelfBarred() bool
+	// BarEverywhere asks all other members of the region for a bar. It
+	// returns the members that neither barred nor are left or proven dead.
+	BarEverywhere(ctx context.Context, instance domain.InstanceID, incarnation uint64) (missing []domain.InstanceID)
+}
+
+// ConfigSource answers a peer's fetch of the configuration document.
+type ConfigSource interface {
+	FetchConfig(ctx context.Context, newerThan uint64) (port.PeerConfig, error)
+}
+
+// JobHandler answers job calls for partitions that this instance owns.
+type JobHandler interface {
+	Forward(ctx context.Context, call port.ForwardedCall) ([]byte, error)
+}
+
+// DepositionHandler answers the successor of a partition.
+type DepositionHandler interface {
+	AcknowledgeDeposition(ctx context.Context, from domain.InstanceID, partition domain.PartitionID, epoch domain.Epoch) (port.Deposition, error)
+}
+
+// AllotmentHandler gives up allotments of this instance.
+type AllotmentHandler interface {
+	RequestAllotment(ctx context.Context, request port.AllotmentRequest) (port.AllotmentGrant, error)
+}
+
+// LeaseReceiver takes the lease IDs for which this instance is the deputy.
+type LeaseReceiver interface {
+	ShareLeases(ctx context.Context, leases port.SharedLeases) error
+}
+
+// StatusSource returns what this instance reports about itself, for JSON.
+type StatusSource interface {
+	PeerStatus(ctx context.Context) (any, error)
+}
+
+// Handlers answer the calls of peers. A call whose handler is nil is refused as not ready.
+type Handlers struct {
+	Config      ConfigSource
+	Jobs        JobHandler
+	Depositions DepositionHandler
+	Allotments  AllotmentHandler
+	Leases      LeaseReceiver
+	Status      StatusSource
+}
--- /dev/null
+++ b/internal/app/peering/settings.go
@@ -0,0 +1,76 @@
+package peering
+
+import (
+	"crypto/tls"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/core/membership"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// Settings describe this instance and how it finds the others.
+type Settings struct {
+	ID domain.InstanceID
+	// Incarnation must exceed that of each earlier process of the same ID. The
+	// start time in Unix milliseconds serves.
+	Incarnation uint64
+	// Address is the host:port by which peers reach this instance. The
+	// datagram socket (UDP) and the gRPC listener (TCP) share it.
+	Address string
+	// Listen is the host:port to listen on. Empty means Address.
+	Listen string
+	// RequestAddress is the host:port at which callers' requests are accepted.
+	RequestAddress string
+	Location       domain.Location
+	// Seeds are the addresses of instances to join by. The own address is ignored.
+	Seeds []string
+	// Secret is shared by all instances and authenticates datagrams and calls.
+	Secret []byte
+	// TLS adds mutual TLS to the calls. It may be nil.
+	TLS *tls.Config
+}
+
+// Deps are the parts that peering needs from the process.
+type Deps struct {
+	Clock   port.Clock
+	Metrics *metrics.Registry
+}
+
+func (s Settings) validate() error {
+	if s.ID == "" {
+		return errors.New("peering needs an instance ID")
+	}
+	if s.Incarnation == 0 {
+		return errors.New("peering needs an incarnation above zero")
+	}
+	if len(s.Secret) == 0 {
+		return errors.New("peering needs a shared secret for its datagrams")
+	}
+	for _, address := range append([]string{s.Address}, s.Seeds...) {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return errors.Wrapf(err, "peer address %q is not host:port", address)
+		}
+	}
+	return nil
+}
+
+func (s Settings) listen() string {
+	if s.Listen != "" {
+		return s.Listen
+	}
+	return s.Address
+}
+
+func (s Settings) record() membership.Record {
+	return membership.Record{
+		ID:             s.ID,
+		Incarnation:    s.Incarnation,
+		Address:        s.Address,
+		RequestAddress: s.RequestAddress,
+		Location:       s.Location,
+	}
+}
