--- /dev/null
+++ b/internal/adapter/api/decode.go
@@ -0,0 +1,94 @@
+// Package api serves callers and operators over HTTP with JSON bodies. Every
+// refusal has the same form: reason, message, remedy, and not_run where the
+// work provably did not run.
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/fault"
+	"auburnpier/internal/refusal"
+)
+
+// maxJSONBytes bounds a JSON body. The largest one is a table import.
+const maxJSONBytes = 1 << 20
+
+// decode reads one JSON value of type T. Unknown fields and trailing text are refused.
+func decode[T any](w http.ResponseWriter, r *http.Request) (T, error) {
+	var v T
+	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || media != "application/json" {
+		return v, refusal.New(http.StatusUnsupportedMediaType, refusal.UnsupportedMediaType,
+			fmt.Sprintf("the content type is %q", r.Header.Get("Content-Type")),
+			"send the header Content-Type: application/json")
+	}
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxJSONBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
+		return v, bodyRefusal(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return v, refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+			"there is text after the JSON value", "send one JSON value only")
+	}
+	return v, nil
+}
+
+func bodyRefusal(err error) *refusal.Refusal {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
+			fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit), "send a smaller body")
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+			fmt.Sprintf("field %q: given a %s, allowed a %s", wrongType.Field, wrongType.Value, wrongType.Type),
+			"write a value of that type")
+	}
+	return refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+		"the body is not the JSON that is expected: "+err.Error(), "correct the body")
+}
+
+// invalid returns the refusal of a request with wrong fields.
+func invalid(faults fault.List) *refusal.Refusal {
+	return refusal.New(http.StatusBadRequest, refusal.InvalidRequest, faults.String(), "correct the named fields")
+}
+
+// refusalBody is the JSON form of a refusal.
+type refusalBody struct {
+	Error *refusal.Refusal `json:"error"`
+	// Faults lists the wrong fields of a table.
+	Faults any `json:"faults,omitempty"`
+	// Current is the row found in a conflict.
+	Current any `json:"current,omitempty"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// refuse counts and writes a refusal.
+func (s *Server) refuse(w http.ResponseWriter, err error) {
+	s.refuseWith(w, refusal.From(err), refusalBody{})
+}
+
+func (s *Server) refuseWith(w http.ResponseWriter, r *refusal.Refusal, body refusalBody) {
+	s.o.Metrics.Refused(r.Reason)
+	if r.RetryAfter > 0 {
+		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	body.Error = r
+	writeJSON(w, r.Status, body)
+}
--- a/internal/app/journal/log.go
+++ b/internal/app/journal/log.go
@@ -134,3 +134,25 @@
 		return nil
 	}
 }
+
+// Confirm reads the slot of the next group. It returns nil where this owner is
+// still the last one, a *DeposedError where a successor wrote there, or a
+// store error where neither is known.
+func (l *Log) Confirm(ctx context.Context) error {
+	e, err := l.store.Get(ctx, slotKey(l.partition, l.next%RingSlots))
+	var notFound *port.NotFoundError
+	if errors.As(err, &notFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var g Group
+	if err := cbor.Unmarshal(e.Value, &g); err != nil {
+		return &CorruptError{Partition: l.partition, Detail: e.Key + ": " + err.Error()}
+	}
+	if g.Number >= l.next {
+		return &DeposedError{Partition: l.partition, Epoch: l.epoch, By: g}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/taskplane/dispatch.go
@@ -0,0 +1,159 @@
+package taskplane
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/sched"
+	"auburnpier/internal/domain"
+)
+
+// dispatch carries out what the machine asks for after a step.
+func (p *Partition) dispatch(ctx context.Context) {
+	ready := p.machine.Ready()
+	if ready.Batch != 0 {
+		p.journalBatch(ctx, ready)
+	}
+	for _, id := range ready.Acquire {
+		p.worker(ctx, id).want(func(m *mailbox) { m.acquire = true })
+	}
+	for _, id := range ready.Renew {
+		p.worker(ctx, id).want(func(m *mailbox) { m.renew = true })
+	}
+	for _, call := range ready.Starts {
+		p.worker(ctx, call.Worker).want(func(m *mailbox) { m.starts = append(m.starts, call) })
+	}
+	for _, call := range ready.Stops {
+		p.worker(ctx, call.Worker).want(func(m *mailbox) { m.stops = append(m.stops, call) })
+	}
+	for _, call := range ready.Checkpoints {
+		p.worker(ctx, call.Worker).want(func(m *mailbox) { m.checkpoints = append(m.checkpoints, call) })
+	}
+	for _, call := range ready.Throttles {
+		p.worker(ctx, call.Worker).want(func(m *mailbox) { m.throttles = append(m.throttles, call) })
+	}
+	for _, ack := range ready.Acknowledge {
+		p.worker(ctx, ack.Worker).want(func(m *mailbox) { m.acknowledge(ack.Attempts) })
+	}
+	for _, id := range ready.Forgotten {
+		p.forget(id)
+	}
+	if p.snapshotWanted.Load() {
+		p.journalSnapshot(ctx)
+	}
+	p.notifyEnded(ready.Records)
+}
+
+func (p *Partition) journalBatch(ctx context.Context, ready sched.Ready) {
+	b := batch{number: ready.Batch}
+	for _, r := range ready.Records {
+		raw, err := sched.EncodeRecord(r)
+		if err != nil {
+			p.log.Error("record cannot be encoded, the partition is given up", zap.Error(err))
+			p.fail(err)
+			return
+		}
+		b.records = append(b.records, cbor.RawMessage(raw))
+	}
+	if p.lastBatch == p.durable {
+		p.oldest = p.o.Clock.Now()
+	}
+	p.lastBatch = ready.Batch
+	p.enqueue(ctx, b)
+}
+
+func (p *Partition) journalSnapshot(ctx context.Context) {
+	state, err := p.machine.Snapshot()
+	if err != nil {
+		p.log.Error("snapshot cannot be taken", zap.Error(err))
+		return
+	}
+	p.snapshotWanted.Store(false)
+	p.enqueue(ctx, batch{number: p.lastBatch, snapshot: state})
+}
+
+// enqueue waits where the journal's queue is full: new submissions are refused
+// by stallBound long before that, so only ends and intents in flight wait here.
+func (p *Partition) enqueue(ctx context.Context, b batch) {
+	select {
+	case <-ctx.Done():
+	case p.batches <- b:
+	}
+}
+
+// becameDurable is run by the machine's goroutine when the journal wrote a group.
+func (p *Partition) becameDurable(number uint64) {
+	if number <= p.durable {
+		return
+	}
+	p.durable = number
+	p.oldest = p.o.Clock.Now()
+	p.machine.Step(sched.Durable{Batch: number})
+	rest := p.confirming[:0]
+	for _, c := range p.confirming {
+		if c.batch > number {
+			rest = append(rest, c)
+			continue
+		}
+		c.reply <- nil
+	}
+	p.confirming = rest
+}
+
+// confirm answers reply once the batch is durable.
+func (p *Partition) confirm(number uint64, reply chan<- error) {
+	if number <= p.durable {
+		reply <- nil
+		return
+	}
+	p.confirming = append(p.confirming, confirmation{batch: number, reply: reply})
+}
+
+func (p *Partition) failConfirmations() {
+	for _, c := range p.confirming {
+		c.reply <- p.cause()
+	}
+	p.confirming = nil
+}
+
+// notifyEnded wakes callers that wait for jobs with new records.
+func (p *Partition) notifyEnded(records []sched.Record) {
+	if len(records) == 0 || len(p.notified) == 0 {
+		return
+	}
+	for id, waiters := range p.notified {
+		status, ok := p.machine.Status(id)
+		if ok && !status.State.Terminal() {
+			continue
+		}
+		for _, w := range waiters {
+			close(w)
+		}
+		delete(p.notified, id)
+	}
+}
+
+func (p *Partition) worker(ctx context.Context, id domain.WorkerID) *workerLoop {
+	w, ok := p.workers[id]
+	if !ok {
+		status, _ := p.machine.Worker(id)
+		w = newWorkerLoop(ctx, p, id, status.Address)
+		p.workers[id] = w
+	}
+	return w
+}
+
+func (p *Partition) forget(id domain.WorkerID) {
+	if w, ok := p.workers[id]; ok {
+		w.close()
+		delete(p.workers, id)
+	}
+}
+
+func (p *Partition) stopWorkers() {
+	for _, w := range p.workers {
+		w.close()
+	}
+}
--- /dev/null
+++ b/internal/app/taskplane/jobs.go
@@ -0,0 +1,158 @@
+package taskplane
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"auburnpier/internal/core/sched"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/refusal"
+)
+
+// Submit offers a job and waits until its acceptance is durable.
+func (p *Partition) Submit(ctx context.Context, team domain.TeamID, spec domain.JobSpec) (domain.JobStatus, error) {
+	id := domain.JobID(fmt.Sprintf("%s.%s", p.id, p.o.NewID()))
+	var result sched.Result
+	var stalled error
+	reply := make(chan error, 1)
+	err := p.do(ctx, func() {
+		if stalled = p.stalled(); stalled != nil {
+			return
+		}
+		result = p.machine.Step(sched.Submit{Job: id, Team: team, Spec: spec})
+		if result.Err == nil {
+			p.confirm(result.Batch, reply)
+		}
+	})
+	switch {
+	case err != nil:
+		return domain.JobStatus{}, p.unavailable(err)
+	case stalled != nil:
+		return domain.JobStatus{}, stalled
+	case result.Err != nil:
+		return domain.JobStatus{}, result.Err
+	}
+	if err := p.await(ctx, reply); err != nil {
+		return domain.JobStatus{}, unconfirmed("job", err)
+	}
+	return p.Status(ctx, result.Job)
+}
+
+// Cancel cancels jobs of the team and waits until that is durable. It returns
+// how many jobs it ended or began to end.
+func (p *Partition) Cancel(ctx context.Context, team domain.TeamID, ids []domain.JobID, reason string) (int, error) {
+	var result sched.Result
+	var stalled error
+	reply := make(chan error, 1)
+	err := p.do(ctx, func() {
+		if stalled = p.stalled(); stalled != nil {
+			return
+		}
+		result = p.machine.Step(sched.Cancel{Jobs: ids, Team: team, Reason: reason})
+		p.confirm(result.Batch, reply)
+	})
+	switch {
+	case err != nil:
+		return 0, p.unavailable(err)
+	case stalled != nil:
+		return 0, stalled
+	}
+	if err := p.await(ctx, reply); err != nil {
+		return 0, unconfirmed("cancellation", err)
+	}
+	return result.Cancelled, nil
+}
+
+// Status returns the state of a job.
+func (p *Partition) Status(ctx context.Context, id domain.JobID) (domain.JobStatus, error) {
+	return p.query(ctx, id, p.machine.Status)
+}
+
+// Explain returns the state of a job with its history.
+func (p *Partition) Explain(ctx context.Context, id domain.JobID) (domain.JobStatus, error) {
+	return p.query(ctx, id, p.machine.Explain)
+}
+
+// Wait returns the state of a job once it has ended, or its state when ctx ends.
+func (p *Partition) Wait(ctx context.Context, id domain.JobID) (domain.JobStatus, error) {
+	ended := make(chan struct{})
+	err := p.do(ctx, func() {
+		status, ok := p.machine.Status(id)
+		if !ok || status.State.Terminal() {
+			close(ended)
+			return
+		}
+		p.notified[id] = append(p.notified[id], ended)
+	})
+	if err != nil {
+		return domain.JobStatus{}, p.unavailable(err)
+	}
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	case <-p.done:
+	}
+	return p.Status(context.WithoutCancel(ctx), id)
+}
+
+// Stats returns the partition's counts.
+func (p *Partition) Stats(ctx context.Context) (sched.Stats, error) {
+	var stats sched.Stats
+	if err := p.do(ctx, func() { stats = p.machine.Stats() }); err != nil {
+		return sched.Stats{}, p.unavailable(err)
+	}
+	return stats, nil
+}
+
+func (p *Partition) query(ctx context.Context, id domain.JobID, f func(domain.JobID) (domain.JobStatus, bool)) (domain.JobStatus, error) {
+	var status domain.JobStatus
+	found := false
+	if err := p.do(ctx, func() { status, found = f(id) }); err != nil {
+		return domain.JobStatus{}, p.unavailable(err)
+	}
+	if !found {
+		return domain.JobStatus{}, notFound(id)
+	}
+	return status, nil
+}
+
+// stalled refuses new work while the journal has not written for a while, so
+// that nothing is accepted which could be lost.
+func (p *Partition) stalled() error {
+	if p.draining {
+		return p.unavailable(errStopped)
+	}
+	if p.lastBatch == p.durable || p.o.Clock.Now().Sub(p.oldest) < stallBound {
+		return nil
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.StoreUnavailable,
+		"the platform's store does not take writes", "submit again after the given time").After(confirmTimeout)
+}
+
+func (p *Partition) await(ctx context.Context, reply <-chan error) error {
+	timer := time.NewTimer(confirmTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-reply:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return context.DeadlineExceeded
+	}
+}
+
+func (p *Partition) unavailable(err error) error {
+	return refusal.New(http.StatusServiceUnavailable, refusal.PartitionUnavailable,
+		fmt.Sprintf("partition %s is not served by this instance now: %v", p.id, err),
+		"repeat the call after the given time").After(time.Second)
+}
+
+// unconfirmed makes no claim about whether the work was accepted.
+func unconfirmed(what string, err error) error {
+	return refusal.Unknown(http.StatusServiceUnavailable, refusal.OutcomeUnknown,
+		fmt.Sprintf("the %s was not confirmed durable in time: %v", what, err),
+		"submit again with the same idempotency key; without one, list the job first").After(time.Second)
+}
--- /dev/null
+++ b/internal/domain/validate.go
@@ -0,0 +1,92 @@
+package domain
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+
+	"auburnpier/internal/fault"
+)
+
+// Bounds of a job specification. They keep a mistaken submission from taking
+// memory and journal space of everybody.
+const (
+	MaxTasksPerJob   = 10_000
+	MaxCommandWords  = 64
+	MaxCommandBytes  = 8 << 10
+	MaxAttemptsLimit = 20
+	MaxZonesPerJob   = 16
+	// MaxRunTimeMS is a year.
+	MaxRunTimeMS = 365 * 24 * 3600 * 1000
+	// MaxTaskCPUMilli and MaxTaskMemoryMB are above any worker that exists.
+	MaxTaskCPUMilli     = 4_096_000
+	MaxTaskMemoryMB     = 64_000_000
+	MaxTaskAccelerators = 1024
+)
+
+var namePattern = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$`)
+
+const nameAllowed = "1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit"
+
+// Normalize fills the defaults of optional fields.
+func (s *JobSpec) Normalize() {
+	if s.Priority == "" {
+		s.Priority = PriorityNormal
+	}
+	if s.Tasks == 0 {
+		s.Tasks = 1
+	}
+}
+
+// Faults lists every wrong field of a normalized specification.
+func (s JobSpec) Faults() fault.List {
+	var l fault.List
+	checkName(&l, "name", s.Name, true)
+	checkName(&l, "class", s.Class, false)
+	checkName(&l, "idempotency_key", s.IdempotencyKey, false)
+	checkName(&l, "region", string(s.Region), false)
+	checkOneOf(&l, "kind", s.Kind, JobBatch, JobService, JobGang)
+	checkOneOf(&l, "priority", s.Priority, PriorityUrgent, PriorityNormal, PriorityLow)
+	checkRange(&l, "tasks", int64(s.Tasks), 1, MaxTasksPerJob)
+	checkRange(&l, "resources.cpu_milli", s.Resources.CPUMilli, 1, MaxTaskCPUMilli)
+	checkRange(&l, "resources.memory_mb", s.Resources.MemoryMB, 1, MaxTaskMemoryMB)
+	checkRange(&l, "resources.accelerators", s.Resources.Accelerators, 0, MaxTaskAccelerators)
+	checkRange(&l, "run_time_ms", s.RunTimeMS, 0, MaxRunTimeMS)
+	checkRange(&l, "max_attempts", int64(s.MaxAttempts), 0, MaxAttemptsLimit)
+	checkRange(&l, "zones (count)", int64(len(s.Zones)), 0, MaxZonesPerJob)
+	for i, z := range s.Zones {
+		checkName(&l, fmt.Sprintf("zones[%d]", i), string(z), true)
+	}
+	s.checkCommand(&l)
+	return l
+}
+
+func (s JobSpec) checkCommand(l *fault.List) {
+	checkRange(l, "command (words)", int64(len(s.Command)), 0, MaxCommandWords)
+	size := 0
+	for _, word := range s.Command {
+		size += len(word)
+	}
+	checkRange(l, "command (bytes)", int64(size), 0, MaxCommandBytes)
+}
+
+func checkName(l *fault.List, path, value string, required bool) {
+	if value == "" && !required {
+		return
+	}
+	if !namePattern.MatchString(value) {
+		l.Add(path, fmt.Sprintf("%.80q", value), nameAllowed, "set a name of that form")
+	}
+}
+
+func checkRange(l *fault.List, path string, value, low, high int64) {
+	if value < low || value > high {
+		l.Add(path, fmt.Sprint(value), fmt.Sprintf("%d to %d", low, high), "set a value in that range")
+	}
+}
+
+func checkOneOf[T ~string](l *fault.List, path string, value T, allowed ...T) {
+	if !slices.Contains(allowed, value) {
+		l.Add(path, fmt.Sprintf("%.80q", string(value)), fmt.Sprintf("one of %q", allowed), "choose one of them")
+	}
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,42 @@
+// Package fault describes wrong fields of settings, tables and requests, so
+// that a report can name all of them at once with the way to mend each.
+package fault
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one wrong field.
+type Fault struct {
+	// Path names the field, such as "listen.api".
+	Path string `json:"path"`
+	// Given is the value found, as JSON.
+	Given string `json:"given"`
+	// Allowed says which values are allowed.
+	Allowed string `json:"allowed"`
+	// Remedy says what to change.
+	Remedy string `json:"remedy"`
+}
+
+// Error returns the fault on one line.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s: given %s, allowed %s; %s", f.Path, f.Given, f.Allowed, f.Remedy)
+}
+
+// List collects faults.
+type List []Fault
+
+// Add appends one fault.
+func (l *List) Add(path, given, allowed, remedy string) {
+	*l = append(*l, Fault{Path: path, Given: given, Allowed: allowed, Remedy: remedy})
+}
+
+// String returns one line for each fault.
+func (l List) String() string {
+	lines := make([]string, 0, len(l))
+	for _, f := range l {
+		lines = append(lines, f.Error())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/settings/decode.go
@@ -0,0 +1,152 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"auburnpier/internal/fault"
+)
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Load reads and checks a settings file. A *FaultsError lists all faults.
+func Load(file string) (Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings; name an existing file with --settings")
+	}
+	return Parse(file, raw)
+}
+
+// Parse checks the content of a settings file.
+func Parse(file string, raw []byte) (Settings, error) {
+	if len(raw) > maxFileBytes {
+		return Settings{}, &FaultsError{File: file, Faults: fault.List{{
+			Path: "(file)", Given: fmt.Sprintf("%d bytes", len(raw)),
+			Allowed: fmt.Sprintf("at most %d bytes", maxFileBytes), Remedy: "make the file shorter",
+		}}}
+	}
+	standard, err := hujson.Standardize(raw)
+	if err != nil {
+		return Settings{}, &FaultsError{File: file, Faults: fault.List{{
+			Path: "(file)", Given: "text that is not JSON with comments", Allowed: "JSON with comments",
+			Remedy: "mend the syntax: " + err.Error(),
+		}}}
+	}
+	s := Default()
+	d := &decoder{}
+	d.value("", standard, reflect.ValueOf(&s).Elem())
+	if len(d.faults) == 0 {
+		d.faults = s.validate()
+	}
+	if len(d.faults) > 0 {
+		return Settings{}, &FaultsError{File: file, Faults: d.faults}
+	}
+	return s, nil
+}
+
+// decoder fills structs field by field, so that one wrong field does not hide the next.
+type decoder struct {
+	faults fault.List
+}
+
+func (d *decoder) value(path string, raw json.RawMessage, target reflect.Value) {
+	if target.Kind() != reflect.Struct {
+		d.leaf(path, raw, target)
+		return
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
+		d.add(path, raw, "an object", "write { ... } here")
+		return
+	}
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	known := fieldsByName(target)
+	for _, name := range names {
+		field, ok := known[name]
+		if !ok {
+			d.add(join(path, name), fields[name], "one of "+strings.Join(sortedNames(known), ", "),
+				"remove the field or correct its name")
+			continue
+		}
+		d.value(join(path, name), fields[name], field)
+	}
+}
+
+func (d *decoder) leaf(path string, raw json.RawMessage, target reflect.Value) {
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	if err := dec.Decode(target.Addr().Interface()); err != nil {
+		d.add(path, raw, kindName(target.Type()), "write a value of that type")
+	}
+}
+
+func (d *decoder) add(path string, raw json.RawMessage, allowed, remedy string) {
+	if path == "" {
+		path = "(file)"
+	}
+	d.faults.Add(path, shorten(raw), allowed, remedy)
+}
+
+func fieldsByName(v reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value)
+	for i := range v.NumField() {
+		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("json"), ",")
+		fields[name] = v.Field(i)
+	}
+	return fields
+}
+
+func sortedNames(fields map[string]reflect.Value) []string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Int64, reflect.Int:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Slice:
+		return "a list, each entry " + kindName(t.Elem())
+	default:
+		return "a value of type " + t.String()
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// maxGivenBytes keeps a long value from filling the report.
+const maxGivenBytes = 80
+
+func shorten(raw json.RawMessage) string {
+	s := strings.TrimSpace(string(raw))
+	if len(s) > maxGivenBytes {
+		return s[:maxGivenBytes] + "..."
+	}
+	return s
+}
