Add the placement index and the job queue

Cause: the partition state machine needs working implementations of placement.Index and policy.Queue.

Change: placement keeps workers in a grid of free processor time and free memory for each zone, with accelerated workers apart; policy keeps groups of equal jobs in heaps by class and team, and parks groups that exceed the limit of their team.

Refined interfaces, all by addition: - placement.Request.Holder passes the holds of one gang only. IgnoreReservations still passes every hold. - placement.Request.End and Index.ExpectStart allow backfill on held workers by tasks that are expected to end before the gang starts. - policy.Item.Constraint names restrictions beyond the size. After Pass(job, WaitNoRoom), jobs of the same constraint that need at least as much are not offered in that round, so a full fleet does not cost a decision for each waiting job. - GangCandidates sorts by emptiness alone; the index knows no end times.

Conclusion: both interfaces can be built on.

--- a/internal/core/placement/api.go
+++ b/internal/core/placement/api.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"auburnpier/internal/domain"
 )
@@ -42,8 +43,15 @@
 	Avoid []domain.WorkerID
 	// Spread names the job whose replicas are kept apart over racks and zones. Empty means no spreading.
 	Spread domain.JobID
-	// IgnoreReservations is set for the gang that holds the reservation.
+	// IgnoreReservations passes every hold, whichever gang has it.
 	IgnoreReservations bool
+	// Holder is the gang that places its own members: it passes the holds of
+	// this job and no others. Empty passes none.
+	Holder domain.JobID
+	// End is the expected end of the task. The task may backfill on workers
+	// held for a gang that is expected to start at End or later. Zero means
+	// that the end is unknown, so the task is kept off held workers.
+	End time.Time
 }
 
 // Rejection counts the workers that one filter rejected.
@@ -91,12 +99,16 @@
 	// them, all in one zone unless span is set, or returns a *NoFitError.
 	PlaceGang(r Request, n int, span bool) ([]domain.WorkerID, error)
 	// Hold keeps the free room of workers, now and as it frees up, for the gang of job until
-	// Unhold. Only requests with IgnoreReservations are placed there.
+	// Unhold. Only requests that pass the hold (see Request) are placed there. A worker that
+	// another gang holds stays with that gang.
 	Hold(job domain.JobID, workers []domain.WorkerID)
+	// ExpectStart sets when the gang that holds workers is expected to start. Requests with an
+	// End up to then may backfill there. A zero time, as after Hold, allows no backfill.
+	ExpectStart(job domain.JobID, at time.Time)
 	// Unhold ends the reservation of the gang of job.
 	Unhold(job domain.JobID)
 	// GangCandidates returns the workers that would hold n members if they were
-	// empty, those that free up soonest or are emptiest first, or false where there are too few.
+	// empty, the emptiest first, or false where there are too few.
 	GangCandidates(r Request, n int, span bool) ([]domain.WorkerID, bool)
 	// Free returns the room of a worker and whether it is known.
 	Free(id domain.WorkerID) (domain.Resources, bool)
--- /dev/null
+++ b/internal/core/placement/filter.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"slices"
+
+	"auburnpier/internal/domain"
+)
+
+// query is a request with what is derived from it once.
+type query struct {
+	*Request
+	// row and col are the lowest grid cell with workers large enough.
+	row, col int
+	// avoid holds the slots of the workers to avoid.
+	avoid []int32
+	// spread tells where replicas run. It is nil where none runs or none is asked for.
+	spread *jobCounts
+}
+
+// filter decides whether a worker can take a request at all. A filter looks
+// at one reason, changes nothing, and gives the same answer for the same
+// worker and request. The first filter that rejects a worker names the reason.
+type filter interface {
+	reason() RejectReason
+	passes(slot int32, w *node, q *query) bool
+}
+
+// workerFilters are applied to workers of allowed zones that are neither
+// excluded nor held, in this order.
+var workerFilters = [...]filter{acceleratorFilter{}, cpuFilter{}, memoryFilter{}, avoidFilter{}}
+
+type acceleratorFilter struct{}
+
+func (acceleratorFilter) reason() RejectReason { return RejectAccelerators }
+func (acceleratorFilter) passes(_ int32, w *node, q *query) bool {
+	return q.Size.Accelerators <= w.free.Accelerators
+}
+
+type cpuFilter struct{}
+
+func (cpuFilter) reason() RejectReason { return RejectCPU }
+func (cpuFilter) passes(_ int32, w *node, q *query) bool {
+	return q.Size.CPUMilli <= w.free.CPUMilli
+}
+
+type memoryFilter struct{}
+
+func (memoryFilter) reason() RejectReason { return RejectMemory }
+func (memoryFilter) passes(_ int32, w *node, q *query) bool {
+	return q.Size.MemoryMB <= w.free.MemoryMB
+}
+
+type avoidFilter struct{}
+
+func (avoidFilter) reason() RejectReason { return RejectAvoided }
+func (avoidFilter) passes(slot int32, _ *node, q *query) bool {
+	return !slices.Contains(q.avoid, slot)
+}
+
+// rejectedBy returns the reason of the first filter that rejects the worker, or an empty one.
+func rejectedBy(slot int32, w *node, q *query) RejectReason {
+	for _, f := range workerFilters {
+		if !f.passes(slot, w, q) {
+			return f.reason()
+		}
+	}
+	return ""
+}
+
+func (x *index) newQuery(r *Request) query {
+	x.avoid = x.avoid[:0]
+	for _, id := range r.Avoid {
+		if slot, known := x.slots[id]; known {
+			x.avoid = append(x.avoid, slot)
+		}
+	}
+	q := query{
+		Request: r,
+		row:     bucketOf(r.Size.CPUMilli, cpuUnitMilli),
+		col:     bucketOf(r.Size.MemoryMB, memoryUnitMB),
+		avoid:   x.avoid,
+	}
+	if r.Spread != "" {
+		q.spread = x.jobs[r.Spread]
+	}
+	return q
+}
+
+// allows reports whether the request may run in the zone.
+func (q *query) allows(id domain.ZoneID) bool {
+	return len(q.Zones) == 0 || slices.Contains(q.Zones, id)
+}
--- a/internal/core/policy/api.go
+++ b/internal/core/policy/api.go
@@ -39,6 +39,11 @@
 	// Tasks is the number of tasks that wait. A gang is considered whole.
 	Tasks    int
 	Enqueued time.Time
+	// Constraint names what else restricts where the tasks run, such as their
+	// zones and the workers that they avoid. Where one job found no room,
+	// jobs of the same constraint that need at least as much are not offered
+	// in that round. Jobs with different restrictions need different names.
+	Constraint string
 }
 
 // WaitReason is the stable name of why the queue passes over a job.
--- /dev/null
+++ b/internal/core/policy/queue.go
@@ -0,0 +1,141 @@
+package policy
+
+import (
+	"time"
+
+	"auburnpier/internal/domain"
+)
+
+// queue implements Queue. Waiting jobs stand in groups of equal need, groups
+// in a heap of their team for each class, and teams in a heap for each class.
+// A group that exceeds the limit of its team is parked until the team has
+// more room, so a round does not look at it.
+type queue struct {
+	options Options
+	teams   map[domain.TeamID]*team
+	jobs    map[domain.JobID]*entry
+	classes [classes]heap[*team]
+	// aging holds the groups that rise by a class later.
+	aging  heap[*group]
+	total  domain.Resources
+	shares float64
+	round  uint64
+	now    time.Time
+	origin time.Time
+	groups int // number of groups ever created
+	// dirtyGroups and dirtyTeams changed since the last call of Next.
+	dirtyGroups []*group
+	dirtyTeams  []*team
+	// touched are the groups that the next round resets.
+	touched []*group
+	noRoom  frontier
+}
+
+func (q *queue) SetTeams(teams []Team) {
+	for _, t := range q.teams {
+		t.present = false
+		t.share = 0
+	}
+	q.shares = 0
+	for _, row := range teams {
+		t := q.team(row.ID)
+		t.present = true
+		t.share = row.Share
+		t.limit = row.Limit
+		q.shares += row.Share
+	}
+	q.refreshAll()
+}
+
+func (q *queue) SetTotal(total domain.Resources) {
+	q.total = total
+	q.refreshAll()
+}
+
+func (q *queue) SetOutside(id domain.TeamID, running domain.Resources) {
+	t := q.team(id)
+	t.outside = running
+	q.markTeam(t)
+}
+
+func (q *queue) Push(item Item) {
+	if q.origin.IsZero() {
+		q.origin = item.Enqueued
+	}
+	key := keyOf(item)
+	e := q.jobs[item.Job]
+	if e != nil && e.group.team.id == item.Team && e.group.key == key && e.item.Enqueued.Equal(item.Enqueued) {
+		e.item = item
+		return
+	}
+	fresh := &entry{item: item}
+	if e != nil {
+		fresh.passed, fresh.reason = e.passed, e.reason
+		q.drop(e)
+	}
+	q.jobs[item.Job] = fresh
+	g := q.group(q.team(item.Team), key)
+	g.insert(fresh)
+	q.markGroup(g)
+}
+
+func (q *queue) Remove(job domain.JobID) {
+	if e := q.jobs[job]; e != nil {
+		q.drop(e)
+		delete(q.jobs, job)
+	}
+}
+
+func (q *queue) drop(e *entry) {
+	e.group.drop(e)
+	q.markGroup(e.group)
+}
+
+func (q *queue) Len() int { return len(q.jobs) }
+
+func (q *queue) Charge(id domain.TeamID, size domain.Resources) {
+	t := q.team(id)
+	t.running = t.running.Add(size)
+	q.markTeam(t)
+}
+
+func (q *queue) Refund(id domain.TeamID, size domain.Resources) {
+	t := q.team(id)
+	t.running = t.running.Sub(size)
+	q.unpark(t)
+	q.markTeam(t)
+}
+
+func (q *queue) Running(id domain.TeamID) domain.Resources {
+	if t := q.teams[id]; t != nil {
+		return t.running
+	}
+	return domain.Resources{}
+}
+
+func (q *queue) Preemptible(id domain.TeamID) bool {
+	t := q.teams[id]
+	if t == nil {
+		return false
+	}
+	return q.ratio(t) > 1
+}
+
+func (q *queue) team(id domain.TeamID) *team {
+	t := q.teams[id]
+	if t == nil {
+		t = newTeam(id)
+		q.teams[id] = t
+	}
+	return t
+}
+
+func (q *queue) group(t *team, key groupKey) *group {
+	g := t.groups[key]
+	if g == nil {
+		q.groups++
+		g = &group{key: key, team: t, need: key.need(), number: q.groups, class: key.class}
+		t.groups[key] = g
+	}
+	return g
+}
