Add the configuration document and its synchronization

The daemon needs one configuration in force at every instance. core/confdoc applies edits with row revisions and edit IDs, lists every fault of a table, and decodes strictly. core/teamkey holds presented keys without showing the secret. app/sharedwatch follows shared/ with one long poll; app/confsync serves the current version, resolves keys while the configuration is fresh, and writes edits by compare-and-swap.

Tests: go test -race ./internal/core/confdoc ./internal/core/teamkey ./internal/app/confsync pass. Latency and size are not measured yet.

--- /dev/null
+++ b/internal/app/confsync/edit.go
@@ -0,0 +1,231 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/core/confdoc"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+const (
+	// editTimeout bounds one edit with all its retries and reads back.
+	editTimeout = 6 * time.Second
+
+	editBackoffMin = 20 * time.Millisecond
+	editBackoffMax = time.Second
+)
+
+// OutcomeUnknownError tells that an edit may or may not have been accepted and
+// may still be. The edit can be repeated with the same ID.
+type OutcomeUnknownError struct {
+	EditID string
+	Err    error
+}
+
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("the outcome of edit %s is unknown; repeat it with the same edit ID to learn it: %v", e.EditID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Err }
+
+// NotAcceptedError tells that an edit was not accepted because the store could
+// not be reached.
+type NotAcceptedError struct {
+	EditID string
+	Err    error
+}
+
+func (e *NotAcceptedError) Error() string {
+	return fmt.Sprintf("edit %s was not accepted because the store is unavailable, repeat it later: %v", e.EditID, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotAcceptedError) Unwrap() error { return e.Err }
+
+// Apply writes the edit to the store. It returns *confdoc.InvalidError,
+// *confdoc.ConflictError with the current row, *confdoc.TooLargeError,
+// *NotAcceptedError or *OutcomeUnknownError. Cancelling ctx does not stop a
+// write that has begun, because its outcome would be lost.
+func (s *Sync) Apply(ctx context.Context, e confdoc.Edit) (confdoc.Applied, error) {
+	select {
+	case s.editTurn <- struct{}{}:
+	case <-ctx.Done():
+		return confdoc.Applied{}, &NotAcceptedError{EditID: e.ID, Err: ctx.Err()}
+	}
+	defer func() { <-s.editTurn }()
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), editTimeout)
+	defer cancel()
+	w := editWrite{sync: s, edit: e}
+	return w.run(call)
+}
+
+// editWrite is one edit on its way to the store.
+type editWrite struct {
+	sync *Sync
+	edit confdoc.Edit
+	// pending is the revision that a write of unknown outcome expected. The
+	// write can take effect only while the key is at that revision.
+	pending    int64
+	hasPending bool
+	// lost tells that an answer to a write of this run was lost.
+	lost     bool
+	attempts int
+}
+
+func (w *editWrite) run(ctx context.Context) (confdoc.Applied, error) {
+	w.sync.flight.begin()
+	var entry *port.Entry // set where a conflict brought the current entry
+	for {
+		applied, current, err := w.attempt(ctx, entry)
+		if err == nil {
+			w.sync.flight.end()
+			return applied, nil
+		}
+		if !retryable(err) && !w.hasPending {
+			w.sync.flight.end()
+			return confdoc.Applied{}, err
+		}
+		if !retryable(err) {
+			return confdoc.Applied{}, w.giveUp(err)
+		}
+		entry = current
+		if !w.pause(ctx) {
+			return confdoc.Applied{}, w.giveUp(err)
+		}
+	}
+}
+
+// giveUp reports an edit whose time is over. An unknown outcome keeps the edit
+// in flight until it is resolved.
+func (w *editWrite) giveUp(err error) error {
+	if !w.hasPending {
+		w.sync.flight.end()
+		return &NotAcceptedError{EditID: w.edit.ID, Err: err}
+	}
+	w.sync.metrics.Counter("confsync.edit_outcome_unknown").Inc(1)
+	w.sync.flight.leaveUnresolved(w.edit.ID, w.pending)
+	return &OutcomeUnknownError{EditID: w.edit.ID, Err: err}
+}
+
+func (w *editWrite) pause(ctx context.Context) bool {
+	backoff := min(editBackoffMin<<min(w.attempts, 8), editBackoffMax)
+	w.attempts++
+	timer := time.NewTimer(backoff/2 + rand.N(backoff))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// attempt reads the document, applies the edit and writes it once. It returns
+// the current entry where a conflict showed it.
+func (w *editWrite) attempt(ctx context.Context, known *port.Entry) (confdoc.Applied, *port.Entry, error) {
+	s := w.sync
+	begun := s.clock.Now()
+	entry, doc, err := s.read(ctx, known)
+	if err != nil {
+		return confdoc.Applied{}, nil, err
+	}
+	if entry.Revision != w.pending {
+		w.hasPending = false
+	}
+	next, applied, err := confdoc.Apply(doc, w.edit)
+	if applied.Repeated && w.lost {
+		applied.Repeated = false // it was this run that wrote the edit
+		return applied, nil, nil
+	}
+	if err != nil || applied.Repeated {
+		return applied, nil, err
+	}
+	value, err := confdoc.Encode(next)
+	if err != nil {
+		return confdoc.Applied{}, nil, err
+	}
+	_, err = s.store.CompareAndSwap(ctx, ConfigKey, entry.Revision, value)
+	if err == nil {
+		s.adopt(next)
+		s.freshness.confirmByStore(next.Version, begun)
+		return applied, nil, nil
+	}
+	current := w.note(entry.Revision, err)
+	return confdoc.Applied{}, current, err
+}
+
+// note records what a failed write means for the next attempt.
+func (w *editWrite) note(expected int64, err error) *port.Entry {
+	var conflict *port.ConflictError
+	var unknown *port.OutcomeUnknownError
+	switch {
+	case errors.As(err, &conflict):
+		w.sync.metrics.Retried(metrics.RetryStoreConflict)
+		return &conflict.Current
+	case errors.As(err, &unknown):
+		w.sync.metrics.Retried(metrics.RetryStoreUnknown)
+		w.pending = expected
+		w.hasPending = true
+		w.lost = true
+	default:
+		w.sync.metrics.Retried(metrics.RetryStoreDown)
+	}
+	return nil
+}
+
+// staleReadError tells that the store showed a version below one known to exist.
+type staleReadError struct{ shown, known uint64 }
+
+func (e *staleReadError) Error() string {
+	return fmt.Sprintf("the store showed configuration version %d although version %d exists, read it again", e.shown, e.known)
+}
+
+// read returns the document in the store and adopts it. A document that the
+// caller already has is used in place of a call.
+func (s *Sync) read(ctx context.Context, have *port.Entry) (port.Entry, domain.ConfigDocument, error) {
+	entry, err := s.get(ctx, have)
+	if err != nil {
+		return port.Entry{}, domain.ConfigDocument{}, err
+	}
+	doc := confdoc.Clone(domain.ConfigDocument{})
+	if entry.Revision != 0 {
+		if doc, err = confdoc.Decode(entry.Value); err != nil {
+			return port.Entry{}, doc, errors.Wrap(err, "the configuration document in the store can't be read")
+		}
+	}
+	if known := s.freshness.knownVersion(); doc.Version < known {
+		return port.Entry{}, doc, &staleReadError{shown: doc.Version, known: known}
+	}
+	s.adopt(doc)
+	return entry, doc, nil
+}
+
+// get returns the entry of the document. A missing key is the zero entry.
+func (s *Sync) get(ctx context.Context, have *port.Entry) (port.Entry, error) {
+	if have != nil {
+		return *have, nil
+	}
+	entry, err := s.store.Get(ctx, ConfigKey)
+	var missing *port.NotFoundError
+	if errors.As(err, &missing) {
+		return port.Entry{}, nil
+	}
+	return entry, err
+}
+
+// retryable reports whether another attempt may settle the edit.
+func retryable(err error) bool {
+	var conflict *port.ConflictError
+	var unknown *port.OutcomeUnknownError
+	var down *port.UnavailableError
+	var stale *staleReadError
+	return errors.As(err, &conflict) || errors.As(err, &unknown) || errors.As(err, &down) || errors.As(err, &stale)
+}
--- /dev/null
+++ b/internal/app/confsync/refusals.go
@@ -0,0 +1,35 @@
+package confsync
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/core/confdoc"
+	"auburnpier/internal/refusal"
+)
+
+// Refusal maps an error of Apply to the refusal that the operator sees. The
+// faults and the current row stand in the typed error.
+func Refusal(err error) *refusal.Refusal {
+	var invalid *confdoc.InvalidError
+	var tooLarge *confdoc.TooLargeError
+	var conflict *confdoc.ConflictError
+	var notAccepted *NotAcceptedError
+	var unknown *OutcomeUnknownError
+	switch {
+	case errors.As(err, &invalid):
+		return refusal.New(http.StatusUnprocessableEntity, refusal.InvalidTable, err.Error(), "correct every fault and send the edit again")
+	case errors.As(err, &tooLarge):
+		return refusal.New(http.StatusUnprocessableEntity, refusal.InvalidTable, err.Error(), "make the table smaller")
+	case errors.As(err, &conflict):
+		return refusal.New(http.StatusConflict, refusal.RowConflict, err.Error(), "repeat the edit on the current row")
+	case errors.As(err, &notAccepted):
+		return refusal.New(http.StatusServiceUnavailable, refusal.StoreUnavailable, err.Error(), "repeat the edit later").After(5 * time.Second)
+	case errors.As(err, &unknown):
+		return refusal.Unknown(http.StatusBadGateway, refusal.EditOutcomeUnknown, err.Error(), "repeat the edit with the same edit ID").After(2 * time.Second)
+	default:
+		return refusal.From(err)
+	}
+}
--- /dev/null
+++ b/internal/app/confsync/sync_test.go
@@ -0,0 +1,110 @@
+package confsync
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"auburnpier/internal/app/sharedwatch"
+	"auburnpier/internal/core/confdoc"
+	"auburnpier/internal/core/teamkey"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+)
+
+// instance is one instance over a store, without the rest of the daemon.
+type instance struct {
+	*Sync
+	watch   *sharedwatch.Watcher
+	metrics *metrics.Registry
+}
+
+func newInstance(s port.Store, peers Peers) *instance {
+	m := metrics.New()
+	w := sharedwatch.New(s, port.SystemClock{}, m, sharedwatch.Prefix)
+	return &instance{
+		Sync:    New(Config{Store: s, Watch: w, Peers: peers, Clock: port.SystemClock{}, Metrics: m}),
+		watch:   w,
+		metrics: m,
+	}
+}
+
+// start runs the instance until the test ends.
+func (i *instance) start(ctx context.Context) {
+	go func() { _ = i.watch.Run(ctx) }()
+	go func() { _ = i.Run(ctx) }()
+}
+
+func team(id string, based uint64, share float64) confdoc.Edit {
+	row := domain.TeamRow{Share: share, LimitRequests: 10}
+	return confdoc.Edit{
+		ID:      fmt.Sprintf("set-%s-%d-%g", id, based, share),
+		SetTeam: &confdoc.SetTeam{Team: domain.TeamID(id), Based: based, Row: row},
+	}
+}
+
+func grantKey(t testing.TB, k teamkey.Key, team domain.TeamID) confdoc.Edit {
+	t.Helper()
+	return confdoc.Edit{ID: "grant-" + k.ID(), GrantKey: &confdoc.GrantKey{
+		KeyID: k.ID(), Team: team, SecretSHA256: k.SecretSHA256(), Granted: time.Unix(0, 0).UTC(),
+	}}
+}
+
+func testKey(t testing.TB, seed string) teamkey.Key {
+	t.Helper()
+	k, err := teamkey.Generate(strings.NewReader(strings.Repeat(seed, 32)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func apply(t testing.TB, s *Sync, e confdoc.Edit) confdoc.Applied {
+	t.Helper()
+	a, err := s.Apply(context.Background(), e)
+	if err != nil {
+		t.Fatalf("edit %s: %v", e.ID, err)
+	}
+	return a
+}
+
+// A new cell has no document: an instance must become ready with version 0,
+// take edits, and accept and withdraw a key at every instance.
+func TestEditsReachEveryInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		st := store.New()
+		a, b := newInstance(st, nil), newInstance(st, nil)
+		if a.Ready() || a.Current() != nil {
+			t.Fatal("ready before the first contact with the store")
+		}
+		a.start(ctx)
+		b.start(ctx)
+		synctest.Wait()
+		if !a.Ready() || !b.Ready() {
+			t.Fatal("not ready in a new cell")
+		}
+		key := testKey(t, "a")
+		apply(t, a.Sync, team("marine", 0, 1))
+		apply(t, b.Sync, grantKey(t, key, "marine"))
+		time.Sleep(3 * time.Second)
+		for _, i := range []*instance{a, b} {
+			id, err := i.Resolve(key)
+			if err != nil || id.Team != "marine" {
+				t.Fatalf("resolve: %+v, %v", id, err)
+			}
+		}
+		apply(t, a.Sync, confdoc.Edit{ID: "w", WithdrawKey: &confdoc.WithdrawKey{KeyID: key.ID(), Based: 2}})
+		time.Sleep(3 * time.Second)
+		if _, err := b.Resolve(key); err == nil {
+			t.Fatal("a withdrawn key is accepted")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
