sched: add the API of the partition state machine

Cause: the task plane needs the events, records and messages of the machine before its behaviour exists. Conclusion: internal/app/taskplane can be written against these types.

--- /dev/null
+++ b/internal/core/sched/record.go
@@ -0,0 +1,119 @@
+package sched
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburnpier/internal/domain"
+)
+
+// RecordVersion is the version of the record layout that this package writes.
+const RecordVersion = 1
+
+// Record is one durable change. Exactly one body is set.
+type Record struct {
+	Version uint8 `cbor:"1,keyasint"`
+	// AtMS is the time of the decision in milliseconds since the Unix epoch.
+	AtMS         int64               `cbor:"2,keyasint"`
+	Accepted     *AcceptedRecord     `cbor:"3,keyasint,omitempty"`
+	Intents      *IntentsRecord      `cbor:"4,keyasint,omitempty"`
+	Ended        *EndedRecord        `cbor:"5,keyasint,omitempty"`
+	Cancelled    *CancelledRecord    `cbor:"6,keyasint,omitempty"`
+	JobsDropped  *JobsDroppedRecord  `cbor:"7,keyasint,omitempty"`
+	WorkerGone   *WorkerGoneRecord   `cbor:"8,keyasint,omitempty"`
+	CanaryPassed *CanaryPassedRecord `cbor:"9,keyasint,omitempty"`
+}
+
+// AcceptedRecord accepts a job.
+type AcceptedRecord struct {
+	Job  domain.JobID   `cbor:"1,keyasint"`
+	Team domain.TeamID  `cbor:"2,keyasint"`
+	Spec domain.JobSpec `cbor:"3,keyasint"`
+}
+
+// IntentsRecord tells that tasks of one job will be started. It precedes the start messages.
+type IntentsRecord struct {
+	Job     domain.JobID `cbor:"1,keyasint"`
+	Intents []Intent     `cbor:"2,keyasint"`
+}
+
+// Intent is the decision to start one task on one boot of one worker.
+type Intent struct {
+	Attempt     domain.AttemptID `cbor:"1,keyasint"`
+	Task        int              `cbor:"2,keyasint"`
+	Worker      domain.WorkerID  `cbor:"3,keyasint"`
+	BootID      string           `cbor:"4,keyasint"`
+	Reservation domain.Resources `cbor:"5,keyasint"`
+	// Restart tells that the start used the restart rate.
+	Restart bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Cause tells why the scheduler asked for an attempt's end.
+type Cause string
+
+// Causes of stops and checkpoints. The empty cause means that the task ended by itself.
+const (
+	CauseNone      Cause = ""
+	CauseCancelled Cause = "cancelled"
+	CausePreempted Cause = "preempted"
+	CauseLimit     Cause = "limit_lowered"
+	CauseMemory    Cause = "memory_above_reservation"
+	CauseLeaving   Cause = "worker_leaving"
+	CauseGang      Cause = "gang_restart"
+)
+
+// EndedRecord tells that an attempt has provably ended or never started.
+type EndedRecord struct {
+	Attempt domain.AttemptID `cbor:"1,keyasint"`
+	Outcome domain.Outcome   `cbor:"2,keyasint"`
+	Cause   Cause            `cbor:"3,keyasint,omitempty"`
+	// Peak is the largest usage seen.
+	Peak domain.Resources `cbor:"4,keyasint"`
+	// RunMS is the run time in milliseconds. Zero means unknown.
+	RunMS  int64  `cbor:"5,keyasint,omitempty"`
+	Detail string `cbor:"6,keyasint,omitempty"`
+	// BlameWorker counts the end against the worker's health.
+	BlameWorker bool `cbor:"7,keyasint,omitempty"`
+}
+
+// CancelledRecord cancels jobs in one batch.
+type CancelledRecord struct {
+	Jobs   []domain.JobID `cbor:"1,keyasint"`
+	Reason string         `cbor:"2,keyasint,omitempty"`
+}
+
+// JobsDroppedRecord forgets ended jobs.
+type JobsDroppedRecord struct {
+	Jobs []domain.JobID `cbor:"1,keyasint"`
+}
+
+// WorkerGoneRecord forgets the health of a worker that left the platform's list.
+type WorkerGoneRecord struct {
+	Worker domain.WorkerID `cbor:"1,keyasint"`
+}
+
+// CanaryPassedRecord ends a worker's probation: a canary ran long enough.
+type CanaryPassedRecord struct {
+	Worker domain.WorkerID `cbor:"1,keyasint"`
+}
+
+// EncodeRecord returns the CBOR form of a record.
+func EncodeRecord(r Record) ([]byte, error) {
+	return cbor.Marshal(r)
+}
+
+// DecodeRecord returns the record of its CBOR form. It fails on a layout
+// version that this package does not know, so that an older process never
+// drops fields of a newer one.
+func DecodeRecord(data []byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("decode record: %w", err)
+	}
+	if r.Version == 0 || r.Version > RecordVersion {
+		return Record{}, fmt.Errorf("record has version %d, this process reads up to %d; upgrade it first",
+			r.Version, RecordVersion)
+	}
+	return r, nil
+}
