--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -31,6 +31,7 @@
 
 	// The fields below belong to the machine's goroutine.
 	workers    map[domain.WorkerID]*workerLoop
+	loops      sync.WaitGroup // goroutines of workers, forgotten ones included
 	lastBatch  uint64
 	durable    uint64
 	oldest     time.Time // when the oldest batch that is not durable was handed out
@@ -139,6 +140,7 @@
 	group.Go(func() { p.runClock(ctx) })
 	go func() {
 		group.Wait()
+		p.loops.Wait()
 		close(p.done)
 	}()
 }
--- a/internal/app/taskplane/worker.go
+++ b/internal/app/taskplane/worker.go
@@ -74,7 +74,7 @@
 		wake:   make(chan struct{}, 1),
 		cancel: cancel,
 	}
-	go w.run(ctx)
+	p.loops.Go(func() { w.run(ctx) })
 	return w
 }
 
--- /dev/null
+++ b/internal/cli/units.go
@@ -0,0 +1,55 @@
+package cli
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// CPU is an amount of processor time: cores such as "2.5", or thousandths of
+// a core such as "500m".
+type CPU int64
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *CPU) UnmarshalText(text []byte) error {
+	s := string(text)
+	if milli, ok := strings.CutSuffix(s, "m"); ok {
+		n, err := strconv.ParseInt(milli, 10, 64)
+		if err != nil {
+			return errors.Newf("%q is not an amount of processor time, write cores such as 2.5 or thousandths such as 500m", s)
+		}
+		*c = CPU(n)
+		return nil
+	}
+	cores, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		return errors.Newf("%q is not an amount of processor time, write cores such as 2.5 or thousandths such as 500m", s)
+	}
+	*c = CPU(cores * 1000)
+	return nil
+}
+
+// Memory is an amount of memory in megabytes, written with a unit: "512MB", "4GB".
+type Memory int64
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (m *Memory) UnmarshalText(text []byte) error {
+	s := string(text)
+	for _, unit := range []struct {
+		suffix string
+		factor float64
+	}{{"MB", 1}, {"GB", 1000}, {"TB", 1e6}} {
+		number, ok := strings.CutSuffix(s, unit.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseFloat(number, 64)
+		if err != nil {
+			break
+		}
+		*m = Memory(n * unit.factor)
+		return nil
+	}
+	return errors.Newf("%q is not an amount of memory, write megabytes such as 512MB or gigabytes such as 4GB", s)
+}
--- /dev/null
+++ b/internal/daemon/feed.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/app/confsync"
+	"auburnpier/internal/app/peering"
+	"auburnpier/internal/app/taskplane"
+	"auburnpier/internal/core/confdoc"
+	"auburnpier/internal/core/membership"
+	"auburnpier/internal/core/sched"
+	"auburnpier/internal/core/teamkey"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/settings"
+)
+
+const (
+	// reportInterval is how often the own state is handed to the membership.
+	reportInterval = 250 * time.Millisecond
+	// bootstrapInterval is the wait between tries to create the first configuration.
+	bootstrapInterval = time.Second
+)
+
+// feedConfig passes each version of the configuration to the task plane.
+func (i *Instance) feedConfig(ctx context.Context) {
+	versions := i.config.Subscribe()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case snapshot := <-versions:
+			i.manager.SetInputs(inputs(snapshot.Doc))
+			i.log.Info("configuration in force", zap.Uint64("version", snapshot.Version()))
+		}
+	}
+}
+
+func inputs(doc domain.ConfigDocument) taskplane.Inputs {
+	in := taskplane.Inputs{Partitions: doc.Partitions}
+	for id, row := range doc.Teams {
+		in.Teams = append(in.Teams, sched.TeamRow{ID: id, Share: row.Share, Limit: row.Limit})
+	}
+	sort.Slice(in.Teams, func(a, b int) bool { return in.Teams[a].ID < in.Teams[b].ID })
+	parts := int64(max(1, len(doc.Partitions)))
+	in.Allotments = func(domain.PartitionID) []sched.Allotment {
+		return evenAllotments(in.Teams, parts)
+	}
+	return in
+}
+
+// evenAllotments gives each partition the same part of each limit, rounded
+// down, so that the sum over the partitions never exceeds the limit.
+func evenAllotments(teams []sched.TeamRow, parts int64) []sched.Allotment {
+	list := make([]sched.Allotment, 0, len(teams))
+	for _, t := range teams {
+		list = append(list, sched.Allotment{Team: t.ID, Amount: domain.Resources{
+			CPUMilli:     t.Limit.CPUMilli / parts,
+			MemoryMB:     t.Limit.MemoryMB / parts,
+			Accelerators: t.Limit.Accelerators / parts,
+		}})
+	}
+	return list
+}
+
+// feedVMs passes each read of the platform's list to the task plane.
+func (i *Instance) feedVMs(ctx context.Context) {
+	ticker := time.NewTicker(settings.Milliseconds(i.settings.VMList.PollMS))
+	defer ticker.Stop()
+	for {
+		i.readVMs(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// reportState hands the own state to the membership.
+func (i *Instance) reportState(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		i.peers.SetPartitions(i.ownedPartitions())
+		if current := i.config.Current(); current != nil {
+			i.peers.SetConfigVersion(current.Version())
+		}
+	}
+}
+
+func (i *Instance) ownedPartitions() []membership.OwnedPartition {
+	var owned []membership.OwnedPartition
+	for _, id := range i.manager.Owned() {
+		if p, ok := i.manager.Partition(id); ok {
+			owned = append(owned, membership.OwnedPartition{ID: id, Epoch: p.Epoch()})
+		}
+	}
+	return owned
+}
+
+// bootstrap creates the first configuration with the operator's key, where the
+// store holds none yet.
+func (i *Instance) bootstrap(ctx context.Context) {
+	file := i.settings.Bootstrap.KeyFile
+	if file == "" {
+		return
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		i.log.Error("bootstrap.key_file cannot be read", zap.Error(err))
+		return
+	}
+	key, err := teamkey.Parse(strings.TrimSpace(string(raw)))
+	if err != nil {
+		i.log.Error("bootstrap.key_file holds no key", zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		if current := i.config.Current(); current != nil && current.Version() > 0 {
+			return
+		}
+		if i.config.Ready() {
+			i.createConfig(ctx, key)
+		}
+		sleep(ctx, bootstrapInterval)
+	}
+}
+
+func (i *Instance) createConfig(ctx context.Context, key teamkey.Key) {
+	operators := domain.TeamRow{Share: 1}
+	_, err := i.config.Apply(ctx, confdoc.Edit{
+		ID: "bootstrap-" + key.ID(),
+		Import: &confdoc.Import{Table: confdoc.Table{
+			Teams: map[domain.TeamID]domain.TeamRow{"operators": operators},
+			Keys: map[string]domain.KeyRow{key.ID(): {
+				Team: "operators", SecretSHA256: key.SecretSHA256(), Operator: true, Granted: i.clock.Now(),
+			}},
+			Partitions: []domain.PartitionRow{{
+				ID:     domain.PartitionID(i.settings.Location.Region),
+				Region: i.settings.Location.Region,
+				Zones:  []domain.ZoneID{i.settings.Location.Zone},
+			}},
+		}},
+	})
+	if err != nil {
+		i.log.Warn("first configuration was not created, it is tried again", zap.Error(err))
+		return
+	}
+	i.log.Info("first configuration created", zap.String("operator_key", key.ID()))
+}
+
+// configSource answers peers that fetch the configuration.
+type configSource struct {
+	config *confsync.Sync
+}
+
+// FetchConfig implements peering.ConfigSource.
+func (c configSource) FetchConfig(_ context.Context, newerThan uint64) (port.PeerConfig, error) {
+	current := c.config.Current()
+	if current == nil {
+		return port.PeerConfig{}, nil
+	}
+	answer := port.PeerConfig{Version: current.Version()}
+	if current.Version() <= newerThan {
+		return answer, nil
+	}
+	if doc, ok := c.config.Document(); ok {
+		answer.Document = doc
+	}
+	return answer, nil
+}
+
+var _ peering.ConfigSource = configSource{}
--- /dev/null
+++ b/internal/daemon/instance.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"auburnpier/internal/adapter/api"
+	"auburnpier/internal/adapter/storehttp"
+	"auburnpier/internal/adapter/tlsfiles"
+	"auburnpier/internal/adapter/workerhttp"
+	"auburnpier/internal/app/confsync"
+	"auburnpier/internal/app/peering"
+	"auburnpier/internal/app/sharedwatch"
+	"auburnpier/internal/app/taskplane"
+	"auburnpier/internal/core/policy"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/settings"
+)
+
+// minSecretBytes keeps a guessable secret from authenticating peers.
+const minSecretBytes = 16
+
+// Instance is one daemon.
+type Instance struct {
+	settings settings.Settings
+	log      *zap.Logger
+	metrics  *metrics.Registry
+	clock    port.Clock
+	started  time.Time
+
+	store   port.Store
+	watch   *sharedwatch.Watcher
+	peers   *peering.Service
+	config  *confsync.Sync
+	manager *taskplane.Manager
+	router  *taskplane.Router
+
+	listener net.Listener
+	server   *http.Server
+
+	draining  atomic.Bool
+	drainOnce sync.Once
+	drain     chan struct{}
+}
+
+// New builds an instance and opens its listeners. Run starts it.
+func New(s settings.Settings, log *zap.Logger) (*Instance, error) {
+	i := &Instance{
+		settings: s,
+		log:      log,
+		metrics:  metrics.New(),
+		clock:    port.SystemClock{},
+		started:  time.Now(),
+		drain:    make(chan struct{}),
+	}
+	i.store = storehttp.NewClient(s.Store.Address)
+	i.watch = sharedwatch.New(i.store, i.clock, i.metrics, sharedwatch.Prefix)
+	if err := i.newPeers(); err != nil {
+		return nil, err
+	}
+	i.config = confsync.New(confsync.Config{
+		Store: i.store, Watch: i.watch, Clock: i.clock, Metrics: i.metrics, Log: log,
+	})
+	i.newTaskPlane()
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) newPeers() error {
+	secret, err := i.secret()
+	if err != nil {
+		return err
+	}
+	mutual, err := i.peerTLS()
+	if err != nil {
+		return err
+	}
+	s := i.settings
+	i.peers, err = peering.New(peering.Settings{
+		ID:             s.Instance,
+		Incarnation:    uint64(i.started.UnixMilli()),
+		Address:        s.Listen.Peers,
+		RequestAddress: s.Listen.API,
+		Location:       domain.Location{Region: s.Location.Region, Zone: s.Location.Zone},
+		Seeds:          s.Peers.Seeds,
+		Secret:         secret,
+		TLS:            mutual,
+	}, peering.Deps{Clock: i.clock, Metrics: i.metrics})
+	return err
+}
+
+// secret reads the shared secret. A lone instance without one makes its own.
+func (i *Instance) secret() ([]byte, error) {
+	file := i.settings.Peers.SecretFile
+	if file == "" {
+		return []byte(rand.Text()), nil
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read peers.secret_file")
+	}
+	secret := strings.TrimSpace(string(raw))
+	if len(secret) < minSecretBytes {
+		return nil, errors.Newf("peers.secret_file holds %d bytes; write at least %d", len(secret), minSecretBytes)
+	}
+	return []byte(secret), nil
+}
+
+func (i *Instance) peerTLS() (*tls.Config, error) {
+	c := i.settings.TLS.Peers
+	if !c.Enabled() {
+		return nil, nil
+	}
+	pair, err := tlsfiles.Load(c.CertFile, c.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	return pair.Mutual(c.CAFile)
+}
+
+func (i *Instance) newTaskPlane() {
+	p := i.settings.Policy
+	view := peerView{peers: i.peers}
+	i.manager = taskplane.NewManager(taskplane.Options{
+		Instance: i.settings.Instance,
+		Store:    i.store,
+		Workers:  workerhttp.NewDialer(),
+		Clock:    i.clock,
+		Weights:  policy.Weights{Share: p.ShareWeight, Waiting: p.WaitingWeight, Packing: p.PackingWeight},
+		Log:      i.log,
+		Metrics:  i.metrics,
+		NewID:    newID,
+		ListLag:  settings.Milliseconds(i.settings.VMList.LagMS),
+	}, i.settings.Location.Region, view, formerOwners{peers: i.peers, self: i.settings.Instance, clock: i.clock})
+	i.router = taskplane.NewRouter(i.manager, view)
+	i.peers.Handle(peering.Handlers{
+		Config:      configSource{i.config},
+		Jobs:        i.router,
+		Depositions: depositions{i.manager},
+		Status:      statusSource{i},
+	})
+}
+
+// listen opens the API listener with the bounds on what callers may send.
+func (i *Instance) listen() error {
+	s := i.settings
+	listener, err := net.Listen("tcp", s.Listen.API)
+	if err != nil {
+		return errors.Wrapf(err, "listen on listen.api %s; choose a free port of this VM", s.Listen.API)
+	}
+	handler := api.NewServer(api.Options{
+		Jobs: i.router, Config: i.config, Cell: i, Metrics: i.metrics, Log: i.log,
+	})
+	i.server = &http.Server{
+		Handler:           handler,
+		MaxHeaderBytes:    int(s.Requests.MaxHeaderBytes),
+		ReadHeaderTimeout: settings.Milliseconds(s.Requests.ReadTimeoutMS),
+		IdleTimeout:       2 * settings.Milliseconds(s.Requests.ReadTimeoutMS),
+	}
+	i.listener = listener
+	if !s.TLS.API.Enabled() {
+		return nil
+	}
+	pair, err := tlsfiles.Load(s.TLS.API.CertFile, s.TLS.API.KeyFile)
+	if err != nil {
+		return err
+	}
+	config, err := pair.Server(s.TLS.API.CAFile)
+	if err != nil {
+		return err
+	}
+	i.listener = tls.NewListener(listener, config)
+	return nil
+}
+
+// APIAddress returns the address that the API listens on.
+func (i *Instance) APIAddress() string { return i.listener.Addr().String() }
+
+// Metrics returns the instance's registry.
+func (i *Instance) Metrics() *metrics.Registry { return i.metrics }
+
+// Drain implements api.Cell.
+func (i *Instance) Drain() {
+	i.drainOnce.Do(func() {
+		i.draining.Store(true)
+		i.peers.SetDraining(true)
+		close(i.drain)
+	})
+}
+
+// Draining implements api.Cell.
+func (i *Instance) Draining() bool { return i.draining.Load() }
+
+// Run serves until ctx ends or Drain is called, then shuts down gracefully
+// within the bound of the settings.
+func (i *Instance) Run(ctx context.Context) error {
+	// Parts outlive ctx, because a graceful shutdown needs them.
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var group sync.WaitGroup
+	group.Go(func() { _ = i.watch.Run(parts) })
+	group.Go(func() { _ = i.config.Run(parts) })
+	group.Go(func() { i.runPeers(parts) })
+	group.Go(func() { i.feedConfig(parts) })
+	group.Go(func() { i.feedVMs(parts) })
+	group.Go(func() { i.reportState(parts) })
+	group.Go(func() { i.bootstrap(parts) })
+	managing, stopManaging := context.WithCancel(parts)
+	defer stopManaging()
+	managed := make(chan struct{})
+	go func() {
+		i.manager.Run(managing)
+		close(managed)
+	}()
+	served := make(chan error, 1)
+	go func() { served <- i.server.Serve(i.listener) }()
+	i.log.Info("instance is serving", zap.String("api", i.APIAddress()), zap.String("peers", i.settings.Listen.Peers))
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve the API")
+	case <-ctx.Done():
+	case <-i.drain:
+	}
+	err := i.shutdown(stopManaging, managed)
+	stopParts()
+	group.Wait()
+	return err
+}
+
+// shutdown lets the balancer see that readiness is off before it stops
+// accepting, so that no request is cut. Partitions are handed over meanwhile.
+func (i *Instance) shutdown(stopManaging func(), managed <-chan struct{}) error {
+	start := i.clock.Now()
+	i.Drain()
+	i.log.Info("graceful shutdown begins")
+	stopManaging()
+	ctx, cancel := context.WithTimeout(context.Background(), settings.Milliseconds(i.settings.Shutdown.BoundMS))
+	defer cancel()
+	sleep(ctx, settings.Milliseconds(i.settings.Shutdown.BalancerDelayMS))
+	err := i.server.Shutdown(ctx)
+	select {
+	case <-managed:
+	case <-ctx.Done():
+	}
+	i.log.Info("graceful shutdown ends", zap.Duration("took", i.clock.Now().Sub(start)), zap.Error(err))
+	return err
+}
+
+func (i *Instance) runPeers(ctx context.Context) {
+	if err := i.peers.Run(ctx); err != nil && ctx.Err() == nil {
+		i.log.Error("peer calls cannot be served", zap.Error(err))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,10 +18,12 @@
 	VMList   VMList            `json:"vm_list"`
 	Peers    Peers             `json:"peers"`
 	TLS      TLS               `json:"tls"`
-	Policy   Policy            `json:"policy"`
-	Requests Requests          `json:"requests"`
-	Shutdown Shutdown          `json:"shutdown"`
-	Log      Log               `json:"log"`
+	// Bootstrap is used only while the store holds no configuration.
+	Bootstrap Bootstrap `json:"bootstrap"`
+	Policy    Policy    `json:"policy"`
+	Requests  Requests  `json:"requests"`
+	Shutdown  Shutdown  `json:"shutdown"`
+	Log       Log       `json:"log"`
 }
 
 // Location tells where the instance stands.
@@ -64,6 +66,12 @@
 	SecretFile string `json:"secret_file"`
 }
 
+// Bootstrap creates the first configuration.
+type Bootstrap struct {
+	// KeyFile holds the first operator's key. Empty means that another instance creates the configuration.
+	KeyFile string `json:"key_file"`
+}
+
 // TLS names the certificate files. Empty files mean no TLS on that side.
 type TLS struct {
 	API   Certificate `json:"api"`
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -35,8 +35,15 @@
 	for i, seed := range s.Peers.Seeds {
 		v.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
 	}
+	if len(s.Peers.Seeds) > 0 && s.Peers.SecretFile == "" {
+		v.add("peers.secret_file", `""`, "the path of a file with the secret that all instances share",
+			"write the same secret to that file on each VM")
+	}
 	v.certificate("tls.api", s.TLS.API)
 	v.certificate("tls.peers", s.TLS.Peers)
+	if s.TLS.Peers.Enabled() && s.TLS.Peers.CAFile == "" {
+		v.add("tls.peers.ca_file", `""`, "a CA file, because instances verify each other", "set the CA file")
+	}
 	v.weight("policy.share_weight", s.Policy.ShareWeight)
 	v.weight("policy.waiting_weight", s.Policy.WaitingWeight)
 	v.weight("policy.packing_weight", s.Policy.PackingWeight)
