--- a/internal/core/sched/config.go
+++ b/internal/core/sched/config.go
@@ -22,6 +22,9 @@
 	MaxPlacements int
 	// MaxMisses bounds the jobs that find no room in one round.
 	MaxMisses int
+	// MaxPasses bounds the jobs that one round passes over without a search,
+	// because a smaller request found no room or restarts are at their rate.
+	MaxPasses int
 	// MaxJobs bounds the jobs that have not ended.
 	MaxJobs int
 	// MaxTasksPerJob bounds the tasks of one job.
@@ -50,6 +53,10 @@
 	RackWindow time.Duration
 	// GangDelay is the wait after which a gang reserves workers.
 	GangDelay time.Duration
+	// HoldMax is how long a gang holds the same workers before it chooses again,
+	// and PreemptionHold how long an urgent job holds the room it preempted.
+	HoldMax        time.Duration
+	PreemptionHold time.Duration
 	// CheckpointGrace is the time that a checkpoint may take before the task is stopped.
 	CheckpointGrace time.Duration
 	// ResendAfter is the wait before a stop or checkpoint without effect is sent again.
@@ -77,6 +84,7 @@
 		MemoryHeadroomPercent: 5,
 		MaxPlacements:         500,
 		MaxMisses:             64,
+		MaxPasses:             4_000,
 		MaxJobs:               100_000,
 		MaxTasksPerJob:        10_000,
 		MaxAttempts:           5,
@@ -93,6 +101,8 @@
 		CanaryRun:             20 * time.Second,
 		RackWindow:            30 * time.Second,
 		GangDelay:             30 * time.Second,
+		HoldMax:               time.Minute,
+		PreemptionHold:        10 * time.Second,
 		CheckpointGrace:       2 * time.Second,
 		ResendAfter:           time.Second,
 		EstimateSamples:       64,
@@ -103,3 +113,49 @@
 		MaxEnded:              20_000,
 	}
 }
+
+// withDefaults fills zero fields from DefaultConfig.
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	setDefault(&c.LeaseTTL, d.LeaseTTL)
+	setDefault(&c.LeaseMargin, d.LeaseMargin)
+	setDefault(&c.ListLag, d.ListLag)
+	setDefault(&c.MemoryHeadroomPercent, d.MemoryHeadroomPercent)
+	setDefault(&c.MaxPlacements, d.MaxPlacements)
+	setDefault(&c.MaxMisses, d.MaxMisses)
+	setDefault(&c.MaxPasses, d.MaxPasses)
+	setDefault(&c.MaxJobs, d.MaxJobs)
+	setDefault(&c.MaxTasksPerJob, d.MaxTasksPerJob)
+	setDefault(&c.MaxAttempts, d.MaxAttempts)
+	setDefault(&c.BackoffBase, d.BackoffBase)
+	setDefault(&c.BackoffMax, d.BackoffMax)
+	setDefault(&c.RestartsPerSecond, d.RestartsPerSecond)
+	setDefault(&c.RestartBurst, d.RestartBurst)
+	setDefault(&c.FailedEverywhere, d.FailedEverywhere)
+	setDefault(&c.StableRun, d.StableRun)
+	setDefault(&c.QuarantineFailures, d.QuarantineFailures)
+	setDefault(&c.QuarantineClasses, d.QuarantineClasses)
+	setDefault(&c.QuarantineWait, d.QuarantineWait)
+	setDefault(&c.QuarantineMax, d.QuarantineMax)
+	setDefault(&c.CanaryRun, d.CanaryRun)
+	setDefault(&c.RackWindow, d.RackWindow)
+	setDefault(&c.GangDelay, d.GangDelay)
+	setDefault(&c.HoldMax, d.HoldMax)
+	setDefault(&c.PreemptionHold, d.PreemptionHold)
+	setDefault(&c.CheckpointGrace, d.CheckpointGrace)
+	setDefault(&c.ResendAfter, d.ResendAfter)
+	setDefault(&c.EstimateSamples, d.EstimateSamples)
+	setDefault(&c.EstimateMin, d.EstimateMin)
+	setDefault(&c.MaxClasses, d.MaxClasses)
+	setDefault(&c.MaxEvents, d.MaxEvents)
+	setDefault(&c.KeepEnded, d.KeepEnded)
+	setDefault(&c.MaxEnded, d.MaxEnded)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/core/sched/gang.go
@@ -0,0 +1,160 @@
+package sched
+
+import (
+	"slices"
+
+	"auburnpier/internal/core/placement"
+	"auburnpier/internal/core/policy"
+	"auburnpier/internal/domain"
+)
+
+// gangHold is the reservation of the one gang that holds workers. A single hold
+// at a time keeps gangs from blocking each other with half of what they need.
+type gangHold struct {
+	j       *job
+	workers []domain.WorkerID
+	sinceMS int64
+	// startMS is when the workers are expected to be free. Zero means unknown.
+	startMS int64
+}
+
+// considerGang places all waiting members of a gang, or none.
+func (m *Machine) considerGang(r *round, j *job, size domain.Resources, n int) {
+	tasks, restart := waitingMembers(j)
+	if restart && !m.mayRestart() {
+		m.pass(r, j, policy.WaitRestarts, "restarts after failures are at their rate")
+		return
+	}
+	req := m.request(j, size)
+	for _, i := range tasks {
+		req.Avoid = append(req.Avoid, j.Tasks[i].FailedOn...)
+	}
+	holder := m.gangHold != nil && m.gangHold.j == j
+	req.IgnoreReservations = req.IgnoreReservations || holder
+	workers, err := m.index.PlaceGang(req, n, j.Spec.SpanZones)
+	if err == nil {
+		err = m.reserveGang(j, size, workers)
+	}
+	if err != nil {
+		r.misses++
+		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
+		m.holdForGang(j, req, n)
+		return
+	}
+	if holder {
+		m.dropGangHold()
+	}
+	m.intend(r, j, size, workers, tasks, restart)
+}
+
+// waitingMembers returns the waiting tasks and whether one of them restarts after a failure.
+func waitingMembers(j *job) (tasks []int, restart bool) {
+	for i := range j.Tasks {
+		if j.Tasks[i].State != taskWaiting {
+			continue
+		}
+		tasks = append(tasks, i)
+		restart = restart || j.Tasks[i].Restart
+	}
+	return tasks, restart
+}
+
+// reserveGang reserves every member, or none.
+func (m *Machine) reserveGang(j *job, size domain.Resources, workers []domain.WorkerID) error {
+	for i, id := range workers {
+		if m.index.Reserve(id, j.ID, size) {
+			continue
+		}
+		for _, done := range workers[:i] {
+			m.index.Release(done, j.ID, size)
+		}
+		return &placement.NoFitError{}
+	}
+	return nil
+}
+
+// holdForGang reserves workers for a gang that waited longer than the delay. An
+// urgent gang holds at once, and takes the hold from a gang that is not urgent.
+func (m *Machine) holdForGang(j *job, req placement.Request, n int) {
+	waited := m.now - j.WaitingSinceMS
+	if waited < m.cfg.GangDelay.Milliseconds() && !j.urgent() {
+		return
+	}
+	if h := m.gangHold; h != nil {
+		if h.j == j || h.j.urgent() || !j.urgent() {
+			return
+		}
+		m.dropGangHold()
+	}
+	workers, ok := m.index.GangCandidates(req, n, j.Spec.SpanZones)
+	if !ok {
+		return
+	}
+	m.gangHold = &gangHold{j: j, workers: slices.Clone(workers), sinceMS: m.now}
+	m.gangHold.startMS = m.expectedFree(workers)
+	m.index.Hold(j.ID, workers)
+	j.wait += "; workers are reserved for the gang"
+	if j.urgent() {
+		m.preemptForGang(j, req.Size, n)
+	}
+	m.dirty = true
+}
+
+// expectedFree returns when the batch work on the workers is expected to have
+// ended. It is zero where a run time is not known, so that nothing backfills.
+func (m *Machine) expectedFree(workers []domain.WorkerID) int64 {
+	free := m.now
+	for _, id := range workers {
+		for _, a := range m.worker(id).attempts {
+			if a.j.isService() {
+				continue
+			}
+			run := m.expectedRunMS(a.j)
+			if run == 0 {
+				return 0
+			}
+			free = max(free, max(a.startedMS, a.IntentMS)+run)
+		}
+	}
+	return free
+}
+
+// mayBackfill reports whether a task of the job is expected to end before the gang's reservation begins.
+func (m *Machine) mayBackfill(j *job) bool {
+	if m.gangHold == nil || m.gangHold.startMS == 0 || j.Spec.Kind != domain.JobBatch || len(m.preemptions) > 0 {
+		// The room that an urgent job preempted is never backfilled.
+		return false
+	}
+	run := m.expectedRunMS(j)
+	return run > 0 && m.now+run <= m.gangHold.startMS
+}
+
+func (m *Machine) dropGangHold() {
+	m.index.Unhold(m.gangHold.j.ID)
+	m.gangHold = nil
+	m.dirty = true
+}
+
+// holdLost ends holds on a worker that takes no starts. The job chooses again in the next round.
+func (m *Machine) holdLost(id domain.WorkerID) {
+	if m.gangHold != nil && slices.Contains(m.gangHold.workers, id) {
+		m.dropGangHold()
+	}
+	for _, job := range sortedKeys(m.preemptions) {
+		if slices.Contains(m.preemptions[job].workers, id) {
+			m.dropPreemption(job)
+		}
+	}
+}
+
+// checkHolds ends holds that lasted too long: the choice of workers may have become a bad one.
+func (m *Machine) checkHolds() {
+	if m.gangHold != nil && m.now-m.gangHold.sinceMS >= m.cfg.HoldMax.Milliseconds() {
+		m.dropGangHold()
+	}
+	for _, id := range sortedKeys(m.preemptions) {
+		if m.now >= m.preemptions[id].untilMS {
+			m.dropPreemption(id)
+		}
+	}
+}
--- a/internal/core/sched/record.go
+++ b/internal/core/sched/record.go
@@ -75,8 +75,32 @@
 	Detail string `cbor:"6,keyasint,omitempty"`
 	// BlameWorker counts the end against the worker's health.
 	BlameWorker bool `cbor:"7,keyasint,omitempty"`
+	// Next is what becomes of the task. It is recorded so that a successor with
+	// other settings never revives a task whose end was told to a caller.
+	Next Next `cbor:"8,keyasint"`
+	// NotBeforeMS is the end of the backoff of a retry.
+	NotBeforeMS int64 `cbor:"9,keyasint,omitempty"`
+	// Failure counts the end towards the bound on attempts.
+	Failure bool `cbor:"10,keyasint,omitempty"`
+	// Restart makes the next start use the restart rate.
+	Restart bool `cbor:"11,keyasint,omitempty"`
+	// Stable forgets the task's earlier failures: the attempt ran long enough.
+	Stable bool `cbor:"12,keyasint,omitempty"`
 }
 
+// Next tells what becomes of a task after an attempt.
+type Next uint8
+
+// Fates of a task. NextRetry plans it again; the others are final.
+const (
+	NextRetry Next = iota + 1
+	NextSucceeded
+	NextFailed
+	NextFailedEverywhere
+	NextUnknown
+	NextCancelled
+)
+
 // CancelledRecord cancels jobs in one batch.
 type CancelledRecord struct {
 	Jobs   []domain.JobID `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/core/sched/submit.go
@@ -0,0 +1,161 @@
+package sched
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburnpier/internal/core/placement"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/refusal"
+)
+
+// queueFullRetry is the Retry-After of a full queue: a few rounds of the journal.
+const queueFullRetry = 5 * time.Second
+
+// submit accepts a job, returns an earlier one of the same idempotency key, or refuses.
+func (m *Machine) submit(e Submit) Result {
+	spec := withSpecDefaults(e.Spec)
+	if earlier, ok := m.earlier(e); ok {
+		return m.resubmitted(earlier, e.Team, spec)
+	}
+	if r := m.admit(e.Team, spec); r != nil {
+		return Result{Err: r}
+	}
+	m.commit(Record{Accepted: &AcceptedRecord{Job: e.Job, Team: e.Team, Spec: spec}})
+	return Result{Job: e.Job, Batch: m.confirmBatch()}
+}
+
+func withSpecDefaults(s domain.JobSpec) domain.JobSpec {
+	if s.Kind == "" {
+		s.Kind = domain.JobBatch
+	}
+	if s.Priority == "" {
+		s.Priority = domain.PriorityNormal
+	}
+	return s
+}
+
+// earlier returns the job that the submission repeats.
+func (m *Machine) earlier(e Submit) (*job, bool) {
+	if j, ok := m.jobs[e.Job]; ok {
+		return j, true
+	}
+	if e.Spec.IdempotencyKey == "" {
+		return nil, false
+	}
+	id, ok := m.keys[submitKey{e.Team, e.Spec.IdempotencyKey}]
+	if !ok {
+		return nil, false
+	}
+	return m.jobs[id], true
+}
+
+func (m *Machine) resubmitted(j *job, team domain.TeamID, spec domain.JobSpec) Result {
+	if j.Team != team || !sameSpec(j.Spec, spec) {
+		return Result{Err: refusal.New(http.StatusConflict, refusal.IdempotencyMismatch,
+			"the job ID or idempotency key was used for a different job",
+			"use a new idempotency_key for a new job, or repeat the job unchanged")}
+	}
+	return Result{Job: j.ID, Existing: true, Batch: m.confirmBatch()}
+}
+
+// sameSpec compares encoded forms, in which empty and absent lists are equal.
+func sameSpec(a, b domain.JobSpec) bool {
+	x, errA := cbor.Marshal(a)
+	y, errB := cbor.Marshal(b)
+	return errA == nil && errB == nil && bytes.Equal(x, y)
+}
+
+// admit returns the refusal of a job that can never run, or nil.
+func (m *Machine) admit(id domain.TeamID, spec domain.JobSpec) *refusal.Refusal {
+	if r := m.checkSpec(spec); r != nil {
+		return r
+	}
+	t := m.team(id)
+	if !t.known {
+		return refusal.New(http.StatusForbidden, refusal.TeamUnknown,
+			fmt.Sprintf("team %q is not in the table", id), "ask the operators for a key of a current team")
+	}
+	if len(m.open)-m.openEnded >= m.cfg.MaxJobs {
+		return refusal.New(http.StatusTooManyRequests, refusal.QueueFull,
+			fmt.Sprintf("the partition holds %d jobs", m.cfg.MaxJobs), "submit again later").After(queueFullRetry)
+	}
+	need := spec.Resources
+	if spec.Kind == domain.JobGang {
+		need = need.Scale(int64(spec.Tasks))
+	}
+	if !need.Fits(t.limit) {
+		return refusal.New(http.StatusUnprocessableEntity, refusal.LimitTooSmall,
+			fmt.Sprintf("the job needs %s at once, the team's limit is %s", shape(need), shape(t.limit)),
+			"make resources or tasks smaller, or ask the operators for a larger limit")
+	}
+	return m.checkFits(spec)
+}
+
+func (m *Machine) checkSpec(spec domain.JobSpec) *refusal.Refusal {
+	invalid := func(message, remedy string) *refusal.Refusal {
+		return refusal.New(http.StatusBadRequest, refusal.InvalidRequest, message, remedy)
+	}
+	switch {
+	case spec.Tasks < 1 || spec.Tasks > m.cfg.MaxTasksPerJob:
+		return invalid(fmt.Sprintf("tasks is %d", spec.Tasks), fmt.Sprintf("set tasks from 1 to %d", m.cfg.MaxTasksPerJob))
+	case spec.Resources.IsNegative() || spec.Resources.IsZero():
+		return invalid("resources is "+shape(spec.Resources), "set at least one component above zero and none below")
+	case spec.Kind == domain.JobService && !spec.Idempotent:
+		// A replica that is not idempotent could never be replaced.
+		return invalid("a service is not idempotent", "set idempotent, or submit a batch job")
+	}
+	return nil
+}
+
+// checkFits refuses a job that fits no worker even when it is empty. A partition
+// that knows no worker yet accepts every job.
+func (m *Machine) checkFits(spec domain.JobSpec) *refusal.Refusal {
+	if m.largest.IsZero() {
+		return nil
+	}
+	req := placement.Request{Size: spec.Resources, Zones: spec.Zones, IgnoreReservations: true}
+	_, err := m.index.Place(req)
+	var none *placement.NoFitError
+	if errors.As(err, &none) && none.Never {
+		return neverFits("a task of "+shape(spec.Resources), shape(none.Nearest)+" for each task")
+	}
+	if spec.Kind != domain.JobGang {
+		return nil
+	}
+	if _, ok := m.index.GangCandidates(req, spec.Tasks, spec.SpanZones); ok {
+		return nil
+	}
+	fits := m.largestGang(req, spec)
+	return neverFits(fmt.Sprintf("a gang of %d tasks of %s", spec.Tasks, shape(spec.Resources)),
+		fmt.Sprintf("a gang of %d such tasks", fits))
+}
+
+func neverFits(what, nearest string) *refusal.Refusal {
+	return refusal.New(http.StatusUnprocessableEntity, refusal.NeverFits,
+		what+" fits no worker of the partition even when it is empty",
+		"the nearest shape that fits is "+nearest)
+}
+
+// largestGang returns the most members below spec.Tasks that fit empty workers.
+func (m *Machine) largestGang(req placement.Request, spec domain.JobSpec) int {
+	low, high := 0, spec.Tasks
+	for high-low > 1 {
+		middle := (low + high) / 2
+		if _, ok := m.index.GangCandidates(req, middle, spec.SpanZones); ok {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+func shape(r domain.Resources) string {
+	return fmt.Sprintf("%d mCPU, %d MB, %d accelerators", r.CPUMilli, r.MemoryMB, r.Accelerators)
+}
