sched: follow the placement and policy interfaces as merged

Cause: did not compile (a missing field), and the interfaces gained Holder, End, ExpectStart and Constraint. Change: backfill and skipping of hopeless jobs are left to the index and the queue; absences of workers count only after the first tick, because a recovered machine has no time before it.

--- a/internal/core/sched/event.go
+++ b/internal/core/sched/event.go
@@ -116,7 +116,8 @@
 	Allotments []Allotment
 }
 
-// Tick tells the time. Rounds of placement happen on ticks only.
+// Tick tells the time. Rounds of placement happen on ticks only. A process
+// sends a Tick before its first Submit, Cancel or WorkersListed.
 type Tick struct {
 	Now time.Time
 }
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -14,8 +14,6 @@
 	j       *job
 	workers []domain.WorkerID
 	sinceMS int64
-	// startMS is when the workers are expected to be free. Zero means unknown.
-	startMS int64
 }
 
 // considerGang places all waiting members of a gang, or none.
@@ -29,8 +27,6 @@
 	for _, i := range tasks {
 		req.Avoid = append(req.Avoid, j.Tasks[i].FailedOn...)
 	}
-	holder := m.gangHold != nil && m.gangHold.j == j
-	req.IgnoreReservations = req.IgnoreReservations || holder
 	workers, err := m.index.PlaceGang(req, n, j.Spec.SpanZones)
 	if err == nil {
 		err = m.reserveGang(j, size, workers)
@@ -41,7 +37,7 @@
 		m.holdForGang(j, req, n)
 		return
 	}
-	if holder {
+	if m.gangHold != nil && m.gangHold.j == j {
 		m.dropGangHold()
 	}
 	m.intend(r, j, size, workers, tasks, restart)
@@ -91,8 +87,8 @@
 		return
 	}
 	m.gangHold = &gangHold{j: j, workers: slices.Clone(workers), sinceMS: m.now}
-	m.gangHold.startMS = m.expectedFree(workers)
 	m.index.Hold(j.ID, workers)
+	m.index.ExpectStart(j.ID, fromMillis(m.expectedFree(workers)))
 	j.wait += "; workers are reserved for the gang"
 	if j.urgent() {
 		m.preemptForGang(j, req.Size, n)
@@ -119,16 +115,6 @@
 	return free
 }
 
-// mayBackfill reports whether a task of the job is expected to end before the gang's reservation begins.
-func (m *Machine) mayBackfill(j *job) bool {
-	if m.gangHold == nil || m.gangHold.startMS == 0 || j.Spec.Kind != domain.JobBatch || len(m.preemptions) > 0 {
-		// The room that an urgent job preempted is never backfilled.
-		return false
-	}
-	run := m.expectedRunMS(j)
-	return run > 0 && m.now+run <= m.gangHold.startMS
-}
-
 func (m *Machine) dropGangHold() {
 	m.index.Unhold(m.gangHold.j.ID)
 	m.gangHold = nil
--- a/internal/core/sched/machine.go
+++ b/internal/core/sched/machine.go
@@ -42,8 +42,10 @@
 	timers    timerHeap
 
 	// Volatile state.
-	now           int64
-	started       bool
+	now     int64
+	started bool
+	// ticked tells that now is a time of this process.
+	ticked        bool
 	dirty         bool
 	lastRound     int64
 	lastHouse     int64
@@ -69,7 +71,7 @@
 	unsent      []*attempt
 	unacked     []pendingAck
 	pendingEnds map[domain.AttemptID]uint64
-	recentJobs  map[domain.JobID]uint64
+	endOrder    []pendingAck
 	out         output
 }
 
@@ -156,6 +158,7 @@
 // tick moves the time and does what is due.
 func (m *Machine) tick(now int64) {
 	m.now = max(m.now, now)
+	m.ticked = true
 	m.fireTimers()
 	m.resendStops()
 	if m.now-m.lastHouse >= housekeepingMS {
--- a/internal/core/sched/queue.go
+++ b/internal/core/sched/queue.go
@@ -31,7 +31,7 @@
 		j.inQueue = true
 		m.queue.Push(policy.Item{
 			Job: j.ID, Team: j.Team, Kind: j.Spec.Kind, Priority: j.Spec.Priority,
-			Size: size, Tasks: n, Enqueued: fromMillis(j.WaitingSinceMS),
+			Size: size, Tasks: n, Enqueued: fromMillis(j.WaitingSinceMS), Constraint: m.constraint(j),
 		})
 	case j.inQueue:
 		j.inQueue = false
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"strconv"
+	"strings"
 
 	"auburnpier/internal/core/placement"
 	"auburnpier/internal/core/policy"
@@ -17,8 +19,6 @@
 // round is the state of one round of placement.
 type round struct {
 	placed, misses, passes int
-	// missed lists sizes of unconstrained requests that found no room in this round.
-	missed []domain.Resources
 }
 
 // maybeRound runs a round where its outcome may differ from the last one.
@@ -87,24 +87,12 @@
 	}
 	req := m.request(j, size)
 	req.Avoid = append(req.Avoid, j.Tasks[task].FailedOn...)
-	plain := len(req.Avoid) == 0 && len(req.Zones) == 0 && !req.IgnoreReservations
-	if plain && r.hopeless(size) && !m.mayBackfill(j) {
-		m.pass(r, j, policy.WaitNoRoom, "a smaller or equal task found no room")
-		return
-	}
 	id, err := m.index.Place(req)
-	if err != nil && m.mayBackfill(j) {
-		req.IgnoreReservations = true
-		id, err = m.index.Place(req)
-	}
 	if err == nil && !m.index.Reserve(id, j.ID, size) {
 		err = fmt.Errorf("worker %s has less room than the index offered", id)
 	}
 	if err != nil {
 		r.misses++
-		if plain {
-			r.missed = append(r.missed, size)
-		}
 		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
 		m.preempt(j, size, err)
 		return
@@ -115,25 +103,73 @@
 
 // request describes one task of the job to the index.
 func (m *Machine) request(j *job, size domain.Resources) placement.Request {
-	req := placement.Request{Size: size, Zones: j.Spec.Zones, IgnoreReservations: j.urgent()}
+	req := placement.Request{Size: size, Zones: j.Spec.Zones, Holder: j.ID, IgnoreReservations: j.urgent()}
 	if j.isService() {
 		req.Spread = j.ID
 	}
-	if j.isGang() || !j.Spec.Idempotent {
-		// A canary may fail, which these jobs cannot repair by a retry of one task.
+	if j.avoidsCanaries() {
 		req.Avoid = append(req.Avoid, m.canaries...)
 	}
+	if run := m.roundedRunMS(j); run > 0 {
+		req.End = fromMillis(m.now + run)
+	}
 	return req
 }
 
-// hopeless reports whether a request at most as large found no room in this round.
-func (r *round) hopeless(size domain.Resources) bool {
-	for _, missed := range r.missed {
-		if missed.Fits(size) {
-			return true
-		}
+// avoidsCanaries reports whether the job is kept off workers on probation: a
+// canary may fail, which these jobs cannot repair by a retry of one task.
+func (j *job) avoidsCanaries() bool { return j.isGang() || !j.Spec.Idempotent }
+
+// constraint names what restricts the workers of a job's next task, so that the
+// queue skips jobs of the same restrictions after one of them found no room.
+func (m *Machine) constraint(j *job) string {
+	var b strings.Builder
+	for _, z := range j.Spec.Zones {
+		b.WriteString("z" + string(z) + " ")
+	}
+	if j.urgent() {
+		b.WriteString("urgent ")
+	}
+	if j.avoidsCanaries() {
+		b.WriteString("settled ")
 	}
-	return false
+	if j.isGang() && j.Spec.SpanZones {
+		b.WriteString("span ")
+	}
+	if run := m.roundedRunMS(j); run > 0 {
+		b.WriteString("r" + strconv.FormatInt(run, 10) + " ")
+	}
+	for _, id := range j.avoided() {
+		b.WriteString("a" + string(id) + " ")
+	}
+	return b.String()
+}
+
+// avoided lists the workers that the job's next task or gang avoids.
+func (j *job) avoided() []domain.WorkerID {
+	switch {
+	case len(j.fresh) > 0:
+		return j.Tasks[j.fresh[0]].FailedOn
+	case len(j.restarts) > 0:
+		return j.Tasks[j.restarts[0]].FailedOn
+	case !j.isGang():
+		return nil
+	}
+	var list []domain.WorkerID
+	for i := range j.Tasks {
+		list = append(list, j.Tasks[i].FailedOn...)
+	}
+	return list
+}
+
+// roundedRunMS returns the expected run time of a batch task, rounded up to a
+// power of two so that the queue can group jobs. Zero means unknown.
+func (m *Machine) roundedRunMS(j *job) int64 {
+	run := m.expectedRunMS(j)
+	if run <= 0 || j.isGang() {
+		return 0
+	}
+	return 1 << bits.Len64(uint64(run-1))
 }
 
 // nextTask returns the next ready task, or -1 where only restarts wait and their rate is used up.
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -22,8 +22,6 @@
 	taskStates
 )
 
-func (s taskState) terminal() bool { return s >= taskSucceeded }
-
 // durableTask is the part of a task that records determine.
 type durableTask struct {
 	_     struct{} `cbor:",toarray"`
--- a/internal/core/sched/submit.go
+++ b/internal/core/sched/submit.go
@@ -120,40 +120,21 @@
 		return nil
 	}
 	req := placement.Request{Size: spec.Resources, Zones: spec.Zones, IgnoreReservations: true}
-	_, err := m.index.Place(req)
-	var none *placement.NoFitError
-	if errors.As(err, &none) && none.Never {
-		return neverFits("a task of "+shape(spec.Resources), shape(none.Nearest)+" for each task")
-	}
-	if spec.Kind != domain.JobGang {
-		return nil
+	var err error
+	what := "a task of " + shape(spec.Resources)
+	if spec.Kind == domain.JobGang {
+		_, err = m.index.PlaceGang(req, spec.Tasks, spec.SpanZones)
+		what = fmt.Sprintf("a gang of %d tasks of %s", spec.Tasks, shape(spec.Resources))
+	} else {
+		_, err = m.index.Place(req)
 	}
-	if _, ok := m.index.GangCandidates(req, spec.Tasks, spec.SpanZones); ok {
+	var none *placement.NoFitError
+	if !errors.As(err, &none) || !none.Never {
 		return nil
 	}
-	fits := m.largestGang(req, spec)
-	return neverFits(fmt.Sprintf("a gang of %d tasks of %s", spec.Tasks, shape(spec.Resources)),
-		fmt.Sprintf("a gang of %d such tasks", fits))
-}
-
-func neverFits(what, nearest string) *refusal.Refusal {
 	return refusal.New(http.StatusUnprocessableEntity, refusal.NeverFits,
 		what+" fits no worker of the partition even when it is empty",
-		"the nearest shape that fits is "+nearest)
-}
-
-// largestGang returns the most members below spec.Tasks that fit empty workers.
-func (m *Machine) largestGang(req placement.Request, spec domain.JobSpec) int {
-	low, high := 0, spec.Tasks
-	for high-low > 1 {
-		middle := (low + high) / 2
-		if _, ok := m.index.GangCandidates(req, middle, spec.SpanZones); ok {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	return low
+		"the nearest shape that fits is "+shape(none.Nearest)+" for each task")
 }
 
 func shape(r domain.Resources) string {
--- a/internal/core/sched/worker.go
+++ b/internal/core/sched/worker.go
@@ -176,8 +176,12 @@
 // workerAbsent handles a read that lacks the worker. Only a read at least
 // ListLag after the first such read proves that the VM is gone.
 func (m *Machine) workerAbsent(w *worker) bool {
+	if !m.ticked {
+		// The time of the first missing read would be unknown.
+		return false
+	}
 	if w.absentMS == 0 {
-		w.absentMS = max(m.now, 1)
+		w.absentMS = m.now
 		w.listed = false
 		m.updateExclusion(w)
 		return false
