Add store faults, the store call layer and contract tests

Cause: the store can lose answers, be slow or down, and answer stale reads; callers need one place for deadlines, retries, budgets and counters.

Change: standin/store.Faulty injects faults in process and behind the HTTP handler and counts calls by kind. adapter/storeguard bounds each call, keeps a budget of calls a second and repeats only calls without effect. The HTTP handler breaks the connection where the outcome is unknown, and the client reports a refused connection as a call without effect; before, a write to a store that was down counted as unknown.

--- /dev/null
+++ b/internal/adapter/storeguard/guard_test.go
@@ -0,0 +1,106 @@
+package storeguard
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+)
+
+// Only calls that provably had no effect may be repeated.
+func TestRetries(t *testing.T) {
+	cases := []struct {
+		name   string
+		action store.Action
+		times  int
+		calls  int64
+		ok     bool
+	}{
+		{"no fault", store.Refuse, 0, 1, true},
+		{"refused once", store.Refuse, 1, 2, true},
+		{"refused throughout", store.Refuse, 9, 3, false},
+		{"lost answer", store.LoseAnswer, 1, 1, false},
+		{"lost request", store.LoseRequest, 1, 1, false},
+		{"hanging", store.Hang, 1, 1, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := store.NewFaulty(store.New())
+				if c.times > 0 {
+					f.Inject(store.Fault{Action: c.action, Times: c.times})
+				}
+				m := metrics.New()
+				began := time.Now()
+				_, err := New(f, m, Config{}).CompareAndSwap(t.Context(), "k", 0, nil)
+				if (err == nil) != c.ok || f.Calls(store.CompareAndSwap) != c.calls {
+					t.Fatalf("%d calls, error %v", f.Calls(store.CompareAndSwap), err)
+				}
+				if m.Counter("store.calls.cas").Count() != c.calls || m.Counter("retry.store_unavailable").Count() != c.calls-1 {
+					t.Fatalf("counted %d calls, %d retries", m.Counter("store.calls.cas").Count(), m.Counter("retry.store_unavailable").Count())
+				}
+				if took := time.Since(began); took > 3*DefaultDeadline+time.Second {
+					t.Fatalf("took %s", took)
+				}
+			})
+		})
+	}
+}
+
+// The deadline of a watch must leave room for its wait.
+func TestWatchDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := store.NewFaulty(store.New())
+		g := New(f, metrics.New(), Config{})
+		began := time.Now()
+		if _, err := g.Watch(t.Context(), "k", 0, 10*time.Second); err != nil || time.Since(began) != 10*time.Second {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+		f.Inject(store.Fault{Action: store.Hang, Times: 1})
+		began = time.Now()
+		if _, err := g.Watch(t.Context(), "k", 0, 2*time.Second); err == nil || time.Since(began) != 2*time.Second+DefaultDeadline {
+			t.Fatalf("after %s: %v", time.Since(began), err)
+		}
+		synctest.Wait()
+	})
+}
+
+// Calls over the budget must wait, and be refused without a call where the
+// wait would exceed the deadline.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := store.NewFaulty(store.New())
+		m := metrics.New()
+		g := New(f, m, Config{WritesPerSecond: 10, ReadsPerSecond: 10})
+		began := time.Now()
+		for range 40 {
+			_, _ = g.Get(t.Context(), "k")
+		}
+		if took := time.Since(began); took < 2900*time.Millisecond || took > 3100*time.Millisecond {
+			t.Fatalf("40 reads at 10/s after a burst of 10 took %s", took)
+		}
+		results := make(chan error, 60)
+		for range cap(results) {
+			go func() {
+				_, err := g.CompareAndSwap(context.Background(), "k", 0, nil)
+				results <- err
+			}()
+		}
+		refused := 0
+		for range cap(results) {
+			var unavailable *port.UnavailableError
+			if err := <-results; errors.Is(err, ErrBudget) && errors.As(err, &unavailable) {
+				refused++
+			}
+		}
+		// 10 at once and 10/s within the deadline of 1.5 s.
+		if refused < 34 || refused > 36 || f.Calls(store.CompareAndSwap) != int64(60-refused) {
+			t.Fatalf("%d refused, %d calls", refused, f.Calls(store.CompareAndSwap))
+		}
+	})
+}
--- a/internal/adapter/storehttp/client.go
+++ b/internal/adapter/storehttp/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -93,11 +94,21 @@
 	return fmt.Sprintf("store answered status %d: %s", e.status, e.text)
 }
 
+// notSentError tells that no connection to the store was obtained, so nothing
+// of the request was sent.
+type notSentError struct{ err error }
+
+func (e *notSentError) Error() string { return "no connection to the store: " + e.err.Error() }
+
+func (e *notSentError) Unwrap() error { return e.err }
+
 func (c *Client) call(ctx context.Context, path string, req request) (*response, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode store request")
 	}
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build store request")
@@ -106,6 +117,9 @@
 	hr.GetBody = nil
 	hr.Header.Set("Content-Type", "application/json")
 	answer, err := c.http.Do(hr)
+	if err != nil && !connected {
+		return nil, &notSentError{err: err}
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -142,13 +156,18 @@
 	return &port.UnavailableError{Op: op, Err: err}
 }
 
-// writeError maps a failed write. Only an answer of the store proves that the
-// write had no effect; any broken exchange leaves the outcome unknown.
+// writeError maps a failed write. Only an answer of the store, or the lack of
+// a connection, proves that the write had no effect; any broken exchange leaves
+// the outcome unknown.
 func writeError(op, key string, err error) error {
 	var conflict *port.ConflictError
 	if errors.As(err, &conflict) {
 		return conflict
 	}
+	var notSent *notSentError
+	if errors.As(err, &notSent) {
+		return &port.UnavailableError{Op: op, Err: err}
+	}
 	var status *statusError
 	if errors.As(err, &status) && status.status == http.StatusServiceUnavailable {
 		return &port.UnavailableError{Op: op, Err: err}
--- a/internal/adapter/storehttp/handler.go
+++ b/internal/adapter/storehttp/handler.go
@@ -70,6 +70,7 @@
 	var notFound *port.NotFoundError
 	var conflict *port.ConflictError
 	var unavailable *port.UnavailableError
+	var unknown *port.OutcomeUnknownError
 	switch {
 	case errors.As(err, &notFound):
 		answer(w, http.StatusNotFound, &response{Error: err.Error()})
@@ -77,6 +78,9 @@
 		answer(w, http.StatusConflict, &response{Error: err.Error(), Entry: toWire(conflict.Current)})
 	case errors.As(err, &unavailable):
 		answer(w, http.StatusServiceUnavailable, &response{Error: err.Error()})
+	case errors.As(err, &unknown):
+		// The caller must not take any answer for proof, so it gets none.
+		panic(http.ErrAbortHandler)
 	default:
 		answer(w, http.StatusInternalServerError, &response{Error: err.Error()})
 	}
--- a/internal/core/confdoc/codec_test.go
+++ b/internal/core/confdoc/codec_test.go
@@ -117,12 +117,12 @@
 			b.Fatal(err)
 		}
 		b.Run(fmt.Sprintf("decode/teams=%d", teams), func(b *testing.B) {
-			b.ReportMetric(float64(len(data)), "doc-bytes")
 			for b.Loop() {
 				if _, err := Decode(data); err != nil {
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(len(data)), "doc-bytes")
 		})
 		edit := Edit{ID: "e", SetTeam: &SetTeam{Team: "team-with-a-long-name-000", Based: 99_000, Row: teamRow(1)}}
 		b.Run(fmt.Sprintf("apply/teams=%d", teams), func(b *testing.B) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -34,6 +36,34 @@
 	return &Store{entries: make(map[string]port.Entry), changed: make(chan struct{})}
 }
 
+// Copy returns a store that holds the present entries and history.
+func (s *Store) Copy() *Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Store{
+		entries:  maps.Clone(s.entries),
+		history:  slices.Clone(s.history),
+		oldest:   s.oldest,
+		revision: s.revision,
+		changed:  make(chan struct{}),
+	}
+}
+
+// Compact drops the history, so that every watch from an earlier revision is
+// answered with a gap.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.oldest = s.revision
+}
+
+func (s *Store) current() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
 // Get implements port.Store.
 func (s *Store) Get(_ context.Context, key string) (port.Entry, error) {
 	s.mu.Lock()
