--- /dev/null
+++ b/internal/app/requestplane/buffer.go
@@ -0,0 +1,15 @@
+package requestplane
+
+import "sync"
+
+// copyBufferBytes is the memory that one answer in flight takes, however long it is.
+const copyBufferBytes = 32 << 10
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBufferBytes)
+	return &b
+}}
+
+func getBuffer() *[]byte { return buffers.Get().(*[]byte) }
+
+func putBuffer(b *[]byte) { buffers.Put(b) }
--- /dev/null
+++ b/internal/app/requestplane/harness_test.go
@@ -0,0 +1,134 @@
+package requestplane
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnpier/internal/core/route"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/standin/backend"
+)
+
+const testQueue = "renders"
+
+// headerAdmission takes the team from the header X-Team, in place of a key.
+type headerAdmission struct {
+	mu     sync.Mutex
+	row    domain.QueueRow
+	shares map[domain.TeamID]float64
+}
+
+func (a *headerAdmission) Admit(r *http.Request, _ domain.QueueID) (Caller, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	team := domain.TeamID(r.Header.Get("X-Team"))
+	share := a.shares[team]
+	if share == 0 {
+		share = 1
+	}
+	return Caller{Team: team, Share: share, Row: a.row}, nil
+}
+
+// cell is a plane with its backend servers.
+type cell struct {
+	t        *testing.T
+	plane    *Plane
+	front    *httptest.Server
+	servers  []*backend.Server
+	vms      []domain.VM
+	slots    *StaticSlots
+	teams    *StaticTeamLimits
+	admit    *headerAdmission
+	metrics  *metrics.Registry
+	client   *http.Client
+	nextID   int
+	idPrefix string
+}
+
+type cellOptions struct {
+	servers int
+	slots   int
+	work    time.Duration
+	hold    time.Duration
+	row     domain.QueueRow
+	peers   Peers
+	bytes   int64
+}
+
+func newCell(t *testing.T, o cellOptions) *cell {
+	t.Helper()
+	c := &cell{t: t, slots: &StaticSlots{}, teams: &StaticTeamLimits{}, metrics: metrics.New(), idPrefix: t.Name()}
+	c.admit = &headerAdmission{row: o.row, shares: make(map[domain.TeamID]float64)}
+	if o.slots == 0 {
+		o.slots = 8
+	}
+	c.plane = New(Options{Admission: c.admit, Slots: c.slots, Teams: c.teams, Peers: o.peers,
+		Metrics: c.metrics, HoldBound: o.hold, MaxWaitingBytes: o.bytes})
+	for i := range o.servers {
+		c.addServer(i, o)
+	}
+	c.plane.UpdateVMs(c.vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.plane.Run(ctx)
+	c.front = httptest.NewServer(c.plane)
+	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	t.Cleanup(func() {
+		c.client.CloseIdleConnections()
+		c.front.CloseClientConnections()
+		c.front.Close()
+		cancel()
+	})
+	return c
+}
+
+func (c *cell) addServer(i int, o cellOptions) {
+	s, err := backend.Start(o.work)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(s.Close)
+	c.servers = append(c.servers, s)
+	c.vms = append(c.vms, domain.VM{ID: fmt.Sprintf("b%d", i), Role: domain.RoleBackend, Address: s.Address(),
+		Slots: o.slots, MaxConnections: 60, Queues: []domain.QueueID{testQueue}})
+}
+
+// url returns the address of the queue's requests.
+func (c *cell) url() string { return c.front.URL + "/v1/queues/" + testQueue + "/request" }
+
+// ran returns how often a request ran over all servers.
+func (c *cell) ran(id string) int {
+	n := 0
+	for _, s := range c.servers {
+		n += s.Ran()[id]
+	}
+	return n
+}
+
+// waitFor fails the test where the condition does not become true.
+func (c *cell) waitFor(what string, cond func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !cond() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("timed out waiting until %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// serverOf returns the routing state of the server with that index.
+func (c *cell) serverOf(i int) *route.Server {
+	for _, s := range c.plane.disp.table.Servers() {
+		if s.Info.Address == c.servers[i].Address() {
+			return s
+		}
+	}
+	c.t.Fatalf("no server %d", i)
+	return nil
+}
--- /dev/null
+++ b/internal/app/requestplane/headers.go
@@ -0,0 +1,152 @@
+package requestplane
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"auburnpier/internal/domain"
+)
+
+// Headers of the request plane, in canonical form.
+const (
+	// HeaderIdempotency is "yes" or "no". GET and HEAD default to yes, others to no.
+	HeaderIdempotency = "Idempotency"
+	// HeaderTimeout is the time left for the request in milliseconds. It is
+	// relative, so that it does not depend on the clocks of two machines.
+	HeaderTimeout = "X-Timeout-Ms"
+	// HeaderRequestID names the request at the backend server. It is generated
+	// where the caller sends none.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderNotRun is "true" on an answer to a request that provably did not run.
+	HeaderNotRun = "X-Not-Run"
+	// HeaderHop marks a request that another instance forwarded. It is not forwarded again.
+	HeaderHop = "X-Auburnpier-Hop"
+	// HeaderQueue and HeaderTeam tell the backend server whose request it runs.
+	HeaderQueue = "X-Auburnpier-Queue"
+	HeaderTeam  = "X-Auburnpier-Team"
+
+	headerForwardedFor  = "X-Forwarded-For"
+	headerForwardedHost = "X-Forwarded-Host"
+	headerAuthorization = "Authorization"
+	headerConnection    = "Connection"
+	headerUserAgent     = "User-Agent"
+	headerRetryAfter    = "Retry-After"
+	headerContentType   = "Content-Type"
+	headerContentLength = "Content-Length"
+	headerTrailer       = "Trailer"
+)
+
+// keyPrefix marks an Authorization value that carries a key of this system,
+// which backend servers must not see.
+const keyPrefix = "Bearer ap_"
+
+// perHop reports whether a header concerns one connection only.
+func perHop(name string) bool {
+	switch name {
+	case headerConnection, "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", headerTrailer, "Transfer-Encoding", "Upgrade", "Expect":
+		return true
+	}
+	return false
+}
+
+// removeListed drops the headers that the Connection header names.
+func removeListed(out, in http.Header) {
+	for _, value := range in[headerConnection] {
+		for name := range strings.SplitSeq(value, ",") {
+			name = textproto.TrimString(name)
+			if name != "" {
+				out.Del(name)
+			}
+		}
+	}
+}
+
+// forwardHeader returns the headers that are sent on with the request.
+func forwardHeader(r *http.Request) http.Header {
+	out := make(http.Header, len(r.Header)+6)
+	for name, values := range r.Header {
+		if !perHop(name) && !internalHeader(name) {
+			out[name] = values
+		}
+	}
+	removeListed(out, r.Header)
+	if _, ok := out[headerUserAgent]; !ok {
+		// An explicit empty value keeps net/http from adding its own.
+		out[headerUserAgent] = []string{""}
+	}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		out[headerForwardedFor] = append(out[headerForwardedFor][:len(out[headerForwardedFor]):len(out[headerForwardedFor])], host)
+	}
+	return out
+}
+
+// internalHeader reports whether only the request plane itself may set the header.
+func internalHeader(name string) bool {
+	return name == HeaderHop || name == HeaderQueue || name == HeaderTeam || name == HeaderTimeout || name == HeaderNotRun
+}
+
+// toBackend completes headers for a backend server.
+func toBackend(h http.Header, r *http.Request, queue domain.QueueID, team domain.TeamID) {
+	if strings.HasPrefix(h.Get(headerAuthorization), keyPrefix) {
+		delete(h, headerAuthorization)
+	}
+	h[HeaderQueue] = []string{string(queue)}
+	if team != "" {
+		h[HeaderTeam] = []string{string(team)}
+	}
+	h[headerForwardedHost] = []string{r.Host}
+}
+
+// setTimeout passes the time that is left on.
+func setTimeout(h http.Header, left time.Duration) {
+	ms := max(left.Milliseconds(), 1)
+	h[HeaderTimeout] = []string{strconv.FormatInt(ms, 10)}
+}
+
+// answerHeader copies the headers of an answer to the caller.
+func answerHeader(dst, src http.Header) {
+	for name, values := range src {
+		if !perHop(name) && !internalHeader(name) {
+			dst[name] = values
+		}
+	}
+	if len(src[headerConnection]) > 0 {
+		removeListed(dst, src)
+	}
+}
+
+// idempotent tells whether a request may run twice. The bool ok is false where
+// the header has another value than yes or no.
+func idempotent(r *http.Request) (may, ok bool) {
+	switch r.Header.Get(HeaderIdempotency) {
+	case "yes":
+		return true, true
+	case "no":
+		return false, true
+	case "":
+		return r.Method == http.MethodGet || r.Method == http.MethodHead, true
+	}
+	return false, false
+}
+
+// timeout returns the time that the request may take.
+func timeout(r *http.Request, row domain.QueueRow) (limit time.Duration, ok bool) {
+	limit = DefaultTimeout
+	if row.TimeoutMS > 0 {
+		limit = time.Duration(row.TimeoutMS) * time.Millisecond
+	}
+	value := r.Header.Get(HeaderTimeout)
+	if value == "" {
+		return limit, true
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	return min(time.Duration(min(ms, MaxTimeout.Milliseconds()))*time.Millisecond, MaxTimeout), true
+}
--- /dev/null
+++ b/internal/app/requestplane/overflow.go
@@ -0,0 +1,93 @@
+package requestplane
+
+import (
+	"net/url"
+	"sync"
+	"time"
+
+	"auburnpier/internal/core/route"
+	"auburnpier/internal/metrics"
+)
+
+// forgetPeer is longer than a connection attempt, so that no request still uses the pool.
+const forgetPeer = time.Minute
+
+// peerPools holds the connections to the other instances by address.
+type peerPools struct {
+	mu        sync.Mutex
+	byAddress map[string]*pool
+}
+
+func (p *peerPools) get(address string, now time.Time) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.byAddress[address]
+	if found == nil {
+		found = newPool(address, peerConnections)
+		p.byAddress[address] = found
+	}
+	found.used = now
+	return found
+}
+
+// prune closes old connections and forgets addresses that were not used for a while.
+func (p *peerPools) prune(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, pool := range p.byAddress {
+		pool.prune(now)
+		if pool.count() == 0 && now.Sub(pool.used) >= forgetPeer {
+			delete(p.byAddress, address)
+		}
+	}
+}
+
+func (p *peerPools) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byAddress {
+		pool.trim(0)
+	}
+}
+
+// overflow forwards a request that finds no free slot here to an instance with
+// free slots. It reports false where the request should wait here instead. The
+// other instance resolves the key again, so the key is sent along.
+func (p *Plane) overflow(q *request) (done bool) {
+	peer, ok := p.peers.Take(q.queue)
+	if !ok {
+		return false
+	}
+	p.forwarded.Inc(1)
+	header := forwardHeader(q.r)
+	header[HeaderRequestID] = []string{q.id}
+	header[HeaderHop] = []string{"1"}
+	target := url.URL{Path: q.r.URL.Path, RawPath: q.r.URL.RawPath, RawQuery: q.r.URL.RawQuery}
+	x := p.start(q, p.peerPools.get(peer.Address, p.clock.Now()), &target, header)
+	if x.err == nil && !x.refused {
+		p.answer(q, x, func(route.Outcome) {}, func(route.Outcome) {})
+		return true
+	}
+	if x.refused && x.err == nil && x.drainRefused() {
+		p.finish(q, x)
+	} else {
+		p.abandon(q, x, func(bool) {})
+	}
+	return p.afterOverflow(q, x)
+}
+
+// afterOverflow decides what follows a forwarding without an answer. A request
+// that provably did not run waits here, which takes nothing of the retry
+// budget since no backend server was tried.
+func (p *Plane) afterOverflow(q *request, x *exchange) (done bool) {
+	notRun := route.Failure{BytesWritten: x.sent, ServerRefused: x.refused}.NotRun()
+	if notRun && q.body.replayable() && q.r.Context().Err() == nil {
+		p.metrics.Retried(metrics.RetryPeerUnreachable)
+		return false
+	}
+	ref := p.afterFailure(q, x)
+	if ref != nil {
+		p.refuse(q, ref)
+	}
+	return ref != nil
+}
--- /dev/null
+++ b/internal/app/requestplane/plane.go
@@ -0,0 +1,195 @@
+package requestplane
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"auburnpier/internal/core/route"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/refusal"
+)
+
+// tickInterval is how late a waiting request learns that its deadline passed.
+const tickInterval = 20 * time.Millisecond
+
+// pruneInterval is the time between two looks at idle connections.
+const pruneInterval = time.Second
+
+// peerConnections bounds the connections to one other instance.
+const peerConnections = 512
+
+// Plane is the request plane of one instance. It is an http.Handler for the
+// paths /v1/queues/{queue}/request[/path].
+type Plane struct {
+	admission Admission
+	peers     Peers
+	clock     port.Clock
+	metrics   *metrics.Registry
+	holdBound time.Duration
+	disp      *dispatcher
+	peerPools peerPools
+
+	draining atomic.Bool
+	inFlight atomic.Int64
+	holding  atomic.Int64 // slots held for callers that are gone
+	idle     chan struct{}
+
+	accepted    gometrics.Counter
+	answered    gometrics.Counter
+	aborted     gometrics.Counter
+	forwarded   gometrics.Counter
+	holdExpired gometrics.Counter
+	waited      gometrics.Timer
+}
+
+// New returns a plane. It panics where the options lack a dependency, which is
+// a fault of the wiring. Run must be running while requests are served.
+func New(o Options) *Plane {
+	if err := o.check(); err != nil {
+		panic(err)
+	}
+	return &Plane{
+		admission:   o.Admission,
+		peers:       o.Peers,
+		clock:       o.Clock,
+		metrics:     o.Metrics,
+		holdBound:   o.HoldBound,
+		disp:        newDispatcher(&o),
+		peerPools:   peerPools{byAddress: make(map[string]*pool)},
+		idle:        make(chan struct{}, 1),
+		accepted:    o.Metrics.Counter("requestplane.accepted"),
+		answered:    o.Metrics.Counter("requestplane.answered"),
+		aborted:     o.Metrics.Counter("requestplane.aborted"),
+		forwarded:   o.Metrics.Counter("requestplane.forwarded"),
+		holdExpired: o.Metrics.Counter("requestplane.hold_expired"),
+		waited:      o.Metrics.Timer("requestplane.waited"),
+	}
+}
+
+// Run expires waiting requests and closes idle connections until the context ends.
+func (p *Plane) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var pruned time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := p.clock.Now()
+		p.disp.tick(now)
+		if now.Sub(pruned) >= pruneInterval {
+			pruned = now
+			p.disp.prune(now)
+			p.peerPools.prune(now)
+		}
+	}
+}
+
+// UpdateVMs takes a new list of the platform's VMs.
+func (p *Plane) UpdateVMs(vms []domain.VM) {
+	var list []route.ServerInfo
+	for _, vm := range vms {
+		if vm.Role == domain.RoleBackend {
+			list = append(list, route.FromVM(vm))
+		}
+	}
+	p.disp.update(list)
+}
+
+// ServeHTTP implements http.Handler. It aborts the caller's connection where
+// an answer that has begun cannot be completed.
+func (p *Plane) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !p.enter() {
+		w.Header().Set(headerConnection, "close")
+		p.writeRefusal(w, refuseShuttingDown())
+		return
+	}
+	defer p.leave()
+	q, ref := p.accept(w, r)
+	if ref != nil {
+		p.writeRefusal(w, ref)
+		return
+	}
+	p.accepted.Inc(1)
+	p.serve(q)
+}
+
+// accept resolves the caller and reads what is needed before the request waits.
+func (p *Plane) accept(w http.ResponseWriter, r *http.Request) (*request, *refusal.Refusal) {
+	now := p.clock.Now()
+	queue, target, ok := splitPath(r.URL)
+	if !ok {
+		return nil, refusal.New(http.StatusNotFound, refusal.NotFound,
+			"the path is not /v1/queues/{queue}/request[/path]", "correct the path")
+	}
+	if !r.ProtoAtLeast(1, 1) {
+		return nil, refuseInvalid(http.StatusHTTPVersionNotSupported,
+			"HTTP/1.0 cannot tell a whole answer from a broken one", "use HTTP/1.1")
+	}
+	caller, err := p.admission.Admit(r, queue)
+	if err != nil {
+		return nil, refusal.From(err)
+	}
+	q := &request{r: r, w: w, queue: queue, target: target, caller: caller}
+	if q.idempotent, ok = idempotent(r); !ok {
+		return nil, refuseInvalid(http.StatusBadRequest,
+			"header "+HeaderIdempotency+" is neither yes nor no", "correct or drop the header")
+	}
+	limit, ok := timeout(r, caller.Row)
+	if !ok {
+		return nil, refuseInvalid(http.StatusBadRequest,
+			"header "+HeaderTimeout+" is not a positive number of milliseconds", "correct or drop the header")
+	}
+	q.deadline = now.Add(limit)
+	q.hop = r.Header.Get(HeaderHop) != ""
+	q.id = r.Header.Get(HeaderRequestID)
+	if q.id == "" {
+		q.id = newRequestID()
+	}
+	if err := q.prefetch(); err != nil {
+		return nil, refuseInvalid(http.StatusBadRequest, "the request body ended early: "+err.Error(),
+			"send the whole body before the deadline")
+	}
+	return q, nil
+}
+
+// enter counts a request in unless the plane drains.
+func (p *Plane) enter() bool {
+	p.inFlight.Add(1)
+	if p.draining.Load() {
+		p.leave()
+		return false
+	}
+	return true
+}
+
+func (p *Plane) leave() {
+	if p.inFlight.Add(-1) == 0 {
+		p.signalIdle()
+	}
+}
+
+// release counts out a slot that was held for a caller that is gone.
+func (p *Plane) release() {
+	if p.holding.Add(-1) == 0 {
+		p.signalIdle()
+	}
+}
+
+func (p *Plane) signalIdle() {
+	if !p.draining.Load() {
+		return
+	}
+	select {
+	case p.idle <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/app/requestplane/refuse.go
@@ -0,0 +1,85 @@
+package requestplane
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/refusal"
+)
+
+// writeRefusal answers with a refusal and counts it.
+func (p *Plane) writeRefusal(w http.ResponseWriter, ref *refusal.Refusal) {
+	p.metrics.Refused(ref.Reason)
+	h := w.Header()
+	h.Set(headerContentType, "application/json")
+	if ref.NotRun {
+		h.Set(HeaderNotRun, "true")
+	}
+	if ref.RetryAfter > 0 {
+		seconds := (ref.RetryAfter + time.Second - 1) / time.Second
+		h.Set(headerRetryAfter, strconv.FormatInt(int64(seconds), 10))
+	}
+	w.WriteHeader(ref.Status)
+	_ = json.NewEncoder(w).Encode(ref)
+}
+
+func refuseQueueFull(queue domain.QueueID) *refusal.Refusal {
+	return refusal.New(http.StatusTooManyRequests, refusal.QueueFull,
+		"queue "+string(queue)+" has no room for another waiting request of the team",
+		"send fewer requests at a time, or wait and send the request again").After(time.Second)
+}
+
+func refuseNoServer(queue domain.QueueID) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.NoBackendServer,
+		"no backend server serves queue "+string(queue),
+		"send the request again later, or ask the operators for servers of this queue").After(time.Second)
+}
+
+func refuseShuttingDown() *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.ShuttingDown,
+		"the instance is shutting down",
+		"send the request again, another instance will take it").After(time.Second)
+}
+
+func refuseDeadlineWaiting() *refusal.Refusal {
+	return refusal.New(http.StatusGatewayTimeout, refusal.DeadlineExceeded,
+		"the deadline passed while the request waited for a free slot",
+		"send the request again later, or with a longer "+HeaderTimeout).After(time.Second)
+}
+
+func refuseDeadlineRunning() *refusal.Refusal {
+	return refusal.Unknown(http.StatusGatewayTimeout, refusal.DeadlineExceeded,
+		"the deadline passed before the backend server answered, the request may have run",
+		"look up the outcome before you repeat the request, or set a longer "+HeaderTimeout).After(time.Second)
+}
+
+func refuseOutcomeUnknown(why string) *refusal.Refusal {
+	return refusal.Unknown(http.StatusBadGateway, refusal.OutcomeUnknown,
+		"the backend server may have run the request, but its answer was lost: "+why,
+		"look up the outcome before you repeat the request").After(time.Second)
+}
+
+func refuseBackendFailed(why string) *refusal.Refusal {
+	return refusal.New(http.StatusBadGateway, refusal.BackendFailed,
+		"no backend server took the request: "+why,
+		"send the request again later").After(time.Second)
+}
+
+func refuseRetryBudget(why string) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.RetryBudgetExhausted,
+		"the queue's retry budget is used up: "+why,
+		"send the request again later").After(time.Second)
+}
+
+func refuseInvalid(status int, message, remedy string) *refusal.Refusal {
+	return refusal.New(status, refusal.InvalidRequest, message, remedy)
+}
+
+func refuseBodyBroken() *refusal.Refusal {
+	return refusal.Unknown(http.StatusBadRequest, refusal.InvalidRequest,
+		"the request body ended early after a part of it was sent to a backend server",
+		"look up the outcome before you repeat the request")
+}
--- /dev/null
+++ b/internal/app/requestplane/static.go
@@ -0,0 +1,81 @@
+package requestplane
+
+import (
+	"math"
+	"sync"
+
+	"auburnpier/internal/domain"
+)
+
+// StaticSlots holds fixed amounts, for a single instance. The zero value holds
+// every slot of every server.
+type StaticSlots struct {
+	mu      sync.Mutex
+	amounts map[domain.BackendID]int
+	lost    bool
+}
+
+var _ Slots = (*StaticSlots)(nil)
+
+// Set holds n slots of the server, and from then on only what was set.
+func (s *StaticSlots) Set(server domain.BackendID, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.amounts == nil {
+		s.amounts = make(map[domain.BackendID]int)
+	}
+	s.amounts[server] = n
+}
+
+// SetAuthority grants or withdraws the authority.
+func (s *StaticSlots) SetAuthority(held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = !held
+}
+
+// Held implements Slots.
+func (s *StaticSlots) Held(server domain.BackendID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.amounts == nil {
+		return math.MaxInt
+	}
+	return s.amounts[server]
+}
+
+// Authority implements Slots.
+func (s *StaticSlots) Authority() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.lost
+}
+
+// StaticTeamLimits holds fixed amounts. A team without one has no limit.
+type StaticTeamLimits struct {
+	mu      sync.Mutex
+	amounts map[domain.TeamID]int64
+}
+
+var _ TeamLimits = (*StaticTeamLimits)(nil)
+
+// Set allows the team n requests in flight.
+func (l *StaticTeamLimits) Set(team domain.TeamID, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.amounts == nil {
+		l.amounts = make(map[domain.TeamID]int64)
+	}
+	l.amounts[team] = n
+}
+
+// Allowed implements TeamLimits.
+func (l *StaticTeamLimits) Allowed(team domain.TeamID) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, ok := l.amounts[team]
+	if !ok {
+		return math.MaxInt64
+	}
+	return n
+}
