Add the demo with embedded stand-ins and the request plane to the daemon

The thin path works end to end: a job over HTTP is recorded in the store, started on a worker with room and answered; a request on a queue reaches a backend server with a free slot. Known gaps: ends are seen only at the 10 s lease renewal, and the two planes write refusals in different forms.

--- /dev/null
+++ b/cmd/auburnpierd/main.go
@@ -0,0 +1,109 @@
+// Command auburnpierd is the daemon that runs on every entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"auburnpier/internal/daemon"
+	"auburnpier/internal/demo"
+	"auburnpier/internal/settings"
+)
+
+const description = `Daemon of the auburnpier cluster scheduler.
+
+Examples:
+  auburnpierd check-config --settings /etc/auburnpier/settings.json
+  auburnpierd serve --settings /etc/auburnpier/settings.json
+  auburnpierd demo --once
+`
+
+// exitWrongSettings tells that the settings file has faults.
+const exitWrongSettings = 2
+
+type commands struct {
+	Serve       serveCommand   `cmd:"" help:"Run one instance."`
+	CheckConfig checkCommand   `cmd:"" help:"Check a settings file and report every fault."`
+	Demo        demoCommand    `cmd:"" help:"Run an instance with small stand-ins of the platform and drive example work through it."`
+	Version     versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	parsed := kong.Parse(&commands{}, kong.Name("auburnpierd"), kong.Description(description), kong.UsageOnError())
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "auburnpierd:", err)
+		os.Exit(1)
+	}
+}
+
+type serveCommand struct {
+	Settings string `help:"Settings file, JSON with comments." type:"path" required:""`
+}
+
+// Run implements the command.
+func (c *serveCommand) Run() error {
+	s := load(c.Settings)
+	log, err := daemon.NewLog(s.Log.Level, s.Instance)
+	if err != nil {
+		return err
+	}
+	instance, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	return instance.Run(ctx)
+}
+
+// signals returns a context that ends at the first signal. A second signal ends the process at once.
+func signals() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	return ctx, stop
+}
+
+func load(file string) settings.Settings {
+	s, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "auburnpierd:", err)
+		os.Exit(exitWrongSettings)
+	}
+	return s
+}
+
+type checkCommand struct {
+	Settings string `help:"Settings file, JSON with comments." type:"path" required:""`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run() error {
+	load(c.Settings)
+	fmt.Printf("%s: no faults\n", c.Settings)
+	return nil
+}
+
+type demoCommand struct {
+	Once bool   `help:"Exit after the example, with 0 or with 1 where a promise was broken."`
+	API  string `help:"Address of the API." default:"127.0.0.1:8080"`
+}
+
+// Run implements the command.
+func (c *demoCommand) Run() error {
+	ctx, stop := signals()
+	defer stop()
+	return demo.Run(ctx, demo.Options{Once: c.Once, API: c.API, Out: os.Stdout})
+}
+
+type versionCommand struct{}
+
+// Run implements the command.
+func (c *versionCommand) Run() error {
+	fmt.Println("auburnpierd", daemon.Version)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/admission.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"net/http"
+
+	"auburnpier/internal/adapter/api"
+	"auburnpier/internal/app/confsync"
+	"auburnpier/internal/app/requestplane"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/refusal"
+)
+
+// admission resolves callers of the request plane from the configuration in force.
+type admission struct {
+	config *confsync.Sync
+}
+
+// Admit implements requestplane.Admission. An open queue needs no key, but a
+// key that comes with the request must be valid, since it names the team.
+func (a admission) Admit(r *http.Request, queue domain.QueueID) (requestplane.Caller, error) {
+	current := a.config.Current()
+	if current == nil {
+		return requestplane.Caller{}, refusal.New(http.StatusServiceUnavailable, refusal.NotReady,
+			"there is no configuration yet", "send the request to another instance")
+	}
+	row, ok := current.Doc.Queues[queue]
+	if !ok {
+		return requestplane.Caller{}, refusal.New(http.StatusNotFound, refusal.QueueUnknown,
+			"there is no such queue", "check the queue's name; operators list them with: auburnpier queues show")
+	}
+	if row.Open && r.Header.Get("Authorization") == "" {
+		return requestplane.Caller{Row: row}, nil
+	}
+	key, err := api.KeyFromHeader(r.Header)
+	if err != nil {
+		return requestplane.Caller{}, err
+	}
+	id, err := a.config.Resolve(key)
+	if err != nil {
+		return requestplane.Caller{}, err
+	}
+	return requestplane.Caller{Team: id.Team, Share: current.Doc.Teams[id.Team].Share, Row: row}, nil
+}
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -18,7 +18,6 @@
 	"auburnpier/internal/core/teamkey"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
-	"auburnpier/internal/settings"
 )
 
 const (
@@ -69,20 +68,6 @@
 	return list
 }
 
-// feedVMs passes each read of the platform's list to the task plane.
-func (i *Instance) feedVMs(ctx context.Context) {
-	ticker := time.NewTicker(settings.Milliseconds(i.settings.VMList.PollMS))
-	defer ticker.Stop()
-	for {
-		i.readVMs(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // reportState hands the own state to the membership.
 func (i *Instance) reportState(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
@@ -93,9 +78,13 @@
 			return
 		case <-ticker.C:
 		}
-		i.peers.SetPartitions(i.ownedPartitions())
+		state, ok := any(i.peers).(peering.SelfState)
+		if !ok {
+			continue
+		}
+		state.SetPartitions(i.ownedPartitions())
 		if current := i.config.Current(); current != nil {
-			i.peers.SetConfigVersion(current.Version())
+			state.SetConfigVersion(current.Version())
 		}
 	}
 }
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -18,9 +18,11 @@
 	"auburnpier/internal/adapter/api"
 	"auburnpier/internal/adapter/storehttp"
 	"auburnpier/internal/adapter/tlsfiles"
+	"auburnpier/internal/adapter/vmlisthttp"
 	"auburnpier/internal/adapter/workerhttp"
 	"auburnpier/internal/app/confsync"
 	"auburnpier/internal/app/peering"
+	"auburnpier/internal/app/requestplane"
 	"auburnpier/internal/app/sharedwatch"
 	"auburnpier/internal/app/taskplane"
 	"auburnpier/internal/core/policy"
@@ -47,6 +49,8 @@
 	config  *confsync.Sync
 	manager *taskplane.Manager
 	router  *taskplane.Router
+	plane   *requestplane.Plane
+	vms     *vmlisthttp.Poller
 
 	listener net.Listener
 	server   *http.Server
@@ -75,6 +79,8 @@
 		Store: i.store, Watch: i.watch, Clock: i.clock, Metrics: i.metrics, Log: log,
 	})
 	i.newTaskPlane()
+	i.newRequestPlane()
+	i.vms = vmlisthttp.NewPoller(vmlisthttp.NewClient(s.VMList.Address), i.clock, i.deliverVMs)
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -156,6 +162,26 @@
 	})
 }
 
+func (i *Instance) newRequestPlane() {
+	s := i.settings
+	i.plane = requestplane.New(requestplane.Options{
+		Location:        domain.Location{Region: s.Location.Region, Zone: s.Location.Zone},
+		Admission:       admission{config: i.config},
+		Slots:           &requestplane.StaticSlots{},
+		Teams:           &requestplane.StaticTeamLimits{},
+		Clock:           i.clock,
+		Metrics:         i.metrics,
+		HoldBound:       settings.Milliseconds(s.Requests.SlotHoldBoundMS),
+		MaxWaitingBytes: s.Requests.MaxWaitingBytes,
+	})
+}
+
+// deliverVMs passes each read of the platform's list to both planes.
+func (i *Instance) deliverVMs(vms []domain.VM) {
+	i.manager.SetVMs(vms)
+	i.plane.UpdateVMs(vms)
+}
+
 // listen opens the API listener with the bounds on what callers may send.
 func (i *Instance) listen() error {
 	s := i.settings
@@ -164,7 +190,7 @@
 		return errors.Wrapf(err, "listen on listen.api %s; choose a free port of this VM", s.Listen.API)
 	}
 	handler := api.NewServer(api.Options{
-		Jobs: i.router, Config: i.config, Cell: i, Metrics: i.metrics, Log: i.log,
+		Jobs: i.router, Config: i.config, Cell: i, Requests: i.plane, Metrics: i.metrics, Log: i.log,
 	})
 	i.server = &http.Server{
 		Handler:           handler,
@@ -198,7 +224,9 @@
 func (i *Instance) Drain() {
 	i.drainOnce.Do(func() {
 		i.draining.Store(true)
-		i.peers.SetDraining(true)
+		if state, ok := any(i.peers).(peering.SelfState); ok {
+			state.SetDraining(true)
+		}
 		close(i.drain)
 	})
 }
@@ -217,7 +245,8 @@
 	group.Go(func() { _ = i.config.Run(parts) })
 	group.Go(func() { i.runPeers(parts) })
 	group.Go(func() { i.feedConfig(parts) })
-	group.Go(func() { i.feedVMs(parts) })
+	group.Go(func() { i.vms.Run(parts) })
+	group.Go(func() { i.plane.Run(parts) })
 	group.Go(func() { i.reportState(parts) })
 	group.Go(func() { i.bootstrap(parts) })
 	managing, stopManaging := context.WithCancel(parts)
@@ -252,7 +281,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Milliseconds(i.settings.Shutdown.BoundMS))
 	defer cancel()
 	sleep(ctx, settings.Milliseconds(i.settings.Shutdown.BalancerDelayMS))
-	err := i.server.Shutdown(ctx)
+	err := errors.CombineErrors(i.plane.Drain(ctx), i.server.Shutdown(ctx))
 	select {
 	case <-managed:
 	case <-ctx.Done():
