--- a/internal/app/requestplane/harness_test.go
+++ b/internal/app/requestplane/harness_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"auburnpier/internal/core/route"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
+	"auburnpier/internal/refusal"
 	"auburnpier/internal/standin/backend"
 )
 
@@ -37,18 +40,16 @@
 
 // cell is a plane with its backend servers.
 type cell struct {
-	t        *testing.T
-	plane    *Plane
-	front    *httptest.Server
-	servers  []*backend.Server
-	vms      []domain.VM
-	slots    *StaticSlots
-	teams    *StaticTeamLimits
-	admit    *headerAdmission
-	metrics  *metrics.Registry
-	client   *http.Client
-	nextID   int
-	idPrefix string
+	t       *testing.T
+	plane   *Plane
+	front   *httptest.Server
+	servers []*backend.Server
+	vms     []domain.VM
+	slots   *StaticSlots
+	teams   *StaticTeamLimits
+	admit   *headerAdmission
+	metrics *metrics.Registry
+	client  *http.Client
 }
 
 type cellOptions struct {
@@ -63,7 +64,7 @@
 
 func newCell(t *testing.T, o cellOptions) *cell {
 	t.Helper()
-	c := &cell{t: t, slots: &StaticSlots{}, teams: &StaticTeamLimits{}, metrics: metrics.New(), idPrefix: t.Name()}
+	c := &cell{t: t, slots: &StaticSlots{}, teams: &StaticTeamLimits{}, metrics: metrics.New()}
 	c.admit = &headerAdmission{row: o.row, shares: make(map[domain.TeamID]float64)}
 	if o.slots == 0 {
 		o.slots = 8
@@ -122,13 +123,65 @@
 	}
 }
 
-// serverOf returns the routing state of the server with that index.
-func (c *cell) serverOf(i int) *route.Server {
-	for _, s := range c.plane.disp.table.Servers() {
-		if s.Info.Address == c.servers[i].Address() {
-			return s
-		}
+// ask is one request of a test.
+type ask struct {
+	method  string // default POST
+	id      string
+	team    string
+	body    string
+	query   string
+	header  map[string]string
+	timeout time.Duration // of the caller; zero waits for the answer
+}
+
+// answer is what the caller saw.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error // broken connection, truncated answer or caller's timeout
+	reason refusal.Reason
+	notRun bool
+}
+
+// do sends a request and reads the answer.
+func (c *cell) do(a ask) answer {
+	ctx := context.Background()
+	if a.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, a.timeout)
+		defer cancel()
+	}
+	if a.method == "" {
+		a.method = http.MethodPost
+	}
+	// The reader hides its kind, so that the test's own client cannot repeat the request.
+	var body io.Reader = struct{ io.Reader }{strings.NewReader(a.body)}
+	req, err := http.NewRequestWithContext(ctx, a.method, c.url()+a.query, body)
+	if err != nil {
+		c.t.Error(err)
+		return answer{err: err}
+	}
+	req.ContentLength = int64(len(a.body))
+	if a.body == "" {
+		req.Body = nil
+	}
+	req.Header.Set(HeaderRequestID, a.id)
+	req.Header.Set("X-Team", a.team)
+	for name, value := range a.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got := answer{status: resp.StatusCode, header: resp.Header}
+	got.body, got.err = io.ReadAll(resp.Body)
+	if resp.StatusCode >= http.StatusBadRequest {
+		var ref refusal.Refusal
+		_ = json.Unmarshal(got.body, &ref)
+		got.reason, got.notRun = ref.Reason, ref.NotRun
 	}
-	c.t.Fatalf("no server %d", i)
-	return nil
+	return got
 }
--- /dev/null
+++ b/internal/app/requestplane/hold_test.go
@@ -0,0 +1,117 @@
+package requestplane
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnpier/internal/standin/backend"
+)
+
+// Guards against a late answer that reaches the next caller, and against a
+// slot that is given away while the server still works on a cancelled request.
+func TestLateAnswer(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 1, slots: 1})
+	for i := range 5 {
+		id := strconv.Itoa(i)
+		c.servers[0].Inject(backend.Fault{Kind: backend.Late, Delay: 100 * time.Millisecond})
+		if got := c.do(ask{id: "late" + id, timeout: 20 * time.Millisecond}); got.err == nil {
+			t.Fatalf("got status %d before the caller's timeout", got.status)
+		}
+		if got := c.do(ask{id: "own" + id}); got.status != http.StatusOK || string(got.body) != "own"+id {
+			t.Errorf("got status %d body %q, want the answer of own%s", got.status, got.body, id)
+		}
+	}
+	if n := c.servers[0].MostRunning(); n != 1 {
+		t.Errorf("%d requests ran at once on one slot", n)
+	}
+}
+
+// Guards against a slot that is never freed when the server never ends a
+// cancelled request.
+func TestHoldBound(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 1, slots: 1, hold: 100 * time.Millisecond})
+	c.servers[0].Inject(backend.Fault{Kind: backend.Late, Delay: time.Second})
+	c.do(ask{id: "stuck", timeout: 20 * time.Millisecond})
+	began := time.Now()
+	if got := c.do(ask{id: "next"}); got.status != http.StatusOK {
+		t.Fatalf("got %d %q", got.status, got.body)
+	}
+	if waited := time.Since(began); waited < 80*time.Millisecond || waited > 900*time.Millisecond {
+		t.Errorf("waited %v for the slot, want about the hold bound of 100ms", waited)
+	}
+	if n := c.metrics.Counter("requestplane.hold_expired").Count(); n != 1 {
+		t.Errorf("hold bound passed %d times, want once", n)
+	}
+}
+
+// Guards against more requests at a server than it has slots, and against
+// more connections than its bound, while callers come and go.
+func TestSlotsAndConnectionsBounded(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 3, work: 2 * time.Millisecond})
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := range 5 {
+				a := ask{id: strconv.Itoa(i*100 + j)}
+				if (i+j)%4 == 0 {
+					a.timeout = time.Duration(1+(i+j)%7) * time.Millisecond
+				}
+				c.do(a)
+			}
+		}()
+	}
+	wg.Wait()
+	for i, s := range c.servers {
+		_, most := s.Connections()
+		if n := s.MostRunning(); n > 8 || most > 60 {
+			t.Errorf("server %d ran %d requests at once over %d connections, want at most 8 over 60", i, n, most)
+		}
+	}
+}
+
+// Guards against a team above its limit, the slots held for its cancelled
+// requests included.
+func TestTeamLimit(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 1, work: 5 * time.Millisecond})
+	c.teams.Set("county", 3)
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a := ask{id: strconv.Itoa(i), team: "county"}
+			if i%3 == 0 {
+				a.timeout = 3 * time.Millisecond
+			}
+			c.do(a)
+		}()
+	}
+	wg.Wait()
+	if n := c.servers[0].MostRunning(); n > 3 {
+		t.Errorf("%d requests of the team ran at once, want at most 3", n)
+	}
+}
+
+// Guards against new work on a leaving server, and against work that is cut off there.
+func TestLeavingServer(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 2, work: 50 * time.Millisecond})
+	done := make(chan answer)
+	go func() { done <- c.do(ask{id: "running"}) }()
+	c.waitFor("the request runs", func() bool { return c.servers[0].Running() == 1 })
+	c.vms[0].Leaving = true
+	c.plane.UpdateVMs(c.vms)
+	for i := range 10 {
+		c.do(ask{id: strconv.Itoa(i)})
+	}
+	if got := <-done; got.status != http.StatusOK {
+		t.Errorf("request on the leaving server got %d, error %v", got.status, got.err)
+	}
+	if n := len(c.servers[0].Ran()); n != 1 {
+		t.Errorf("leaving server ran %d requests, want the one from before", n)
+	}
+}
