--- /dev/null
+++ b/internal/core/membership/hash.go
@@ -0,0 +1,65 @@
+package membership
+
+import "hash/fnv"
+
+// hashes caches the hashes of the member list.
+type hashes struct {
+	stale bool
+	known uint32
+	view  uint32
+}
+
+// knownHash covers the IDs and incarnations of all instances that are neither
+// left nor proven dead.
+func (n *Node) knownHash() uint32 {
+	n.rehash()
+	return n.hashes.known
+}
+
+// viewHash also covers what is believed of them. Suspicions and refutations
+// are left out: they pass quickly and need no comparison of lists.
+func (n *Node) viewHash() uint32 {
+	n.rehash()
+	return n.hashes.view
+}
+
+func (n *Node) rehash() {
+	if !n.hashes.stale && n.hashes.known != 0 {
+		return
+	}
+	n.hashes = hashes{}
+	if !n.self.state.Gone() {
+		n.hashes.add(&n.self.record, false, n.self.barred)
+	}
+	for _, m := range n.members {
+		if !m.State.Gone() {
+			n.hashes.add(&m.Record, m.State == StateDead, m.Barred)
+		}
+	}
+}
+
+// add sums the hashes of the members, so that their order does not matter.
+func (h *hashes) add(r *Record, dead, barred bool) {
+	sum := fnv.New32a()
+	_, _ = sum.Write([]byte(r.ID))
+	writeUint(sum, r.Incarnation)
+	h.known += sum.Sum32()
+	writeUint(sum, uint64(r.Revision))
+	writeUint(sum, flag(dead)<<1|flag(barred))
+	h.view += sum.Sum32()
+}
+
+func writeUint(w interface{ Write([]byte) (int, error) }, value uint64) {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(value >> (8 * i))
+	}
+	_, _ = w.Write(b[:])
+}
+
+func flag(set bool) uint64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/membership/health.go
@@ -0,0 +1,36 @@
+package membership
+
+import "time"
+
+// healthAfterPause is the score added when the process resumes, because its
+// socket holds datagrams of the time before.
+const healthAfterPause = 2
+
+// addHealth changes the local health score within its bounds.
+func (n *Node) addHealth(delta int) {
+	n.health = min(max(n.health+delta, 0), n.cfg.MaxHealthScore)
+}
+
+// advance moves the time on. A long gap since the last input means that this
+// process was paused: what it awaited says nothing about the others.
+func (n *Node) advance(now time.Time) {
+	gap := now.Sub(n.now)
+	n.now = now
+	if gap > n.cfg.PauseGap {
+		n.resume(gap)
+	}
+}
+
+func (n *Node) resume(gap time.Duration) {
+	n.probes = nil
+	n.relays = nil
+	n.graceUntil = n.now.Add(2 * n.cfg.Period)
+	n.answeredAt = n.now
+	n.nextRound = n.now
+	n.addHealth(healthAfterPause)
+	for _, m := range n.members {
+		if m.State == StateSuspect {
+			m.suspectSince = m.suspectSince.Add(gap)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/membership/self.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// SetConfigVersion states the version in force. A lower version is ignored.
+func (n *Node) SetConfigVersion(version uint64) {
+	n.self.version = max(n.self.version, version)
+	n.hearVersion(version, nil)
+}
+
+// SetEditInFlight states whether an edit of this instance may have reached the store.
+func (n *Node) SetEditInFlight(inFlight bool) { n.self.editInFlight = inFlight }
+
+// SetVouches states whether acknowledgements of this instance count for the
+// authority of its region. It is set after this instance was registered in
+// the store, then read all revocations and barred their incarnations.
+func (n *Node) SetVouches(vouches bool) { n.self.vouches = vouches }
+
+// SetSlots states the free slots a queue.
+func (n *Node) SetSlots(slots []QueueSlots) {
+	n.self.slots = slices.Clone(boundSlots(slots))
+}
+
+// StoreConfirmed states that a store call that began at the time showed the version.
+func (n *Node) StoreConfirmed(version uint64, began time.Time) {
+	if version < n.self.storeVersion || began.Before(n.self.storeBegan) {
+		return
+	}
+	n.self.storeVersion = version
+	n.self.storeBegan = began
+	n.hearVersion(version, nil)
+}
+
+// SetDraining states that this instance is about to leave.
+func (n *Node) SetDraining(draining bool) {
+	if n.self.record.Draining == draining {
+		return
+	}
+	n.self.record.Draining = draining
+	n.recordChanged()
+}
+
+// SetPartitions states the partitions that this instance owns.
+func (n *Node) SetPartitions(partitions []OwnedPartition) {
+	partitions = boundPartitions(partitions)
+	if slices.Equal(n.self.record.Partitions, partitions) {
+		return
+	}
+	n.self.record.Partitions = slices.Clone(partitions)
+	n.recordChanged()
+}
+
+func (n *Node) recordChanged() {
+	n.self.record.Revision++
+	n.hashes.stale = true
+	n.broadcastSelf()
+}
+
+// Leave announces the exit of this instance. The caller goes on with ticks
+// until Settled, and does so only after it takes no edits any more.
+func (n *Node) Leave() {
+	if n.self.state == StateLeft {
+		return
+	}
+	n.self.state = StateLeft
+	n.hashes.stale = true
+	n.broadcastSelf()
+}
+
+// Settled reports whether all changes were sent as often as the bound allows.
+func (n *Node) Settled() bool { return len(n.queue) == 0 && n.versionSends == 0 }
+
+func (n *Node) selfUpdate() Update {
+	return Update{
+		Record:     n.self.record,
+		Full:       true,
+		State:      n.self.state,
+		Refutation: n.self.refutation,
+		Barred:     n.self.barred,
+	}
+}
+
+func (n *Node) broadcastSelf() { n.enqueue(n.selfUpdate()) }
+
+func (n *Node) digest() Digest {
+	n.self.count++
+	age := NoStoreAge
+	if !n.self.storeBegan.IsZero() {
+		age = n.now.Sub(n.self.storeBegan)
+	}
+	return Digest{
+		Incarnation:   n.self.record.Incarnation,
+		Count:         n.self.count,
+		Refutation:    n.self.refutation,
+		Revision:      n.self.record.Revision,
+		ConfigVersion: n.self.version,
+		KnownVersion:  n.newestVersion,
+		StoreVersion:  n.self.storeVersion,
+		StoreAge:      age,
+		EditInFlight:  n.self.editInFlight,
+		Vouches:       n.self.vouches,
+		Draining:      n.self.record.Draining,
+		Slots:         n.self.slots,
+		Partitions:    n.self.record.Partitions,
+		KnownHash:     n.knownHash(),
+		ViewHash:      n.viewHash(),
+	}
+}
+
+// receiveOwnID handles a datagram of another process with the ID of this
+// instance: a late one of an earlier process, or a duplicate set up by mistake.
+func (n *Node) receiveOwnID(from string, msg *Message) {
+	if from == n.self.record.Address && msg.Digest.Incarnation <= n.self.record.Incarnation {
+		return
+	}
+	if msg.Digest.Incarnation > n.self.record.Incarnation {
+		n.supersede()
+	}
+}
+
+// supersede reports once that another process uses the ID of this instance or
+// that this incarnation was declared dead with proof.
+func (n *Node) supersede() {
+	if n.self.superseded {
+		return
+	}
+	n.self.superseded = true
+	n.change(Change{Kind: ChangeSuperseded, Member: n.Self()})
+}
--- a/internal/core/membership/types.go
+++ b/internal/core/membership/types.go
@@ -82,7 +82,11 @@
 // Digest is what each datagram states about its sender at that moment.
 type Digest struct {
 	Incarnation uint64
-	Refutation  uint32
+	// Count grows with each datagram of the incarnation and orders them.
+	Count      uint64
+	Refutation uint32
+	// Revision is that of the sender's record.
+	Revision uint32
 	// ConfigVersion is the version that the sender has applied.
 	ConfigVersion uint64
 	// KnownVersion is the highest version that the sender heard of.
@@ -93,9 +97,11 @@
 	StoreAge time.Duration
 	// EditInFlight tells that the sender may have written a newer version.
 	EditInFlight bool
-	Draining     bool
-	Slots        []QueueSlots
-	// Partitions counts the partitions that the sender owns; the record lists them.
+	// Vouches tells that the sender's acknowledgements count for the
+	// authority of section 5.4 of the design.
+	Vouches    bool
+	Draining   bool
+	Slots      []QueueSlots
 	Partitions []OwnedPartition
 	// KnownHash covers the members that are neither left nor proven dead.
 	KnownHash uint32
@@ -114,6 +120,8 @@
 	ConfigVersion uint64
 	KnownVersion  uint64
 	Slots         []QueueSlots
+	// EditInFlight is that of the latest datagram.
+	EditInFlight bool
 	// HeardAt is the receipt of the latest datagram. It is zero if none came.
 	HeardAt time.Time
 	// AckedPingAt is the sending of the latest ping that was acknowledged.
