Write refusals in one form in both planes

Cause: the API wrapped a refusal in an error object while the request plane wrote it flat, so the client read the latter as no refusal. Both now use refusal.Write.

--- a/internal/adapter/api/decode.go
+++ b/internal/adapter/api/decode.go
@@ -9,8 +9,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -63,15 +61,6 @@
 	return refusal.New(http.StatusBadRequest, refusal.InvalidRequest, faults.String(), "correct the named fields")
 }
 
-// refusalBody is the JSON form of a refusal.
-type refusalBody struct {
-	Error *refusal.Refusal `json:"error"`
-	// Faults lists the wrong fields of a table.
-	Faults any `json:"faults,omitempty"`
-	// Current is the row found in a conflict.
-	Current any `json:"current,omitempty"`
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -80,15 +69,10 @@
 
 // refuse counts and writes a refusal.
 func (s *Server) refuse(w http.ResponseWriter, err error) {
-	s.refuseWith(w, refusal.From(err), refusalBody{})
+	s.refuseWith(w, refusal.Body{Refusal: refusal.From(err)})
 }
 
-func (s *Server) refuseWith(w http.ResponseWriter, r *refusal.Refusal, body refusalBody) {
-	s.o.Metrics.Refused(r.Reason)
-	if r.RetryAfter > 0 {
-		seconds := int64((r.RetryAfter + time.Second - 1) / time.Second)
-		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
-	}
-	body.Error = r
-	writeJSON(w, r.Status, body)
+func (s *Server) refuseWith(w http.ResponseWriter, body refusal.Body) {
+	s.o.Metrics.Refused(body.Reason)
+	refusal.Write(w, body)
 }
--- a/internal/adapter/api/operators.go
+++ b/internal/adapter/api/operators.go
@@ -53,7 +53,7 @@
 
 // refuseEdit adds every fault of a wrong table, or the current row of a conflict.
 func (s *Server) refuseEdit(w http.ResponseWriter, err error) {
-	var body refusalBody
+	body := refusal.Body{Refusal: confsync.Refusal(err)}
 	var conflict *confdoc.ConflictError
 	if errors.As(err, &conflict) {
 		body.Current = conflict
@@ -62,7 +62,7 @@
 	if errors.As(err, &wrong) {
 		body.Faults = wrong.Faults
 	}
-	s.refuseWith(w, confsync.Refusal(err), body)
+	s.refuseWith(w, body)
 }
 
 func (s *Server) cellStatus(w http.ResponseWriter, r *http.Request, _ confsync.Identity) {
--- a/internal/adapter/apiclient/client.go
+++ b/internal/adapter/apiclient/client.go
@@ -182,14 +182,14 @@
 // Refused returns the typed refusal in an answer.
 func Refused(resp *http.Response, raw []byte) error {
 	var body struct {
-		Error   refusal.Refusal        `json:"error"`
+		refusal.Refusal
 		Faults  []confdoc.Fault        `json:"faults"`
 		Current *confdoc.ConflictError `json:"current"`
 	}
-	if err := json.Unmarshal(raw, &body); err != nil || body.Error.Reason == "" {
+	if err := json.Unmarshal(raw, &body); err != nil || body.Reason == "" {
 		return errors.Newf("the server answered status %d without a refusal; check that --server names an auburnpier instance", resp.StatusCode)
 	}
-	e := &RefusedError{Refusal: body.Error, Faults: body.Faults, Conflict: body.Current}
+	e := &RefusedError{Refusal: body.Refusal, Faults: body.Faults, Conflict: body.Current}
 	e.Status = resp.StatusCode
 	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
 		e.RetryAfter = time.Duration(seconds) * time.Second
--- a/internal/app/requestplane/refuse.go
+++ b/internal/app/requestplane/refuse.go
@@ -1,9 +1,7 @@
 package requestplane
 
 import (
-	"encoding/json"
 	"net/http"
-	"strconv"
 	"time"
 
 	"auburnpier/internal/domain"
@@ -13,17 +11,7 @@
 // writeRefusal answers with a refusal and counts it.
 func (p *Plane) writeRefusal(w http.ResponseWriter, ref *refusal.Refusal) {
 	p.metrics.Refused(ref.Reason)
-	h := w.Header()
-	h.Set(headerContentType, "application/json")
-	if ref.NotRun {
-		h.Set(HeaderNotRun, "true")
-	}
-	if ref.RetryAfter > 0 {
-		seconds := (ref.RetryAfter + time.Second - 1) / time.Second
-		h.Set(headerRetryAfter, strconv.FormatInt(int64(seconds), 10))
-	}
-	w.WriteHeader(ref.Status)
-	_ = json.NewEncoder(w).Encode(ref)
+	refusal.Write(w, refusal.Body{Refusal: ref})
 }
 
 func refuseQueueFull(queue domain.QueueID) *refusal.Refusal {
