Hold lease renewals open at the worker until an attempt ends

Cause: ends were reported with the 10 s renewal only. The demo's batch job of 200 ms took 10.5 s, the gang 10.0 s, the failing job did not end in 12 s. Change: a renewal carries the version of the last report and is answered when there is a newer one. It also carries the time since the acquisition, so that a renewal delivered late does not extend the lease beyond the owner's count; the delivery of an acquisition is bounded by TCP_USER_TIMEOUT.

--- a/internal/adapter/workerhttp/client.go
+++ b/internal/adapter/workerhttp/client.go
@@ -6,15 +6,25 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
 
+const (
+	dialTimeout = 2 * time.Second
+	// deliveryBound is shorter than the margin that an owner adds to the time
+	// to live of a lease before it counts the lease as lapsed.
+	deliveryBound = 3 * time.Second
+)
+
 // Dialer makes clients that share one connection pool.
 type Dialer struct {
 	http *http.Client
@@ -25,15 +35,28 @@
 // NewDialer returns a dialer. Idle connections are kept for longer than the
 // renewal interval of leases, so that a renewal needs no new connection.
 func NewDialer() *Dialer {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: boundDelivery}
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     time.Minute,
-		// Keeps a write that was never answered from being repeated.
-		DisableCompression: true,
+		DisableCompression:  true,
 	}
 	return &Dialer{http: &http.Client{Transport: transport}}
 }
 
+// boundDelivery makes the kernel drop bytes that the worker did not
+// acknowledge within deliveryBound, also after the connection was closed. An
+// acquisition that was given up can then not arrive much later and extend a
+// lease that the owner counts as lapsed.
+func boundDelivery(_, _ string, conn syscall.RawConn) error {
+	var failed error
+	err := conn.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deliveryBound.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
 // Worker implements port.Workers.
 func (d *Dialer) Worker(address string) port.Worker {
 	return &Client{address: address, http: d.http}
@@ -53,8 +76,8 @@
 }
 
 // RenewLease implements port.Worker.
-func (c *Client) RenewLease(ctx context.Context, lease domain.LeaseID, acknowledged []domain.AttemptID) (port.Lease, error) {
-	return call[port.Lease](ctx, c, pathRenew, renewRequest{Lease: lease, Acknowledged: acknowledged})
+func (c *Client) RenewLease(ctx context.Context, r port.RenewRequest) (port.Lease, error) {
+	return call[port.Lease](ctx, c, pathRenew, r)
 }
 
 // Start implements port.Worker.
--- a/internal/adapter/workerhttp/handler.go
+++ b/internal/adapter/workerhttp/handler.go
@@ -16,9 +16,7 @@
 	mux.HandleFunc("POST "+pathAcquire, serve(func(ctx context.Context, r acquireRequest) (port.Lease, error) {
 		return w.AcquireLease(ctx, r.Holder, r.Epoch, r.TTL)
 	}))
-	mux.HandleFunc("POST "+pathRenew, serve(func(ctx context.Context, r renewRequest) (port.Lease, error) {
-		return w.RenewLease(ctx, r.Lease, r.Acknowledged)
-	}))
+	mux.HandleFunc("POST "+pathRenew, serve(w.RenewLease))
 	mux.HandleFunc("POST "+pathStart, serve(func(ctx context.Context, r startRequest) (emptyResponse, error) {
 		return emptyResponse{}, w.Start(ctx, r.Lease, r.Attempts)
 	}))
--- a/internal/adapter/workerhttp/wire.go
+++ b/internal/adapter/workerhttp/wire.go
@@ -31,11 +31,6 @@
 	TTL    time.Duration     `json:"ttl_ns"`
 }
 
-type renewRequest struct {
-	Lease        domain.LeaseID     `json:"lease_id"`
-	Acknowledged []domain.AttemptID `json:"acknowledged,omitempty"`
-}
-
 type startRequest struct {
 	Lease    domain.LeaseID      `json:"lease_id"`
 	Attempts []port.StartRequest `json:"attempts"`
--- a/internal/app/taskplane/dispatch.go
+++ b/internal/app/taskplane/dispatch.go
@@ -10,17 +10,16 @@
 	"auburnpier/internal/domain"
 )
 
-// dispatch carries out what the machine asks for after a step.
+// dispatch carries out what the machine asks for after a step. Ready.Renew is
+// not needed: a renewal is always held open at the worker, which answers it as
+// soon as an attempt ends.
 func (p *Partition) dispatch(ctx context.Context) {
 	ready := p.machine.Ready()
 	if ready.Batch != 0 {
 		p.journalBatch(ctx, ready)
 	}
 	for _, id := range ready.Acquire {
-		p.worker(ctx, id).want(func(m *mailbox) { m.acquire = true })
-	}
-	for _, id := range ready.Renew {
-		p.worker(ctx, id).want(func(m *mailbox) { m.renew = true })
+		p.worker(ctx, id).keeper.wantLease()
 	}
 	for _, call := range ready.Starts {
 		p.worker(ctx, call.Worker).want(func(m *mailbox) { m.starts = append(m.starts, call) })
@@ -35,7 +34,7 @@
 		p.worker(ctx, call.Worker).want(func(m *mailbox) { m.throttles = append(m.throttles, call) })
 	}
 	for _, ack := range ready.Acknowledge {
-		p.worker(ctx, ack.Worker).want(func(m *mailbox) { m.acknowledge(ack.Attempts) })
+		p.worker(ctx, ack.Worker).keeper.acknowledge(ack.Attempts)
 	}
 	for _, id := range ready.Forgotten {
 		p.forget(id)
--- a/internal/port/worker.go
+++ b/internal/port/worker.go
@@ -38,12 +38,29 @@
 	ID     domain.LeaseID `json:"lease_id"`
 	Epoch  domain.Epoch   `json:"epoch"`
 	BootID string         `json:"boot_id"`
-	// TTL counts from the worker's receipt of the acquisition or renewal.
+	// TTL is the time to live of an acquisition or renewal.
 	TTL time.Duration `json:"ttl_ns"`
+	// Version grows with each start and end of an attempt.
+	Version uint64 `json:"version"`
 	// Attempts lists all attempts that the worker runs or has not had acknowledged.
 	Attempts []AttemptReport `json:"attempts,omitempty"`
 }
 
+// RenewRequest renews a lease and waits for news.
+type RenewRequest struct {
+	Lease        domain.LeaseID     `json:"lease_id"`
+	Acknowledged []domain.AttemptID `json:"acknowledged,omitempty"`
+	// Elapsed is the time between the receipt of the answer to the acquisition
+	// and the sending of this call, by the holder's clock. The lease lives until
+	// Elapsed plus its time to live after the acquisition, so that a renewal
+	// which arrives late does not extend it beyond what the holder counts on.
+	Elapsed time.Duration `json:"elapsed_ns"`
+	// Seen is the version of the last report. The answer comes as soon as the
+	// version is higher, and at the latest after Wait.
+	Seen uint64        `json:"seen"`
+	Wait time.Duration `json:"wait_ns,omitempty"`
+}
+
 // StartRequest starts one attempt.
 type StartRequest struct {
 	Attempt   domain.AttemptID `json:"attempt"`
@@ -63,8 +80,9 @@
 	// AcquireLease supersedes any lease of a lower epoch, or of the same
 	// holder and epoch, and returns a *LeaseRefusedError otherwise.
 	AcquireLease(ctx context.Context, holder domain.InstanceID, epoch domain.Epoch, ttl time.Duration) (Lease, error)
-	// RenewLease extends the lease, acknowledges ended attempts and reports.
-	RenewLease(ctx context.Context, lease domain.LeaseID, acknowledged []domain.AttemptID) (Lease, error)
+	// RenewLease extends the lease at once, acknowledges ended attempts, and
+	// reports as soon as there is news or the wait is over.
+	RenewLease(ctx context.Context, r RenewRequest) (Lease, error)
 	// Start starts attempts under the lease. A *LeaseRefusedError proves that none was started.
 	Start(ctx context.Context, lease domain.LeaseID, requests []StartRequest) error
 	// Stop ends attempts. Unknown attempts are ignored.
--- a/internal/standin/worker/run.go
+++ b/internal/standin/worker/run.go
@@ -31,6 +31,7 @@
 		},
 	}
 	w.attempts[r.Attempt] = a
+	w.news()
 	key := taskKey{r.Job, r.Task}
 	w.startedBy[key] = append(w.startedBy[key], r.Attempt)
 	if total, _ := w.sum(); !total.Fits(w.capacity) {
@@ -80,6 +81,7 @@
 		return
 	}
 	a.timer.Stop()
+	w.news()
 	a.report.State = port.AttemptEnded
 	a.report.Outcome = outcome
 	a.report.EndedAt = time.Now()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -21,6 +21,9 @@
 	after    func(time.Duration, func()) *time.Timer
 
 	mu        sync.Mutex
+	version   uint64
+	changed   chan struct{} // closed and replaced when version grows
+	acquired  time.Time
 	boot      int
 	leases    int
 	lease     port.Lease
@@ -64,6 +67,7 @@
 		boot:      1,
 		attempts:  make(map[domain.AttemptID]*attempt),
 		startedBy: make(map[taskKey][]domain.AttemptID),
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -84,6 +88,7 @@
 	w.attempts = make(map[domain.AttemptID]*attempt)
 	w.lease = port.Lease{}
 	w.boot++
+	w.news()
 }
 
 // AcquireLease implements port.Worker.
@@ -104,24 +109,63 @@
 		BootID: w.bootID(),
 		TTL:    ttl,
 	}
-	w.extend()
+	w.acquired = time.Now()
+	w.extend(0)
+	w.news()
 	return w.reported(), nil
 }
 
 // RenewLease implements port.Worker.
-func (w *Worker) RenewLease(_ context.Context, lease domain.LeaseID, acknowledged []domain.AttemptID) (port.Lease, error) {
+func (w *Worker) RenewLease(ctx context.Context, r port.RenewRequest) (port.Lease, error) {
+	if err := w.renew(r); err != nil {
+		return port.Lease{}, err
+	}
+	timer := time.NewTimer(r.Wait)
+	defer timer.Stop()
+	for {
+		lease, changed, err := w.report(r.Lease)
+		if err != nil || lease.Version > r.Seen {
+			return lease, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return lease, nil
+		case <-ctx.Done():
+			return port.Lease{}, ctx.Err()
+		}
+	}
+}
+
+func (w *Worker) renew(r port.RenewRequest) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.check(lease); err != nil {
-		return port.Lease{}, err
+	if err := w.check(r.Lease); err != nil {
+		return err
 	}
-	for _, id := range acknowledged {
+	for _, id := range r.Acknowledged {
 		if a, ok := w.attempts[id]; ok && a.report.State == port.AttemptEnded {
 			delete(w.attempts, id)
 		}
 	}
-	w.extend()
-	return w.reported(), nil
+	w.extend(r.Elapsed)
+	return nil
+}
+
+func (w *Worker) report(lease domain.LeaseID) (port.Lease, <-chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.check(lease); err != nil {
+		return port.Lease{}, nil, err
+	}
+	return w.reported(), w.changed, nil
+}
+
+// news is called with the lock held when an attempt or the lease changed.
+func (w *Worker) news() {
+	w.version++
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // Start implements port.Worker.
@@ -216,12 +260,13 @@
 func (w *Worker) bootID() string { return fmt.Sprintf("%s-boot-%d", w.id, w.boot) }
 
 // extend restarts the lapse timer for the current lease.
-func (w *Worker) extend() {
+func (w *Worker) extend(elapsed time.Duration) {
 	if w.lapse != nil {
 		w.lapse.Stop()
 	}
 	id := w.lease.ID
-	w.lapse = w.after(w.lease.TTL, func() { w.lapsed(id) })
+	left := time.Until(w.acquired.Add(elapsed + w.lease.TTL))
+	w.lapse = w.after(max(0, left), func() { w.lapsed(id) })
 }
 
 // lapsed stops all tasks. The epoch is kept, so that a lower one is still refused.
@@ -232,6 +277,7 @@
 		return
 	}
 	w.lease.ID = ""
+	w.news()
 	for attemptID := range w.attempts {
 		w.end(attemptID, domain.OutcomeLeaseLapsed, "the lease lapsed")
 	}
@@ -239,6 +285,7 @@
 
 func (w *Worker) reported() port.Lease {
 	l := w.lease
+	l.Version = w.version
 	l.Attempts = make([]port.AttemptReport, 0, len(w.attempts))
 	for _, a := range w.attempts {
 		l.Attempts = append(l.Attempts, a.report)
