--- /dev/null
+++ b/internal/core/sched/fakeworker_test.go
@@ -0,0 +1,158 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// fakeAttempt is an attempt at a fake worker.
+type fakeAttempt struct {
+	report  port.AttemptReport
+	request port.StartRequest
+	// endsMS is when the task ends by itself with outcome.
+	endsMS  int64
+	outcome domain.Outcome
+}
+
+// fakeWorker keeps the worker's side of the protocol: one lease, starts that
+// have an effect once, ends that are reported until acknowledged.
+type fakeWorker struct {
+	vm       domain.VM
+	boots    int
+	leases   int
+	epoch    domain.Epoch
+	lease    domain.LeaseID
+	lapsesMS int64
+	attempts map[domain.AttemptID]*fakeAttempt
+	// cut drops all calls; deaf loses answers after the call took effect.
+	cut, deaf bool
+	// broken fails everything that starts.
+	broken bool
+}
+
+const fakeTTL = 30_000
+
+func newFakeWorker(id, zone, rack string, capacity domain.Resources) *fakeWorker {
+	return &fakeWorker{
+		vm: domain.VM{
+			ID: id, Role: domain.RoleWorker, Address: "192.0.2.1:1", Capacity: capacity,
+			Location: domain.Location{Region: "r", Zone: domain.ZoneID(zone), Rack: domain.RackID(rack)},
+		},
+		attempts: make(map[domain.AttemptID]*fakeAttempt),
+	}
+}
+
+func (w *fakeWorker) bootID() string { return fmt.Sprintf("%s-boot%d", w.vm.ID, w.boots) }
+
+func (w *fakeWorker) acquire(epoch domain.Epoch, now int64) (port.Lease, bool) {
+	if epoch < w.epoch {
+		return port.Lease{}, false
+	}
+	w.leases++
+	w.epoch = epoch
+	w.lease = domain.LeaseID(fmt.Sprintf("%s-%d-%d", w.vm.ID, w.boots, w.leases))
+	w.lapsesMS = now + fakeTTL
+	return w.answer(), true
+}
+
+func (w *fakeWorker) renew(lease domain.LeaseID, acks []domain.AttemptID, now int64) (port.Lease, bool) {
+	if !w.holds(lease, now) {
+		return port.Lease{}, false
+	}
+	for _, id := range acks {
+		if a := w.attempts[id]; a != nil && a.report.State == port.AttemptEnded {
+			delete(w.attempts, id)
+		}
+	}
+	w.lapsesMS = now + fakeTTL
+	return w.answer(), true
+}
+
+func (w *fakeWorker) holds(lease domain.LeaseID, now int64) bool {
+	return w.lease != "" && w.lease == lease && now < w.lapsesMS
+}
+
+func (w *fakeWorker) answer() port.Lease {
+	l := port.Lease{ID: w.lease, Epoch: w.epoch, BootID: w.bootID(), TTL: fakeTTL * time.Millisecond}
+	for _, id := range sortedKeys(w.attempts) {
+		l.Attempts = append(l.Attempts, w.attempts[id].report)
+	}
+	return l
+}
+
+// start returns the attempts that began and whether the lease held.
+func (w *fakeWorker) start(call StartCall, now int64, plan func(port.StartRequest) (int64, domain.Outcome, domain.Resources)) ([]port.StartRequest, bool) {
+	if !w.holds(call.Lease, now) {
+		return nil, false
+	}
+	var began []port.StartRequest
+	for _, r := range call.Requests {
+		if w.attempts[r.Attempt] != nil {
+			continue
+		}
+		run, outcome, usage := plan(r)
+		if w.broken {
+			run, outcome = 500, domain.OutcomeFailed
+		}
+		w.attempts[r.Attempt] = &fakeAttempt{
+			request: r, endsMS: now + run, outcome: outcome,
+			report: port.AttemptReport{ID: r.Attempt, State: port.AttemptRunning, StartedAt: fromMillis(now), Usage: usage},
+		}
+		began = append(began, r)
+	}
+	return began, true
+}
+
+func (w *fakeWorker) finish(a *fakeAttempt, o domain.Outcome, now int64) {
+	a.report.State = port.AttemptEnded
+	a.report.Outcome = o
+	a.report.EndedAt = fromMillis(now)
+}
+
+func (w *fakeWorker) endAll(call AttemptCall, o domain.Outcome, now int64) bool {
+	if !w.holds(call.Lease, now) {
+		return false
+	}
+	for _, id := range call.Attempts {
+		if a := w.attempts[id]; a != nil && a.report.State == port.AttemptRunning {
+			w.finish(a, o, now)
+		}
+	}
+	return true
+}
+
+// advance ends tasks that are due, and all tasks once the lease lapsed.
+func (w *fakeWorker) advance(now int64) {
+	for _, id := range sortedKeys(w.attempts) {
+		a := w.attempts[id]
+		switch {
+		case a.report.State == port.AttemptEnded:
+		case now >= w.lapsesMS:
+			w.finish(a, domain.OutcomeLeaseLapsed, now)
+		case now >= a.endsMS:
+			w.finish(a, a.outcome, now)
+		}
+	}
+}
+
+// reboot loses everything in the worker's memory.
+func (w *fakeWorker) reboot() {
+	w.boots++
+	w.lease = ""
+	w.epoch = 0
+	clear(w.attempts)
+}
+
+func (w *fakeWorker) running() []*fakeAttempt {
+	var list []*fakeAttempt
+	for _, id := range sortedKeys(w.attempts) {
+		if a := w.attempts[id]; a.report.State == port.AttemptRunning {
+			list = append(list, a)
+		}
+	}
+	return slices.Clip(list)
+}
--- /dev/null
+++ b/internal/core/sched/faults_test.go
@@ -0,0 +1,190 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// fault is one entry of the table. It strikes while the standard work runs;
+// heal takes it back 60 s later.
+type fault struct {
+	name   string
+	strike func(c *cell)
+	heal   func(c *cell)
+	// kills tells that tasks may have run without a known end.
+	kills bool
+	// crash tells that what was not durable is lost.
+	crash bool
+}
+
+func noHeal(*cell) {}
+
+// faults are the faults of 1.5 and 8 of the design page that a partition meets.
+var faults = []fault{
+	{name: "worker restarts", kills: true, strike: func(c *cell) { c.workers[0].reboot() }},
+	{name: "worker cut off briefly", kills: true, strike: func(c *cell) { c.workers[1].cut = true; c.advance(12_000); c.workers[1].cut = false }},
+	{name: "worker cut off until the lease lapsed", kills: true,
+		strike: func(c *cell) { c.workers[1].cut = true }, heal: func(c *cell) { c.workers[1].cut = false }},
+	{name: "worker hears but is not heard", kills: true,
+		strike: func(c *cell) { c.workers[2].deaf = true }, heal: func(c *cell) { c.workers[2].deaf = false }},
+	{name: "VM gone", kills: true, strike: func(c *cell) {
+		c.workers[3].cut = true
+		c.workers[3].reboot()
+		c.listed["w003"] = false
+	}},
+	{name: "VM leaving", strike: func(c *cell) { c.workers[4].vm.Leaving = true }},
+	{name: "rack fails", kills: true,
+		strike: func(c *cell) {
+			for _, w := range c.workers[:4] {
+				w.cut = true
+				w.reboot()
+			}
+		},
+		heal: func(c *cell) {
+			for _, w := range c.workers[:4] {
+				w.cut = false
+			}
+		}},
+	{name: "owner crashes", kills: true, crash: true, strike: func(c *cell) { c.crash(false) }},
+	{name: "owner crashes with a snapshot", kills: true, crash: true, strike: func(c *cell) { c.crash(true) }},
+	{name: "owner pauses past the lease", kills: true, strike: func(c *cell) {
+		c.paused = true
+		c.advance(40_000)
+		c.paused = false
+	}},
+	{name: "old owner's starts arrive late", kills: true, crash: true, strike: func(c *cell) {
+		c.delayAll = true
+		c.mustSubmit("late", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 4})
+		c.advance(1_000)
+		old := c.delayed
+		c.delayed, c.delayAll = nil, false
+		c.crash(false)
+		for _, call := range old {
+			w := c.find(call.Worker)
+			began, _ := w.start(call, c.now, c.plan)
+			for _, r := range began {
+				c.checker.Ran(r.Job, r.Task, r.Attempt)
+			}
+		}
+		c.check(Tick{})
+	}},
+	{name: "store down", strike: func(c *cell) { c.storeDown = true }, heal: func(c *cell) { c.storeDown = false }},
+	{name: "start answers lost", kills: true,
+		strike: func(c *cell) { c.failStart = func(string) string { return "unknown" } }, heal: func(c *cell) { c.failStart = nil }},
+	{name: "starts lost", strike: func(c *cell) { c.failStart = func(string) string { return "lost" } },
+		heal: func(c *cell) { c.failStart = nil }},
+	{name: "starts refused", kills: true, strike: func(c *cell) { c.failStart = func(string) string { return "refused" } },
+		heal: func(c *cell) { c.failStart = nil }},
+	{name: "worker fails everything", kills: true, strike: func(c *cell) { c.workers[5].broken = true },
+		heal: func(c *cell) { c.workers[5].broken = false }},
+	{name: "limit lowered", kills: true, strike: func(c *cell) { c.setAllotment("a", amount(2, 8)) },
+		heal: func(c *cell) { c.setAllotment("a", amount(1000, 4000)) }},
+	{name: "list empty", kills: true,
+		strike: func(c *cell) { c.step(WorkersListed{}) }, heal: func(c *cell) { c.list() }},
+	{name: "wave of cancellations", strike: func(c *cell) {
+		var ids []domain.JobID
+		for i := range 50 {
+			id := domain.JobID(fmt.Sprintf("wave%d", i))
+			c.mustSubmit(id, "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Idempotent: true})
+			ids = append(ids, id)
+		}
+		c.advance(750)
+		c.step(Cancel{Jobs: ids, Reason: "not needed"})
+	}},
+	{name: "other team deleted", strike: func(c *cell) {
+		c.teams = append(c.teams, TeamRow{ID: "d", Share: 1, Limit: amount(100, 400)})
+		c.step(TeamsChanged{Teams: c.teams})
+		c.step(AllotmentsChanged{Allotments: []Allotment{{Team: "d", Amount: amount(100, 400)}}})
+		c.mustSubmit("deleted", "d", domain.JobSpec{Kind: domain.JobBatch, Tasks: 3, Idempotent: true})
+		c.advance(500)
+		c.teams = c.teams[:len(c.teams)-1]
+		c.step(TeamsChanged{Teams: c.teams})
+	}},
+}
+
+func (c *cell) setAllotment(team domain.TeamID, r domain.Resources) {
+	for i := range c.allot {
+		if c.allot[i].Team == team {
+			c.allot[i].Amount = r
+		}
+	}
+	c.step(AllotmentsChanged{Allotments: c.allot})
+}
+
+// standardWork fills half of the cell with each kind of job.
+func standardWork(c *cell) {
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		switch r.Job {
+		case "service":
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
+		case "once":
+			return 15_000, domain.OutcomeSucceeded, r.Resources
+		}
+		return 8_000, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("service", "b", domain.JobSpec{Kind: domain.JobService, Tasks: 3, Idempotent: true})
+	c.mustSubmit("once", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 6})
+	c.mustSubmit("many", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 40, Idempotent: true, MaxAttempts: 20})
+	c.mustSubmit("gang", "c", domain.JobSpec{Kind: domain.JobGang, Tasks: 6, Idempotent: true, SpanZones: true, MaxAttempts: 20})
+	c.mustSubmit("saved", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 10, Idempotent: true, Checkpointable: true, MaxAttempts: 20})
+}
+
+// runFaults strikes with the faults in turn, heals them and requires that all work ends well.
+func runFaults(t *testing.T, list ...fault) {
+	c := newCell(t, 12)
+	c.begin()
+	standardWork(c)
+	c.advance(3_000)
+	kills, crashes := false, false
+	for _, f := range list {
+		f.strike(c)
+		c.advance(1_500)
+		kills = kills || f.kills
+		crashes = crashes || f.crash
+	}
+	c.advance(60_000)
+	for _, f := range list {
+		if f.heal != nil {
+			f.heal(c)
+		}
+	}
+	c.advance(420_000)
+	for _, id := range []domain.JobID{"many", "gang", "saved"} {
+		c.mustState(id, domain.JobSucceeded)
+	}
+	c.mustState("service", domain.JobRunning)
+	if s, _ := c.m.Status("service"); s.Running != 3 {
+		t.Fatalf("the service has %d replicas, want 3: %s", s.Running, s.Reason)
+	}
+	if kills {
+		c.mustState("once", domain.JobSucceeded, domain.JobUnknown, domain.JobFailed)
+	} else {
+		c.mustState("once", domain.JobSucceeded)
+	}
+	if got := len(c.m.Inspect().Attempts); got != 3 {
+		t.Fatalf("%d attempts are left, want the 3 replicas", got)
+	}
+	c.mustEqualRecovered()
+}
+
+// Guards against a single fault that loses work, runs it twice or overcommits.
+func TestEachFault(t *testing.T) {
+	for _, f := range faults {
+		t.Run(f.name, func(t *testing.T) { runFaults(t, f) })
+	}
+}
+
+// Guards against pairs of faults, in both orders, that break what each alone does not.
+func TestTwoFaults(t *testing.T) {
+	for _, a := range faults {
+		for _, b := range faults {
+			t.Run(a.name+" and "+b.name, func(t *testing.T) {
+				t.Parallel()
+				runFaults(t, a, b)
+			})
+		}
+	}
+}
--- a/internal/core/sched/team.go
+++ b/internal/core/sched/team.go
@@ -12,11 +12,14 @@
 type team struct {
 	id domain.TeamID
 	// known tells that the current table has the team.
-	known   bool
-	share   float64
-	limit   domain.Resources
-	allot   domain.Resources
-	outside domain.Resources
+	known bool
+	share float64
+	limit domain.Resources
+	// allotted tells that the allotment is known to this process. Until then
+	// nothing starts, and nothing is stopped for being above it.
+	allotted bool
+	allot    domain.Resources
+	outside  domain.Resources
 	// running is the sum of reservations, from the decision to the proof of the end.
 	running domain.Resources
 	// demand is the size of what waits here.
@@ -33,6 +36,9 @@
 	return t.limit.Min(t.allot)
 }
 
+// enforced reports whether work above the bound is stopped.
+func (t *team) enforced() bool { return t.allotted || !t.known }
+
 // team returns the entry of a team, which may be unknown to the table.
 func (m *Machine) team(id domain.TeamID) *team {
 	if t, ok := m.teams[id]; ok {
@@ -83,6 +89,7 @@
 func (m *Machine) allotmentsChanged(e AllotmentsChanged) {
 	for _, a := range e.Allotments {
 		t := m.team(a.Team)
+		t.allotted = true
 		t.allot = a.Amount
 		t.outside = a.Outside
 		m.queue.SetOutside(a.Team, a.Outside)
@@ -110,7 +117,7 @@
 	}
 	var above map[domain.TeamID]domain.Resources
 	for _, t := range m.teamOrder {
-		if t.running.Fits(t.bound()) {
+		if t.running.Fits(t.bound()) || !t.enforced() {
 			continue
 		}
 		if above == nil {
