--- a/internal/app/confsync/sync_test.go
+++ b/internal/app/confsync/sync_test.go
@@ -64,11 +64,11 @@
 	return k
 }
 
-func apply(t testing.TB, s *Sync, e confdoc.Edit) confdoc.Applied {
-	t.Helper()
+// apply panics where the edit is refused, so that tables of faults can use it.
+func apply(s *Sync, e confdoc.Edit) confdoc.Applied {
 	a, err := s.Apply(context.Background(), e)
 	if err != nil {
-		t.Fatalf("edit %s: %v", e.ID, err)
+		panic(fmt.Sprintf("edit %s: %v", e.ID, err))
 	}
 	return a
 }
@@ -90,8 +90,8 @@
 			t.Fatal("not ready in a new cell")
 		}
 		key := testKey(t, "a")
-		apply(t, a.Sync, team("marine", 0, 1))
-		apply(t, b.Sync, grantKey(t, key, "marine"))
+		apply(a.Sync, team("marine", 0, 1))
+		apply(b.Sync, grantKey(t, key, "marine"))
 		time.Sleep(3 * time.Second)
 		for _, i := range []*instance{a, b} {
 			id, err := i.Resolve(key)
@@ -99,7 +99,7 @@
 				t.Fatalf("resolve: %+v, %v", id, err)
 			}
 		}
-		apply(t, a.Sync, confdoc.Edit{ID: "w", WithdrawKey: &confdoc.WithdrawKey{KeyID: key.ID(), Based: 2}})
+		apply(a.Sync, confdoc.Edit{ID: "w", WithdrawKey: &confdoc.WithdrawKey{KeyID: key.ID(), Based: 2}})
 		time.Sleep(3 * time.Second)
 		if _, err := b.Resolve(key); err == nil {
 			t.Fatal("a withdrawn key is accepted")
--- a/internal/standin/store/faulty.go
+++ b/internal/standin/store/faulty.go
@@ -179,7 +179,9 @@
 	case LoseRequest:
 		return none, lost(kind, key, ErrInjected)
 	case Late:
-		time.AfterFunc(fault.Delay, func() { _, _ = run(context.WithoutCancel(ctx), base) })
+		if kind.writes() {
+			time.AfterFunc(fault.Delay, func() { _, _ = run(context.WithoutCancel(ctx), base) })
+		}
 		return none, lost(kind, key, ErrInjected)
 	case Slow:
 		return slowCall(ctx, base, fault.Delay, kind, key, run)
@@ -190,15 +192,20 @@
 	}
 }
 
-// slowCall has its effect after the delay, also where the caller has given up.
+// slowCall answers after the delay. A write takes effect then, also where the
+// caller has given up.
 func slowCall[T any](ctx context.Context, base *Store, delay time.Duration, kind Kind, key string, run func(context.Context, *Store) (T, error)) (T, error) {
 	type answer struct {
 		value T
 		err   error
 	}
 	done := make(chan answer, 1)
+	effect := ctx
+	if kind.writes() {
+		effect = context.WithoutCancel(ctx)
+	}
 	time.AfterFunc(delay, func() {
-		value, err := run(context.WithoutCancel(ctx), base)
+		value, err := run(effect, base)
 		done <- answer{value, err}
 	})
 	select {
