Run the membership over authenticated datagrams

Cause: the member list was polled over gRPC. Bars, proofs of death from the platform's list and records of the registry can be passed in. Conclusion: the loopback test of two instances passes over datagrams (race detector on).

--- /dev/null
+++ b/internal/adapter/peergnet/socket.go
@@ -0,0 +1,233 @@
+package peergnet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/panjf2000/gnet/v2"
+
+	"auburnpier/internal/core/membership"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// Names of the counters.
+const (
+	CounterSent            = "peer.datagram.sent"
+	CounterSentBytes       = "peer.datagram.sent_bytes"
+	CounterReceived        = "peer.datagram.received"
+	CounterReceivedBytes   = "peer.datagram.received_bytes"
+	CounterSendFailed      = "peer.datagram.send_failed"
+	CounterTooLarge        = "peer.datagram.too_large"
+	CounterFull            = "peer.datagram.dropped_full"
+	CounterMalformed       = "peer.datagram.malformed"
+	CounterUnauthenticated = "peer.datagram.unauthenticated"
+	CounterClockSkew       = "peer.datagram.clock_skew"
+	CounterReplayed        = "peer.datagram.replayed"
+	CounterEngineError     = "peer.datagram.engine_error"
+)
+
+// bootTimeout bounds the start of the event loop.
+const bootTimeout = 5 * time.Second
+
+// Options are the settings of a socket.
+type Options struct {
+	// Address is the IP:port to listen on.
+	Address string
+	Secret  []byte
+	// Queue bounds the received datagrams that wait. Further ones are dropped and counted.
+	Queue   int
+	Clock   port.Clock
+	Metrics *metrics.Registry
+}
+
+// Received is an authentic datagram.
+type Received struct {
+	// From is the IP:port of the sender.
+	From    string
+	Message *membership.Message
+}
+
+// Socket sends and receives datagrams.
+type Socket struct {
+	options  Options
+	codec    *codec
+	received chan Received
+	handler  *handler
+	stopped  chan error
+	conn     *net.UDPConn
+}
+
+// Listen opens the socket. gnet sets SO_REUSEPORT on it, so the caller first
+// takes the TCP port of the same number, which only one process can hold.
+func Listen(o Options) (*Socket, error) {
+	c, err := newCodec(o.Secret)
+	if err != nil {
+		return nil, err
+	}
+	address, err := netip.ParseAddrPort(o.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "datagram address %q is not IP:port", o.Address)
+	}
+	s := &Socket{
+		options:  o,
+		codec:    c,
+		received: make(chan Received, o.Queue),
+		stopped:  make(chan error, 1),
+	}
+	s.handler = &handler{socket: s, replays: newReplayFilter(), booted: make(chan error, 1)}
+	return s, s.start(address)
+}
+
+func (s *Socket) start(address netip.AddrPort) error {
+	network := "udp6://"
+	if address.Addr().Is4() {
+		network = "udp4://"
+	}
+	go func() {
+		s.stopped <- gnet.Run(s.handler, network+address.String(),
+			gnet.WithNumEventLoop(1),
+			gnet.WithReadBufferCap(2*MaxBytes),
+			gnet.WithLogger(engineLog{s.options.Metrics}))
+	}()
+	timer := time.NewTimer(bootTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-s.handler.booted:
+		return err
+	case err := <-s.stopped:
+		return errors.Wrapf(err, "cannot listen for datagrams on %s; set the peer address to a free port of this VM", address)
+	case <-timer.C:
+		return errors.Newf("the datagram socket on %s did not start within %s", address, bootTimeout)
+	}
+}
+
+// Datagrams returns the received datagrams.
+func (s *Socket) Datagrams() <-chan Received { return s.received }
+
+// Send encodes and sends a datagram. A lost datagram is no error.
+func (s *Socket) Send(d membership.Datagram) error {
+	m := s.options.Metrics
+	address, err := netip.ParseAddrPort(d.To)
+	if err != nil {
+		m.Counter(CounterSendFailed).Inc(1)
+		return errors.Wrapf(err, "datagram address %q is not IP:port", d.To)
+	}
+	datagram, err := s.codec.encode(&d.Message, s.options.Clock.Now())
+	if err != nil {
+		m.Counter(CounterTooLarge).Inc(1)
+		return err
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(datagram, address); err != nil {
+		m.Counter(CounterSendFailed).Inc(1)
+		return err
+	}
+	m.Counter(CounterSent).Inc(1)
+	m.Counter(CounterSentBytes).Inc(int64(len(datagram)))
+	return nil
+}
+
+// Close stops the event loop and closes the socket.
+func (s *Socket) Close() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.handler.engine.Stop(ctx) }()
+	err := <-s.stopped
+	return errors.CombineErrors(err, s.conn.Close())
+}
+
+// handler runs in the event loop of gnet.
+type handler struct {
+	gnet.BuiltinEventEngine
+	socket  *Socket
+	engine  gnet.Engine
+	replays *replayFilter
+	booted  chan error
+}
+
+// OnBoot takes a second descriptor of the socket to send by.
+func (h *handler) OnBoot(engine gnet.Engine) gnet.Action {
+	h.engine = engine
+	conn, err := sendingConn(engine)
+	h.socket.conn = conn
+	h.booted <- err
+	if err != nil {
+		return gnet.Shutdown
+	}
+	return gnet.None
+}
+
+func sendingConn(engine gnet.Engine) (*net.UDPConn, error) {
+	fd, err := engine.Dup()
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(fd), "peer datagrams")
+	defer file.Close()
+	conn, err := net.FilePacketConn(file)
+	if err != nil {
+		return nil, err
+	}
+	udp, ok := conn.(*net.UDPConn)
+	if !ok {
+		return nil, errors.Newf("the datagram socket has type %T", conn)
+	}
+	return udp, nil
+}
+
+// OnTraffic takes one datagram.
+func (h *handler) OnTraffic(c gnet.Conn) gnet.Action {
+	datagram, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	h.receive(datagram, c.RemoteAddr().String())
+	return gnet.None
+}
+
+func (h *handler) receive(datagram []byte, from string) {
+	o := &h.socket.options
+	o.Metrics.Counter(CounterReceived).Inc(1)
+	o.Metrics.Counter(CounterReceivedBytes).Inc(int64(len(datagram)))
+	now := o.Clock.Now()
+	message, err := h.socket.codec.decode(datagram, now)
+	if err == nil && !h.replays.accept(message, now) {
+		err = errReplayed
+	}
+	if err != nil {
+		o.Metrics.Counter(counterOf(err)).Inc(1)
+		return
+	}
+	select {
+	case h.socket.received <- Received{From: from, Message: message}:
+	default:
+		o.Metrics.Counter(CounterFull).Inc(1)
+	}
+}
+
+func counterOf(err error) string {
+	switch {
+	case errors.Is(err, errUnauthenticated):
+		return CounterUnauthenticated
+	case errors.Is(err, errClockSkew):
+		return CounterClockSkew
+	case errors.Is(err, errReplayed):
+		return CounterReplayed
+	default:
+		return CounterMalformed
+	}
+}
+
+// engineLog counts what gnet reports. Its messages name no datagram and add
+// nothing to the counter.
+type engineLog struct{ metrics *metrics.Registry }
+
+func (l engineLog) Debugf(string, ...any) {}
+func (l engineLog) Infof(string, ...any)  {}
+func (l engineLog) Warnf(string, ...any)  {}
+func (l engineLog) Errorf(string, ...any) { l.metrics.Counter(CounterEngineError).Inc(1) }
+func (l engineLog) Fatalf(string, ...any) { l.metrics.Counter(CounterEngineError).Inc(1) }
--- a/internal/app/peering/api.go
+++ b/internal/app/peering/api.go
@@ -19,6 +19,9 @@
 	List() []membership.Member
 	// Get returns the member of that ID. It finds this instance as well.
 	Get(id domain.InstanceID) (membership.Member, bool)
+	// Region returns the live members of a region, this instance included, in
+	// the order of their IDs.
+	Region(region domain.RegionID) []membership.Member
 	// Owner returns the live member with the highest epoch for the partition.
 	Owner(partition domain.PartitionID) (membership.Member, domain.Epoch, bool)
 	// Subscribe returns a channel of changes. A change that finds the channel
@@ -39,11 +42,17 @@
 	// SetConfigVersion states the version in force.
 	SetConfigVersion(version uint64)
 	// SetEditInFlight states whether an edit may have reached the store
-	// without its outcome being known. It returns after the statement holds
-	// for all later acknowledgements.
+	// without its outcome being known. It holds for each ping that arrives
+	// after the call returned. The version of an accepted edit is set before
+	// the edit is declared over.
 	SetEditInFlight(inFlight bool)
 	// StoreConfirmed states that a store call that began at the time showed the version.
 	StoreConfirmed(version uint64, began time.Time)
+	// SetVouches states whether acknowledgements of this instance count for
+	// the authority of its region. It is set after this instance was
+	// registered in the store, then read all revocations and barred their
+	// incarnations; it is not set at the start.
+	SetVouches(vouches bool)
 	// SetSlots states the free slots. Queues beyond membership.MaxQueues are left out.
 	SetSlots(slots []membership.QueueSlots)
 	// SetDraining states that this instance is about to leave.
@@ -53,10 +62,7 @@
 }
 
 // Confirmation tells that at the time no version newer than Version was accepted.
-type Confirmation struct {
-	Version uint64
-	At      time.Time
-}
+type Confirmation = membership.Confirmation
 
 // Freshness gives the confirmations that peers contribute to section 5.3 of
 // the design.
@@ -67,8 +73,16 @@
 	// AllPeers returns the latest time that all known instances confirmed
 	// the version, or the zero value.
 	AllPeers(version uint64) Confirmation
-	// NewestVersion returns the highest version heard of and a member that has applied it.
+	// NewestVersion returns the highest version heard of and a member that has
+	// applied it. The holder is empty if no other live member has.
 	NewestVersion() (version uint64, holder domain.InstanceID)
+	// StoreOutage reports whether neither this instance nor a member that
+	// answered it has a recent store confirmation. All known instances are
+	// pinged then, which AllPeers needs.
+	StoreOutage() bool
+	// Joined reports whether the member list was received from a peer, or
+	// there is none to ask.
+	Joined() bool
 }
 
 // Authority gives the times that section 5.4 of the design bounds to 6 s.
@@ -76,6 +90,14 @@
 	// RegionAck returns the sending time of the latest ping that a member of
 	// this region acknowledged. It is zero if there is none.
 	RegionAck() time.Time
+	// Bar stops this instance from acknowledging pings of the incarnation.
+	Bar(ctx context.Context, instance domain.InstanceID, incarnation uint64) error
+	// Learn adds an instance of the registry in the store to the member list.
+	Learn(ctx context.Context, record membership.Record) error
+	// ProveDead notes a proof that the incarnation ended.
+	ProveDead(ctx context.Context, instance domain.InstanceID, incarnation uint64) error
+	// ObserveVMs takes the platform's list and notes members whose VMs were dropped from it.
+	ObserveVMs(ctx context.Context, vms []domain.VM) error
 	// SelfBarred reports whether a peer refused a ping because this incarnation is barred.
 	SelfBarred() bool
 	// BarEverywhere asks all other members of the region for a bar. It
--- a/internal/app/peering/handlers.go
+++ b/internal/app/peering/handlers.go
@@ -29,8 +29,8 @@
 	bar      func(ctx context.Context, instance domain.InstanceID, incarnation uint64) error
 }
 
-func newDispatcher(self func() membership.Member) *dispatcher {
-	d := &dispatcher{self: self}
+func newDispatcher(self func() membership.Member, bar func(context.Context, domain.InstanceID, uint64) error) *dispatcher {
+	d := &dispatcher{self: self, bar: bar}
 	d.handlers.Store(&Handlers{})
 	return d
 }
@@ -69,10 +69,7 @@
 }
 
 func (d *dispatcher) Bar(ctx context.Context, _, instance domain.InstanceID, incarnation uint64) error {
-	if d.bar != nil {
-		return d.bar(ctx, instance, incarnation)
-	}
-	return notReady("bars")
+	return d.bar(ctx, instance, incarnation)
 }
 
 func (d *dispatcher) ShareLeases(ctx context.Context, leases port.SharedLeases) error {
--- /dev/null
+++ b/internal/app/peering/loop.go
@@ -0,0 +1,178 @@
+package peering
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/adapter/peergnet"
+	"auburnpier/internal/core/membership"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// Bounds and periods of the loop.
+const (
+	// tickInterval is a third of the shortest timeout of the membership.
+	tickInterval = 100 * time.Millisecond
+	// commandQueue bounds the commands that wait for the loop.
+	commandQueue = 64
+	// outgoingQueue bounds the datagrams that wait for the sender.
+	outgoingQueue = 1024
+	// incomingQueue bounds the datagrams that wait for the loop.
+	incomingQueue = 1024
+	// leaveBound is the time that the announcement of an exit may take.
+	leaveBound = 1500 * time.Millisecond
+)
+
+// Names of the counters and gauges.
+const (
+	counterOutgoingFull = "peer.outgoing_full"
+	counterCommandsFull = "peer.commands_full"
+	gaugeHealth         = "peer.health_score"
+	gaugeMembersLive    = "peer.members_live"
+)
+
+// errLoopBusy tells that the command queue is full.
+var errLoopBusy = errors.New("the membership loop has a full command queue, retry later")
+
+// errStopped tells that the loop ended.
+var errStopped = errors.New("the membership loop has ended")
+
+// command runs in the loop.
+type command struct {
+	run  func(*membership.Node)
+	done chan struct{}
+}
+
+// loop is the goroutine that owns the membership state.
+type loop struct {
+	node       *membership.Node
+	clock      port.Clock
+	metrics    *metrics.Registry
+	statements *statements
+	view       *view
+	incoming   <-chan peergnet.Received
+	outgoing   chan membership.Datagram
+	commands   chan command
+	// ended is closed when no command runs any more.
+	ended chan struct{}
+	// changed is called in the loop for each change.
+	changed func(membership.Change)
+}
+
+// run processes input until the context ends, then announces the exit.
+func (l *loop) run(ctx context.Context) {
+	defer close(l.ended)
+	defer close(l.outgoing)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		l.step(ctx.Done(), ticker.C)
+	}
+	l.leave(ticker.C)
+}
+
+func (l *loop) leave(ticks <-chan time.Time) {
+	l.node.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveBound)
+	defer cancel()
+	for ctx.Err() == nil && !l.node.Settled() {
+		l.step(ctx.Done(), ticks)
+	}
+}
+
+func (l *loop) step(stop <-chan struct{}, ticks <-chan time.Time) {
+	select {
+	case <-stop:
+	case received := <-l.incoming:
+		l.statements.apply(l.node)
+		l.emit(l.node.Receive(l.clock.Now(), received.From, received.Message), false)
+	case <-ticks:
+		l.tick()
+	case <-l.statements.wake:
+		l.tick()
+	case c := <-l.commands:
+		c.run(l.node)
+		close(c.done)
+		l.tick()
+	}
+}
+
+func (l *loop) tick() {
+	l.statements.apply(l.node)
+	l.emit(l.node.Tick(l.clock.Now()), true)
+}
+
+// emit sends the datagrams and publishes the list. Without changes the list is
+// published on ticks only.
+func (l *loop) emit(out membership.Output, tick bool) {
+	for _, d := range out.Datagrams {
+		select {
+		case l.outgoing <- d:
+		default:
+			l.metrics.Counter(counterOutgoingFull).Inc(1)
+		}
+	}
+	if !tick && len(out.Changes) == 0 {
+		return
+	}
+	l.view.publish(l.snapshot(), out.Changes)
+	for _, c := range out.Changes {
+		l.changed(c)
+	}
+}
+
+func (l *loop) snapshot() snapshot {
+	s := snapshot{
+		self:      l.node.Self(),
+		members:   l.node.Members(),
+		allPeers:  l.node.AllPeers(l.node.Self().ConfigVersion),
+		relayed:   l.node.RelayedAll(),
+		regionAck: l.node.RegionAck(),
+		outage:    l.node.Outage(),
+		joined:    l.node.Joined(),
+	}
+	version, holder := l.node.NewestVersion()
+	s.newestVersion = version
+	if holder != nil {
+		s.newestHolder = holder.ID
+	}
+	live := int64(0)
+	for _, m := range s.members {
+		if m.State == membership.StateAlive {
+			live++
+		}
+	}
+	l.metrics.Gauge(gaugeHealth).Update(int64(l.node.Health()))
+	l.metrics.Gauge(gaugeMembersLive).Update(live)
+	return s
+}
+
+// do runs a function in the loop and waits for it.
+func (l *loop) do(ctx context.Context, run func(*membership.Node)) error {
+	c := command{run: run, done: make(chan struct{})}
+	select {
+	case l.commands <- c:
+	default:
+		l.metrics.Counter(counterCommandsFull).Inc(1)
+		return errLoopBusy
+	}
+	select {
+	case <-c.done:
+		return nil
+	case <-l.ended:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// send passes datagrams to the socket until the loop has ended.
+func (l *loop) send(socket *peergnet.Socket) {
+	for d := range l.outgoing {
+		// The socket counts what it could not send. The protocol repeats what matters.
+		_ = socket.Send(d)
+	}
+}
--- a/internal/app/peering/service.go
+++ b/internal/app/peering/service.go
@@ -2,151 +2,149 @@
 
 import (
 	"context"
-	"encoding/json"
+	"hash/fnv"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"auburnpier/internal/adapter/peergnet"
 	"auburnpier/internal/adapter/peergrpc"
 	"auburnpier/internal/core/membership"
 	"auburnpier/internal/domain"
-	"auburnpier/internal/port"
 )
 
-// Periods of the loop.
-const (
-	// pollInterval is the pause between two rounds of status calls to the seeds.
-	pollInterval = time.Second
-	// stopBound is the time that running calls get when the service stops.
-	stopBound = 2 * time.Second
-)
+// stopBound is the time that running calls get when the service stops.
+const stopBound = 2 * time.Second
 
-// Service is the peering of one instance.
+// Service is the peering of one instance. It implements Members, Calls,
+// SelfState, Freshness and Authority.
 type Service struct {
 	*view
+	*statements
 	settings Settings
 	deps     Deps
 	handlers *dispatcher
 	client   *peergrpc.Client
 	server   *peergrpc.Server
 	listener net.Listener
+	socket   *peergnet.Socket
+	loop     *loop
+	vms      vmTracker
 }
 
-// New opens the listener and returns the service. Run starts it.
+var (
+	_ Members   = (*Service)(nil)
+	_ Calls     = (*Service)(nil)
+	_ SelfState = (*Service)(nil)
+	_ Freshness = (*Service)(nil)
+	_ Authority = (*Service)(nil)
+)
+
+// New opens the listeners and returns the service. Run starts it. The TCP
+// listener comes first: its port can have one holder only, which makes a new
+// incarnation at the same address a proof that the earlier process ended.
 func New(s Settings, d Deps) (*Service, error) {
 	if err := s.validate(); err != nil {
 		return nil, err
 	}
+	p := &Service{
+		view:       newView(membership.Member{Record: s.record()}, d.Metrics),
+		statements: newStatements(),
+		settings:   s,
+		deps:       d,
+	}
+	p.handlers = newDispatcher(p.Self, p.Bar)
 	options := peergrpc.Options{Secret: s.Secret, TLS: s.TLS, Clock: d.Clock, Metrics: d.Metrics}
-	client, err := peergrpc.NewClient(options)
-	if err != nil {
+	var err error
+	if p.client, err = peergrpc.NewClient(options); err != nil {
 		return nil, err
 	}
-	p := &Service{
-		view:     newView(membership.Member{Record: s.record()}, d.Metrics),
-		settings: s,
-		deps:     d,
-		client:   client,
-	}
-	p.handlers = newDispatcher(p.Self)
-	p.server, err = peergrpc.NewServer(options, p.handlers)
-	if err != nil {
+	if p.server, err = peergrpc.NewServer(options, p.handlers); err != nil {
 		return nil, err
 	}
-	p.listener, err = net.Listen("tcp", s.listen())
-	if err != nil {
+	if p.listener, err = net.Listen("tcp", s.listen()); err != nil {
 		return nil, errors.Wrapf(err, "cannot listen for peer calls on %s; set the peer address to a free port of this VM", s.listen())
 	}
+	p.socket, err = peergnet.Listen(peergnet.Options{
+		Address: s.listen(),
+		Secret:  s.Secret,
+		Queue:   incomingQueue,
+		Clock:   d.Clock,
+		Metrics: d.Metrics,
+	})
+	if err != nil {
+		return nil, errors.CombineErrors(err, p.listener.Close())
+	}
+	p.loop = p.newLoop()
 	return p, nil
 }
 
+func (p *Service) newLoop() *loop {
+	cfg := membership.Default(p.settings.record(), p.settings.Seeds, p.seed())
+	if p.settings.tune != nil {
+		p.settings.tune(&cfg)
+	}
+	return &loop{
+		node:       membership.New(cfg, p.deps.Clock.Now()),
+		clock:      p.deps.Clock,
+		metrics:    p.deps.Metrics,
+		statements: p.statements,
+		view:       p.view,
+		incoming:   p.socket.Datagrams(),
+		outgoing:   make(chan membership.Datagram, outgoingQueue),
+		commands:   make(chan command, commandQueue),
+		ended:      make(chan struct{}),
+		changed:    p.memberChanged,
+	}
+}
+
+// seed derives the seed of the random choices from the ID, so that instances differ.
+func (p *Service) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.settings.ID))
+	return h.Sum64() ^ p.settings.Incarnation
+}
+
+// memberChanged closes connections to instances that are gone.
+func (p *Service) memberChanged(c membership.Change) {
+	if c.Kind == membership.ChangeState && c.Member.State.Gone() {
+		p.client.Forget(c.Member.Address)
+	}
+}
+
 // Handle sets the handlers of peer calls. It may be called again.
 func (p *Service) Handle(h Handlers) {
 	p.handlers.handlers.Store(&h)
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends. It then announces the exit, so the
+// context ends only after this instance takes no work and no edits any more.
 func (p *Service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.server.Serve(p.listener) })
 	group.Go(func() error {
-		p.poll(ctx)
-		p.server.Stop(stopBound)
-		p.client.Close()
+		p.loop.send(p.socket)
 		return nil
 	})
-	return group.Wait()
-}
-
-// Peer returns the calls of a member.
-func (p *Service) Peer(id domain.InstanceID) (port.Peer, bool) {
-	if id == p.settings.ID {
-		return p.handlers, true
-	}
-	member, found := p.Get(id)
-	if !found || member.State.Gone() {
-		return nil, false
-	}
-	return p.client.Peer(member.Address), true
-}
-
-func (p *Service) poll(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		p.pollSeeds(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (p *Service) pollSeeds(ctx context.Context) {
-	members := p.List()
-	var changes []membership.Change
-	for _, seed := range p.settings.Seeds {
-		if seed == p.settings.Address {
-			continue
-		}
-		members, changes = p.pollSeed(ctx, seed, members, changes)
-	}
-	p.publish(p.Self(), members, changes)
-}
-
-func (p *Service) pollSeed(ctx context.Context, seed string, members []membership.Member, changes []membership.Change) ([]membership.Member, []membership.Change) {
-	payload, err := p.client.Peer(seed).Status(ctx)
-	var answer statusAnswer
-	if err == nil {
-		err = json.Unmarshal(payload, &answer)
-	}
-	if err != nil {
-		return markDead(members, changes, seed)
-	}
-	answer.Member.HeardAt = p.deps.Clock.Now()
-	i, found := slices.BinarySearchFunc(members, answer.Member.ID, compareID)
-	if !found {
-		changes = append(changes, membership.Change{Kind: membership.ChangeJoined, Member: answer.Member})
-		return slices.Insert(members, i, answer.Member), changes
-	}
-	if old := members[i].State; old != membership.StateAlive {
-		changes = append(changes, membership.Change{Kind: membership.ChangeState, Member: answer.Member, Old: old})
-	}
-	members[i] = answer.Member
-	return members, changes
+	p.loop.run(ctx)
+	p.server.Stop(stopBound)
+	p.client.Close()
+	err := group.Wait()
+	return errors.CombineErrors(err, p.socket.Close())
 }
 
-func markDead(members []membership.Member, changes []membership.Change, address string) ([]membership.Member, []membership.Change) {
-	for i, m := range members {
-		if m.Address != address || m.State == membership.StateDead {
-			continue
+// Region returns the live members of a region, this instance included, in the
+// order of their IDs.
+func (p *Service) Region(region domain.RegionID) []membership.Member {
+	s := p.read()
+	var members []membership.Member
+	for _, m := range append([]membership.Member{s.self}, s.members...) {
+		if m.Location.Region == region && (m.State == membership.StateAlive || m.State == membership.StateSuspect) {
+			members = append(members, m)
 		}
-		members[i].State = membership.StateDead
-		changes = append(changes, membership.Change{Kind: membership.ChangeState, Member: members[i], Old: m.State})
 	}
-	return members, changes
+	sortByID(members)
+	return members
 }
--- a/internal/app/peering/settings.go
+++ b/internal/app/peering/settings.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/tls"
-	"net"
+	"net/netip"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,10 +18,10 @@
 	// Incarnation must exceed that of each earlier process of the same ID. The
 	// start time in Unix milliseconds serves.
 	Incarnation uint64
-	// Address is the host:port by which peers reach this instance. The
+	// Address is the IP:port by which peers reach this instance. The
 	// datagram socket (UDP) and the gRPC listener (TCP) share it.
 	Address string
-	// Listen is the host:port to listen on. Empty means Address.
+	// Listen is the IP:port to listen on. Empty means Address.
 	Listen string
 	// RequestAddress is the host:port at which callers' requests are accepted.
 	RequestAddress string
@@ -32,6 +32,8 @@
 	Secret []byte
 	// TLS adds mutual TLS to the calls. It may be nil.
 	TLS *tls.Config
+	// tune changes the membership configuration in tests and measurements.
+	tune func(*membership.Config)
 }
 
 // Deps are the parts that peering needs from the process.
@@ -50,9 +52,16 @@
 	if len(s.Secret) == 0 {
 		return errors.New("peering needs a shared secret for its datagrams")
 	}
-	for _, address := range append([]string{s.Address}, s.Seeds...) {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return errors.Wrapf(err, "peer address %q is not host:port", address)
+	for _, address := range append([]string{s.Address, s.listen()}, s.Seeds...) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return errors.Wrapf(err, "peer address %q is not IP:port", address)
+		}
+	}
+	l := s.Location
+	names := []string{string(s.ID), s.Address, s.RequestAddress, string(l.Region), string(l.Zone), string(l.Rack)}
+	for _, name := range names {
+		if len(name) > membership.MaxNameBytes {
+			return errors.Newf("the name %q has %d bytes, datagrams hold at most %d", name, len(name), membership.MaxNameBytes)
 		}
 	}
 	return nil
--- a/internal/app/peering/view.go
+++ b/internal/app/peering/view.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"auburnpier/internal/core/membership"
 	"auburnpier/internal/domain"
@@ -13,14 +14,27 @@
 // counterChangesDropped counts changes that found a subscriber's channel full.
 const counterChangesDropped = "peer.changes_dropped"
 
-// view is the member list that other goroutines read. The membership loop
+// snapshot is the state of the membership at the end of a step. It is not
+// changed after it was published.
+type snapshot struct {
+	self          membership.Member
+	members       []membership.Member
+	relayed       []membership.Confirmation
+	allPeers      membership.Confirmation
+	regionAck     time.Time
+	newestVersion uint64
+	newestHolder  domain.InstanceID
+	outage        bool
+	joined        bool
+}
+
+// view is what other goroutines read of the membership. The membership loop
 // alone writes it.
 type view struct {
 	metrics *metrics.Registry
 
 	mu          sync.RWMutex
-	self        membership.Member
-	members     []membership.Member
+	now         snapshot
 	subscribers map[*subscriber]struct{}
 }
 
@@ -30,45 +44,47 @@
 }
 
 func newView(self membership.Member, m *metrics.Registry) *view {
-	return &view{metrics: m, self: self, subscribers: make(map[*subscriber]struct{})}
+	return &view{metrics: m, now: snapshot{self: self}, subscribers: make(map[*subscriber]struct{})}
 }
 
-// Self returns the record of this instance.
-func (v *view) Self() membership.Member {
+func (v *view) read() snapshot {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.self
+	return v.now
 }
 
+// Self returns the record of this instance.
+func (v *view) Self() membership.Member { return v.read().self }
+
 // List returns all known members but this instance in the order of their IDs.
-func (v *view) List() []membership.Member {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return slices.Clone(v.members)
-}
+func (v *view) List() []membership.Member { return slices.Clone(v.read().members) }
 
 // Get returns the member of that ID.
 func (v *view) Get(id domain.InstanceID) (membership.Member, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	if v.self.ID == id {
-		return v.self, true
+	s := v.read()
+	if s.self.ID == id {
+		return s.self, true
 	}
-	i, found := slices.BinarySearchFunc(v.members, id, compareID)
+	i, found := slices.BinarySearchFunc(s.members, id, compareID)
 	if !found {
 		return membership.Member{}, false
 	}
-	return v.members[i], true
+	return s.members[i], true
 }
 
 func compareID(m membership.Member, id domain.InstanceID) int {
 	return strings.Compare(string(m.ID), string(id))
 }
 
+func sortByID(members []membership.Member) {
+	slices.SortFunc(members, func(a, b membership.Member) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+}
+
 // Owner returns the live member with the highest epoch for the partition.
 func (v *view) Owner(partition domain.PartitionID) (membership.Member, domain.Epoch, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
+	s := v.read()
 	var owner membership.Member
 	var epoch domain.Epoch
 	found := false
@@ -82,8 +98,8 @@
 			}
 		}
 	}
-	consider(v.self)
-	for _, m := range v.members {
+	consider(s.self)
+	for _, m := range s.members {
 		consider(m)
 	}
 	return owner, epoch, found
@@ -102,14 +118,14 @@
 	}
 }
 
-// publish replaces the list and passes the changes on.
-func (v *view) publish(self membership.Member, members []membership.Member, changes []membership.Change) {
+// publish replaces the snapshot and passes the changes on.
+func (v *view) publish(s snapshot, changes []membership.Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.self, v.members = self, members
+	v.now = s
 	for _, change := range changes {
-		for s := range v.subscribers {
-			v.deliver(s, change)
+		for sub := range v.subscribers {
+			v.deliver(sub, change)
 		}
 	}
 }
@@ -122,3 +138,40 @@
 		v.metrics.Counter(counterChangesDropped + "." + s.name).Inc(1)
 	}
 }
+
+// Relayed returns the latest store confirmation of the version that a peer relayed.
+func (v *view) Relayed(version uint64) Confirmation {
+	for _, c := range v.read().relayed {
+		if c.Version == version {
+			return c
+		}
+	}
+	return Confirmation{}
+}
+
+// AllPeers returns the latest time that all known instances confirmed the version.
+func (v *view) AllPeers(version uint64) Confirmation {
+	if c := v.read().allPeers; c.Version == version {
+		return c
+	}
+	return Confirmation{}
+}
+
+// NewestVersion returns the highest version heard of and a member that has applied it.
+func (v *view) NewestVersion() (uint64, domain.InstanceID) {
+	s := v.read()
+	return s.newestVersion, s.newestHolder
+}
+
+// StoreOutage reports whether no recent store confirmation is known.
+func (v *view) StoreOutage() bool { return v.read().outage }
+
+// Joined reports whether the member list was received from a peer, or there is none to ask.
+func (v *view) Joined() bool { return v.read().joined }
+
+// RegionAck returns the sending time of the latest ping that a vouching member
+// of this region acknowledged.
+func (v *view) RegionAck() time.Time { return v.read().regionAck }
+
+// SelfBarred reports whether this incarnation is barred.
+func (v *view) SelfBarred() bool { return v.read().self.Barred }
--- a/internal/core/membership/answer.go
+++ b/internal/core/membership/answer.go
@@ -22,11 +22,6 @@
 }
 
 func (n *Node) receivePing(from string, msg *Message, sender *member) {
-	if msg.To != "" && msg.To != n.self.record.ID {
-		// The address belonged to another instance. The sender learns who has it now.
-		n.introduce(from, msg.From)
-		return
-	}
 	if n.isBarred(msg.From, msg.Digest.Incarnation) {
 		n.sendTo(from, sender, Message{Kind: KindBarred, Seq: msg.Seq, To: msg.From})
 		return
--- a/internal/core/membership/freshness.go
+++ b/internal/core/membership/freshness.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 )
 
@@ -58,6 +59,9 @@
 	return Confirmation{}
 }
 
+// RelayedAll returns the latest relayed confirmations of the two newest versions.
+func (n *Node) RelayedAll() []Confirmation { return slices.Clone(n.relayed[:]) }
+
 // AllPeers returns the time that all known instances confirmed for the
 // version: each that is neither left nor proven dead acknowledged a ping sent
 // then or later, knew no newer version, had no edit in flight and knew the
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -139,6 +139,13 @@
 		n.merge(&msg.Updates[i])
 	}
 	sender := n.hearDigest(from, msg)
+	if msg.To != "" && msg.To != n.self.record.ID {
+		// The address belonged to another instance. The sender learns who has it now.
+		if msg.Kind == KindPing {
+			n.introduce(from, msg.From)
+		}
+		return n.take()
+	}
 	n.dispatch(from, msg, sender)
 	return n.take()
 }
