--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -78,15 +80,25 @@
 			return
 		case <-ticker.C:
 		}
-		state, ok := any(i.peers).(peering.SelfState)
-		if !ok {
-			continue
-		}
-		state.SetPartitions(i.ownedPartitions())
-		if current := i.config.Current(); current != nil {
-			state.SetConfigVersion(current.Version())
+		i.peers.SetPartitions(i.ownedPartitions())
+		i.peers.SetSlots(i.freeSlots())
+		i.exchangeConfig()
+	}
+}
+
+// freeSlots lists what requests of each queue could take here now.
+func (i *Instance) freeSlots() []membership.QueueSlots {
+	current := i.config.Current()
+	if current == nil {
+		return nil
+	}
+	var slots []membership.QueueSlots
+	for _, queue := range slices.Sorted(maps.Keys(current.Doc.Queues)) {
+		if free := i.plane.FreeSlots(queue); free > 0 {
+			slots = append(slots, membership.QueueSlots{Queue: queue, Free: uint32(free)})
 		}
 	}
+	return slots
 }
 
 func (i *Instance) ownedPartitions() []membership.OwnedPartition {
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -77,6 +77,7 @@
 	}
 	i.config = confsync.New(confsync.Config{
 		Store: i.store, Watch: i.watch, Clock: i.clock, Metrics: i.metrics, Log: log,
+		Peers: configPeers{peers: i.peers, applied: i.appliedVersion},
 	})
 	i.newTaskPlane()
 	i.newRequestPlane()
@@ -169,6 +170,7 @@
 		Admission:       admission{config: i.config},
 		Slots:           &requestplane.StaticSlots{},
 		Teams:           &requestplane.StaticTeamLimits{},
+		Peers:           newOverflow(i.peers, i.clock.Now),
 		Clock:           i.clock,
 		Metrics:         i.metrics,
 		HoldBound:       settings.Milliseconds(s.Requests.SlotHoldBoundMS),
@@ -176,8 +178,11 @@
 	})
 }
 
-// deliverVMs passes each read of the platform's list to both planes.
+// deliverVMs passes each read of the platform's list to the membership and to both planes.
 func (i *Instance) deliverVMs(vms []domain.VM) {
+	if err := i.peers.ObserveVMs(context.Background(), vms); err != nil {
+		i.log.Warn("the platform's list was not compared with the members", zap.Error(err))
+	}
 	i.manager.SetVMs(vms)
 	i.plane.UpdateVMs(vms)
 }
@@ -224,9 +229,7 @@
 func (i *Instance) Drain() {
 	i.drainOnce.Do(func() {
 		i.draining.Store(true)
-		if state, ok := any(i.peers).(peering.SelfState); ok {
-			state.SetDraining(true)
-		}
+		i.peers.SetDraining(true)
 		close(i.drain)
 	})
 }
--- /dev/null
+++ b/internal/daemon/overflow.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"auburnpier/internal/app/peering"
+	"auburnpier/internal/app/requestplane"
+	"auburnpier/internal/core/membership"
+	"auburnpier/internal/domain"
+)
+
+// overflowTTL is how long a reported number of free slots is believed.
+const overflowTTL = time.Second
+
+// overflow finds instances of the region with free slots. What they reported
+// is counted down by what was taken since.
+type overflow struct {
+	peers *peering.Service
+	now   func() time.Time
+
+	mu    sync.Mutex
+	taken map[takenKey]takenSlots
+}
+
+type takenKey struct {
+	instance domain.InstanceID
+	queue    domain.QueueID
+}
+
+// takenSlots counts what was taken of one report.
+type takenSlots struct {
+	heard time.Time
+	n     uint32
+}
+
+func newOverflow(peers *peering.Service, now func() time.Time) *overflow {
+	return &overflow{peers: peers, now: now, taken: make(map[takenKey]takenSlots)}
+}
+
+// Take implements requestplane.Peers. Other regions are never used, because
+// traffic to them is paid by volume.
+func (o *overflow) Take(queue domain.QueueID) (requestplane.Peer, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var best membership.Member
+	var bestFree uint32
+	for _, m := range o.peers.Region(o.peers.Self().Location.Region) {
+		if m.ID == o.peers.Self().ID || m.Draining || o.now().Sub(m.HeardAt) > overflowTTL {
+			continue
+		}
+		if free := o.left(m, queue); free > bestFree {
+			best, bestFree = m, free
+		}
+	}
+	if bestFree == 0 {
+		return requestplane.Peer{}, false
+	}
+	key := takenKey{best.ID, queue}
+	taken := o.taken[key]
+	if !taken.heard.Equal(best.HeardAt) {
+		taken = takenSlots{heard: best.HeardAt}
+	}
+	taken.n++
+	o.taken[key] = taken
+	return requestplane.Peer{ID: best.ID, Address: best.RequestAddress}, true
+}
+
+// left returns the reported free slots less those taken since the report.
+func (o *overflow) left(m membership.Member, queue domain.QueueID) uint32 {
+	for _, s := range m.Slots {
+		if s.Queue != queue {
+			continue
+		}
+		taken := o.taken[takenKey{m.ID, queue}]
+		if !taken.heard.Equal(m.HeardAt) {
+			return s.Free
+		}
+		return s.Free - min(s.Free, taken.n)
+	}
+	return 0
+}
