--- a/internal/core/sched/end.go
+++ b/internal/core/sched/end.go
@@ -19,8 +19,12 @@
 	excused bool
 }
 
-// end records the proven end of an attempt and decides the task's fate.
+// end records the proven end of an attempt and decides the task's fate. An
+// attempt that ended together with another member of its gang is left alone.
 func (m *Machine) end(a *attempt, e ending) {
+	if m.attempts[a.ID] != a {
+		return
+	}
 	j := a.j
 	r := &EndedRecord{
 		Attempt: a.ID, Outcome: e.outcome, Peak: a.peak, RunMS: e.runMS, Detail: e.detail, BlameWorker: e.blame,
@@ -205,6 +209,9 @@
 // requestEnd asks the worker to checkpoint or stop an attempt. A start that
 // was not sent yet is withdrawn.
 func (m *Machine) requestEnd(a *attempt, cause Cause) {
+	if m.attempts[a.ID] != a {
+		return
+	}
 	if a.cause != CauseNone {
 		m.escalate(a, cause)
 		return
--- a/internal/core/sched/estimate.go
+++ b/internal/core/sched/estimate.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"errors"
 	"slices"
 
+	"auburnpier/internal/core/placement"
 	"auburnpier/internal/domain"
 )
 
@@ -107,7 +109,7 @@
 }
 
 // reservation returns what one task of the job reserves: the declared size, or
-// what its class was seen to use, up to the largest worker.
+// what its class was seen to use, as far as that fits the workers and the team.
 func (m *Machine) reservation(j *job) domain.Resources {
 	learned := j.Larger
 	if c, ok := m.classes[j.classKey()]; ok {
@@ -117,7 +119,37 @@
 	if learned.Fits(j.Spec.Resources) {
 		return j.Spec.Resources
 	}
-	return j.Spec.Resources.Max(learned.Min(m.largest))
+	return j.Spec.Resources.Max(learned.Min(m.ceiling(j)))
+}
+
+// ceiling bounds learned reservations: a job that was accepted for its declared
+// size must not wait for ever because its class used more.
+func (m *Machine) ceiling(j *job) domain.Resources {
+	limit := m.team(j.Team).limit
+	if j.isGang() {
+		n := int64(len(j.Tasks))
+		limit = domain.Resources{
+			CPUMilli: limit.CPUMilli / n, MemoryMB: limit.MemoryMB / n, Accelerators: limit.Accelerators / n,
+		}
+	}
+	if !j.ceiling.IsZero() {
+		limit = limit.Min(j.ceiling)
+	}
+	return limit.Min(m.largest)
+}
+
+// lowerCeiling reports whether a size that never fits was a learned one. The
+// job then reserves the nearest size that fits, at least the declared one.
+func (j *job) lowerCeiling(size domain.Resources, err error) bool {
+	var none *placement.NoFitError
+	if size == j.Spec.Resources || !errors.As(err, &none) || !none.Never {
+		return false
+	}
+	j.ceiling = j.Spec.Resources
+	if j.Spec.Resources.Fits(none.Nearest) && none.Nearest != size {
+		j.ceiling = none.Nearest
+	}
+	return true
 }
 
 // expectedRunMS returns the expected run time of a task. Zero means unknown.
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -31,6 +31,11 @@
 	if err == nil {
 		err = m.reserveGang(j, size, workers)
 	}
+	if j.lowerCeiling(size, err) {
+		r.misses++
+		m.requeue(j)
+		return
+	}
 	if err != nil {
 		r.misses++
 		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -91,6 +91,11 @@
 	if err == nil && !m.index.Reserve(id, j.ID, size) {
 		err = fmt.Errorf("worker %s has less room than the index offered", id)
 	}
+	if j.lowerCeiling(size, err) {
+		r.misses++
+		m.requeue(j)
+		return
+	}
 	if err != nil {
 		r.misses++
 		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -88,6 +88,8 @@
 	touched bool
 	// moving counts attempts that are stopped to leave their worker.
 	moving int
+	// ceiling bounds learned reservations where one fitted no empty worker.
+	ceiling domain.Resources
 	// wait says why the job was not placed in the last round that considered it.
 	wait string
 }
