--- /dev/null
+++ b/internal/core/allot/divide.go
@@ -0,0 +1,65 @@
+package allot
+
+import (
+	"math/bits"
+	"sort"
+)
+
+// Entitled divides the limit by demand: each holder is entitled to its demand
+// where all fit, and to a part of the limit in proportion to its demand where
+// they do not. The parts are integers that add up to at most the limit.
+func Entitled(limit Vector, demand map[string]Vector) map[string]Vector {
+	names := holderNames(demand)
+	out := make(map[string]Vector, len(names))
+	for c := range dims {
+		parts := divide(limit[c], names, demand, c)
+		for i, name := range names {
+			v := out[name]
+			v[c] = parts[i]
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// divide divides one component. What is left after rounding down goes to the
+// largest fractions, then by name.
+func divide(limit int64, names []string, demand map[string]Vector, c int) []int64 {
+	parts := make([]int64, len(names))
+	var sum int64
+	for i, name := range names {
+		parts[i] = max(demand[name][c], 0)
+		sum += parts[i]
+	}
+	if sum <= limit {
+		return parts
+	}
+	fractions := make([]uint64, len(names))
+	left := limit
+	for i := range parts {
+		// The product may exceed 64 bits: memory in MB over a fleet is 10^12.
+		high, low := bits.Mul64(uint64(limit), uint64(parts[i]))
+		quotient, rest := bits.Div64(high, low, uint64(sum))
+		parts[i] = int64(quotient)
+		fractions[i] = rest
+		left -= parts[i]
+	}
+	order := make([]int, len(names))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool { return fractions[order[a]] > fractions[order[b]] })
+	for _, i := range order[:left] {
+		parts[i]++
+	}
+	return parts
+}
+
+// contended reports whether the demands exceed the limit in any component.
+func (it Item) contended() bool {
+	var sum Vector
+	for _, v := range it.Demand {
+		sum = sum.Add(v)
+	}
+	return !sum.AtMost(it.Limit)
+}
--- /dev/null
+++ b/internal/core/allot/document.go
@@ -0,0 +1,141 @@
+// Package allot divides limits into integer amounts, each held by a holder:
+// an instance, or a partition with its epoch. It is pure. One document holds
+// the amounts of one kind, and each operation returns a new document that is
+// written by compare-and-swap.
+//
+// The invariant of a document is that the amounts of an item add up to at most
+// its limit plus what is owed after the limit was lowered.
+package allot
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Document holds the amounts of one kind.
+type Document struct {
+	// Config is the configuration version whose limits were last set.
+	Config  uint64            `json:"config"`
+	Items   map[string]Item   `json:"items"`
+	Holders map[string]Holder `json:"holders"`
+}
+
+// Item is a team or a backend server.
+type Item struct {
+	Limit Vector `json:"limit"`
+	// Owed is what the holders have above the limit after it was lowered.
+	// Nothing is claimed or given to a holder's benefit while it is not zero.
+	Owed Vector            `json:"owed,omitzero"`
+	Held map[string]Vector `json:"held,omitempty"`
+	// Demand is what each holder last asked for, its present amount included.
+	Demand map[string]Vector `json:"demand,omitempty"`
+}
+
+// Holder is an instance or a partition that may hold amounts.
+type Holder struct {
+	// Region is set for instances. Only an instance of the region reclaims.
+	Region string `json:"region,omitempty"`
+	// Epoch is the epoch of the partition's owner that last took over.
+	Epoch uint64 `json:"epoch,omitempty"`
+	// Revoked tells that the holder may use nothing any more. Its amounts
+	// count until they are reclaimed.
+	Revoked bool `json:"revoked,omitempty"`
+}
+
+// RevokedError tells that the holder was revoked or is not registered.
+type RevokedError struct{ Holder string }
+
+func (e *RevokedError) Error() string {
+	return fmt.Sprintf("holder %s is revoked or not registered; join again as a new holder", e.Holder)
+}
+
+// EpochError tells that another owner took the partition's amounts over.
+type EpochError struct {
+	Holder  string
+	Epoch   uint64
+	Current uint64
+}
+
+func (e *EpochError) Error() string {
+	return fmt.Sprintf("the amounts of partition %s belong to epoch %d, not %d; stop using them", e.Holder, e.Current, e.Epoch)
+}
+
+// New returns an empty document.
+func New() Document {
+	return Document{Items: make(map[string]Item), Holders: make(map[string]Holder)}
+}
+
+// Clone returns a copy that shares no memory with d.
+func (d Document) Clone() Document {
+	c := Document{Config: d.Config, Items: make(map[string]Item, len(d.Items)), Holders: maps.Clone(d.Holders)}
+	if c.Holders == nil {
+		c.Holders = make(map[string]Holder)
+	}
+	for name, it := range d.Items {
+		c.Items[name] = it.clone()
+	}
+	return c
+}
+
+func (it Item) clone() Item {
+	it.Held = maps.Clone(it.Held)
+	it.Demand = maps.Clone(it.Demand)
+	if it.Held == nil {
+		it.Held = make(map[string]Vector)
+	}
+	if it.Demand == nil {
+		it.Demand = make(map[string]Vector)
+	}
+	return it
+}
+
+// Sum returns the amounts of all holders.
+func (it Item) Sum() Vector {
+	var sum Vector
+	for _, v := range it.Held {
+		sum = sum.Add(v)
+	}
+	return sum
+}
+
+// Remainder returns the part of the limit that no holder has.
+func (it Item) Remainder() Vector { return it.Limit.Sub(it.Sum()).Positive() }
+
+// settle sets what is owed and drops empty entries.
+func (it *Item) settle() {
+	it.Owed = it.Sum().Sub(it.Limit).Positive()
+	for h, v := range it.Held {
+		if v.IsZero() {
+			delete(it.Held, h)
+		}
+	}
+	for h, v := range it.Demand {
+		if v.IsZero() {
+			delete(it.Demand, h)
+		}
+	}
+}
+
+// Check returns an error where the document breaks its invariant.
+func (d Document) Check() error {
+	for name, it := range d.Items {
+		sum := it.Sum()
+		if !sum.AtMost(it.Limit.Add(it.Owed)) {
+			return fmt.Errorf("the amounts of %s add up to %v, above the limit %v and the owed %v", name, sum, it.Limit, it.Owed)
+		}
+		for h, v := range it.Held {
+			if v != v.Positive() {
+				return fmt.Errorf("holder %s has a negative amount of %s: %v", h, name, v)
+			}
+			if _, ok := d.Holders[h]; !ok {
+				return fmt.Errorf("holder %s of %s is not registered", h, name)
+			}
+		}
+	}
+	return nil
+}
+
+// holderNames returns the names of a map in order, so that every instance
+// divides an item alike.
+func holderNames(m map[string]Vector) []string { return slices.Sorted(maps.Keys(m)) }
