--- /dev/null
+++ b/internal/app/allotment/cell_test.go
@@ -0,0 +1,208 @@
+package allotment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnpier/internal/app/sharedwatch"
+	"auburnpier/internal/core/allot"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+)
+
+const team = "marine"
+
+// cell is a number of instances of one region over one store. Instance i
+// reaches the store through faults[i].
+type cell struct {
+	base   *store.Store
+	faults []*store.Faulty
+	nodes  []*node
+
+	mu     sync.Mutex
+	limits allot.Limits
+	cut    map[[2]int]bool
+	dead   map[int]bool
+}
+
+type node struct {
+	*Ledger
+	cell    *cell
+	index   int
+	name    string
+	bars    *Bars
+	watch   *sharedwatch.Watcher
+	vouched time.Time
+}
+
+func newCell(n int, limit int64, plant func(port.Store) port.Store) *cell {
+	c := &cell{base: store.New(), cut: make(map[[2]int]bool), dead: make(map[int]bool)}
+	c.setLimit(1, limit)
+	for i := range n {
+		f := store.NewFaulty(c.base)
+		var s port.Store = f
+		if plant != nil {
+			s = plant(s)
+		}
+		nd := &node{cell: c, index: i, name: fmt.Sprintf("i%d/1", i)}
+		w := sharedwatch.New(s, port.SystemClock{}, metrics.New(), sharedwatch.Prefix)
+		nd.Ledger = New(Config{
+			Key: TeamsKey, Region: "lulea", Store: s, Watch: w, Clock: port.SystemClock{},
+			Metrics: metrics.New(), Limits: c.limit, ByPeak: true, Vouched: nd.lastVouch,
+		})
+		nd.JoinInstance(nd.name)
+		nd.bars = NewBars(nd.Ledger)
+		c.faults = append(c.faults, f)
+		c.nodes = append(c.nodes, nd)
+		nd.watch = w
+	}
+	return c
+}
+
+func (c *cell) limit() allot.Limits {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits
+}
+
+func (c *cell) setLimit(config uint64, limit int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limits = allot.Limits{Config: config, Items: map[string]allot.Vector{team: allot.Units(limit)}}
+}
+
+func (c *cell) start(ctx context.Context) {
+	for _, n := range c.nodes {
+		go func() { _ = n.watch.Run(ctx) }()
+		go func() { _ = n.Run(ctx) }()
+		go n.ping(ctx)
+	}
+}
+
+func (c *cell) reaches(a, b int) bool {
+	return !c.cut[[2]int{a, b}] && !c.cut[[2]int{b, a}] && !c.dead[a] && !c.dead[b]
+}
+
+// isolate cuts the instance off from the store and from all others.
+func (c *cell) isolate(i int) {
+	c.faults[i].Inject(store.Fault{Action: store.Refuse})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for j := range c.nodes {
+		c.cut[[2]int{i, j}] = true
+	}
+}
+
+func (n *node) lastVouch() time.Time {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	return n.vouched
+}
+
+// ping stands in for the membership: an acknowledged ping each 500 ms from
+// each other instance that vouches for this one.
+func (n *node) ping(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		for _, o := range n.cell.nodes {
+			n.cell.mu.Lock()
+			contact := o != n && n.cell.reaches(n.index, o.index)
+			n.cell.mu.Unlock()
+			if contact && o.bars.Vouches(n.holder()) {
+				n.cell.mu.Lock()
+				n.vouched = sent
+				n.cell.mu.Unlock()
+			}
+		}
+		sleep(ctx, 500*time.Millisecond)
+	}
+}
+
+func (n *node) holder() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if lo := n.instance(); lo != nil {
+		return lo.holder
+	}
+	return ""
+}
+
+var errNoContact = errors.New("no contact")
+
+// Others implements Peers.
+func (n *node) Others(context.Context) ([]domain.InstanceID, error) {
+	var list []domain.InstanceID
+	for _, o := range n.cell.nodes {
+		if o != n {
+			list = append(list, domain.InstanceID(o.name))
+		}
+	}
+	return list, nil
+}
+
+// ProvenDead implements Peers.
+func (n *node) ProvenDead(id domain.InstanceID) bool {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	for _, o := range n.cell.nodes {
+		if o.name == string(id) {
+			return n.cell.dead[o.index]
+		}
+	}
+	return false
+}
+
+// Bar implements Peers.
+func (n *node) Bar(_ context.Context, at domain.InstanceID, holder string) error {
+	for _, o := range n.cell.nodes {
+		if o.name != string(at) {
+			continue
+		}
+		n.cell.mu.Lock()
+		contact := n.cell.reaches(n.index, o.index)
+		n.cell.mu.Unlock()
+		if contact {
+			o.bars.Bar(holder)
+			return nil
+		}
+	}
+	return errNoContact
+}
+
+func stored(t testing.TB, c *cell) allot.Document {
+	t.Helper()
+	e, err := c.base.Get(context.Background(), TeamsKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := allot.Decode(e.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// usable returns what all instances may use together at this moment.
+func (c *cell) usable() int64 {
+	var sum int64
+	for _, n := range c.nodes {
+		sum += n.Held(team)
+	}
+	return sum
+}
+
+// take acquires up to n units at a node and returns how many it got.
+func take(n *node, units int) int {
+	for i := range units {
+		if !n.Acquire(team) {
+			return i
+		}
+	}
+	return units
+}
--- /dev/null
+++ b/internal/app/allotment/ledger_test.go
@@ -0,0 +1,226 @@
+package allotment
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+)
+
+// inCell runs the test in a bubble with a started cell.
+func inCell(t *testing.T, n int, limit int64, test func(t *testing.T, ctx context.Context, c *cell)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCell(n, limit, nil)
+		c.start(ctx)
+		time.Sleep(5 * time.Second)
+		test(t, ctx, c)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The amounts must follow the demand, and what is stranded at idle instances
+// while another one waits must stay small.
+func TestMovesByDemand(t *testing.T) {
+	cases := []struct {
+		name      string
+		instances int
+		limit     int64
+		demand    []int // units that each instance tries to use
+		least     int64 // units in use over all after 15 s
+	}{
+		{"one busy", 8, 400, []int{400}, 395},
+		{"two busy", 8, 400, []int{300, 300}, 395},
+		{"all busy", 8, 400, []int{100, 100, 100, 100, 100, 100, 100, 100}, 395},
+		{"small limit, one busy", 8, 4, []int{4}, 4},
+		{"small limit, last one busy", 8, 8, []int{0, 0, 0, 0, 0, 0, 0, 8}, 8},
+		{"below the limit", 8, 400, []int{50, 20}, 70},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, c.instances, c.limit, func(t *testing.T, _ context.Context, cell *cell) {
+				got := make([]int, c.instances)
+				var inUse int64
+				for range 150 {
+					time.Sleep(100 * time.Millisecond)
+					inUse = 0
+					for i, want := range c.demand {
+						got[i] += take(cell.nodes[i], want-got[i])
+						inUse += int64(got[i])
+					}
+					if inUse > c.limit {
+						t.Fatalf("%d in use, limit %d", inUse, c.limit)
+					}
+				}
+				if inUse < c.least {
+					t.Errorf("%d in use after 15 s, want at least %d; %v", inUse, c.least, got)
+				}
+				t.Logf("stranded %.1f %% of the limit", 100*float64(c.limit-inUse)/float64(c.limit))
+			})
+		})
+	}
+}
+
+// When the load moves from one instance to another, the amounts must follow
+// within seconds, and no instance may write a document more than once a second.
+func TestFollowsMovingLoad(t *testing.T) {
+	inCell(t, 4, 200, func(t *testing.T, _ context.Context, c *cell) {
+		got := take(c.nodes[0], 200)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			got += take(c.nodes[0], 200-got)
+		}
+		before := c.faults[1].Calls(store.CompareAndSwap)
+		for range got {
+			c.nodes[0].Release(team)
+		}
+		began := time.Now()
+		moved := 0
+		for moved < 180 && time.Since(began) < time.Minute {
+			moved += take(c.nodes[1], 200-moved)
+			time.Sleep(50 * time.Millisecond)
+		}
+		took := time.Since(began)
+		writes := c.faults[1].Calls(store.CompareAndSwap) - before
+		t.Logf("90 %% of the limit moved in %s with %d writes of the receiver", took, writes)
+		if took > 20*time.Second || float64(writes) > took.Seconds()+1 {
+			t.Errorf("moved %d in %s with %d writes", moved, took, writes)
+		}
+	})
+}
+
+// A lowered limit must stop new work at once, also before the document is
+// rewritten, and the sum must come down as work ends.
+func TestLoweredLimit(t *testing.T) {
+	inCell(t, 3, 90, func(t *testing.T, _ context.Context, c *cell) {
+		got := make([]int, 3)
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			for i, n := range c.nodes {
+				got[i] += take(n, 30-got[i])
+			}
+		}
+		c.setLimit(2, 30)
+		for _, n := range c.nodes {
+			n.mu.Lock()
+			n.refresh()
+			n.mu.Unlock()
+			if n.Acquire(team) {
+				t.Fatal("work started above the lowered limit")
+			}
+		}
+		time.Sleep(4 * time.Second)
+		if d := stored(t, c); d.Items[team].Owed.IsZero() || d.Items[team].Limit[0] != 30 {
+			t.Fatalf("document %+v", d.Items[team])
+		}
+		if u := c.usable(); u > 30 {
+			t.Fatalf("the instances keep %d above the limit of 30", u)
+		}
+		for i, n := range c.nodes {
+			for int64(got[i]) > n.Held(team) {
+				n.Release(team)
+				got[i]--
+			}
+		}
+		time.Sleep(5 * time.Second)
+		d := stored(t, c)
+		if sum := d.Items[team].Sum()[0]; sum > 30 || !d.Items[team].Owed.IsZero() {
+			t.Fatalf("document %+v", d.Items[team])
+		}
+		c.nodes[0].Release(team)
+		time.Sleep(3 * time.Second)
+		if !c.nodes[0].Acquire(team) {
+			t.Fatal("no work starts below the lowered limit")
+		}
+	})
+}
+
+// An instance may use what it holds for 6 s after the last proof, and not after
+// it saw its revocation.
+func TestAuthority(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cell)
+		holds bool // 9 s later
+	}{
+		{"no fault", func(*cell) {}, true},
+		{"store down", func(c *cell) {
+			for _, f := range c.faults {
+				f.Inject(store.Fault{Action: store.Refuse})
+			}
+		}, true},
+		{"cut off from the peers only", func(c *cell) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.cut[[2]int{0, 1}] = true
+			c.cut[[2]int{0, 2}] = true
+		}, true},
+		{"cut off from the store and the peers", func(c *cell) { c.isolate(0) }, false},
+		{"store answers stale, cut off from the peers", func(c *cell) {
+			c.isolate(0)
+			c.faults[0].Clear()
+			if err := c.nodes[1].revoke(context.Background(), c.nodes[0].name); err != nil {
+				panic(err)
+			}
+			time.Sleep(10 * time.Millisecond)
+			c.faults[0].Inject(store.Fault{Action: store.Refuse})
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inCell(t, 3, 30, func(t *testing.T, _ context.Context, cell *cell) {
+				if !cell.nodes[0].Authority() {
+					t.Fatal("no authority before the fault")
+				}
+				c.fault(cell)
+				time.Sleep(9 * time.Second)
+				if got := cell.nodes[0].Authority(); got != c.holds {
+					t.Fatalf("authority is %v", got)
+				}
+				if !c.holds && (cell.nodes[0].Acquire(team) || cell.nodes[0].Held(team) != 0) {
+					t.Fatal("an amount is used without authority")
+				}
+			})
+		})
+	}
+}
+
+// At rest the allotments must cost no store call of their own.
+func TestNoCallsAtRest(t *testing.T) {
+	inCell(t, 8, 400, func(t *testing.T, _ context.Context, c *cell) {
+		time.Sleep(20 * time.Second)
+		var writes, gets int64
+		count := func() (w, g int64) {
+			for _, f := range c.faults {
+				w += f.Calls(store.CompareAndSwap)
+				g += f.Calls(store.Get)
+			}
+			return w, g
+		}
+		writes, gets = count()
+		time.Sleep(time.Minute)
+		w, g := count()
+		if w != writes || g != gets {
+			t.Fatalf("%d writes and %d reads in 60 s at rest", w-writes, g-gets)
+		}
+	})
+}
+
+// A graceful exit must return the whole amount.
+func TestLeave(t *testing.T) {
+	inCell(t, 2, 10, func(t *testing.T, ctx context.Context, c *cell) {
+		c.faults[0].Inject(store.Fault{Action: store.LoseAnswer, Kinds: []store.Kind{store.CompareAndSwap}, Times: 1})
+		if err := c.nodes[0].Leave(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := stored(t, c).Holders[c.nodes[0].name]; ok || c.nodes[0].Acquire(team) {
+			t.Fatal("an instance that left still holds amounts")
+		}
+	})
+}
+
+var _ port.Store = (*store.Faulty)(nil)
--- /dev/null
+++ b/internal/app/allotment/reclaim.go
@@ -0,0 +1,263 @@
+package allotment
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/core/allot"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+const (
+	// reclaimWait is the time of authority and a margin of 2 s for clocks that
+	// run apart and for a process that pauses between its check and its use.
+	reclaimWait = AuthorityTime + 2*time.Second
+	// attemptPause is the time between attempts at a step of a reclaim.
+	attemptPause = time.Second
+)
+
+// Peers is what a reclaim needs of the other instances of the region. The
+// membership implements it.
+type Peers interface {
+	// Others returns every other instance of the region that is registered. It
+	// must read the registry from the store after it was called: an instance
+	// that registered later reads the revocation before it vouches for anyone.
+	Others(ctx context.Context) ([]domain.InstanceID, error)
+	// ProvenDead reports whether a proof of death of the instance is known.
+	ProvenDead(id domain.InstanceID) bool
+	// Bar asks the instance to bar the holder. It returns nil once the
+	// instance will acknowledge no more pings of the holder.
+	Bar(ctx context.Context, at domain.InstanceID, holder string) error
+}
+
+// Bars are the holders for which this instance acknowledges no pings.
+type Bars struct {
+	ledgers []*Ledger
+
+	mu     sync.Mutex
+	barred map[string]bool
+}
+
+// NewBars returns the bars of an instance with these ledgers.
+func NewBars(ledgers ...*Ledger) *Bars {
+	return &Bars{ledgers: ledgers, barred: make(map[string]bool)}
+}
+
+// Bar bars the holder for the life of the process.
+func (b *Bars) Bar(holder string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.barred[holder] = true
+}
+
+// Vouches reports whether an acknowledgement to the holder may count as proof
+// of its authority. An instance that has not read the documents since its start
+// vouches for no one, because it would not know of an earlier revocation.
+func (b *Bars) Vouches(holder string) bool {
+	b.mu.Lock()
+	barred := b.barred[holder]
+	b.mu.Unlock()
+	if barred {
+		return false
+	}
+	for _, l := range b.ledgers {
+		if !l.vouches(holder) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Ledger) vouches(holder string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen && !l.broken && !l.doc.Holders[holder].Revoked
+}
+
+// Reclaimer takes back what unreachable holders of the region have.
+type Reclaimer struct {
+	ledgers []*Ledger
+	bars    *Bars
+	peers   Peers
+}
+
+// NewReclaimer returns a reclaimer for the ledgers of the region.
+func NewReclaimer(bars *Bars, peers Peers, ledgers ...*Ledger) *Reclaimer {
+	return &Reclaimer{ledgers: ledgers, bars: bars, peers: peers}
+}
+
+// Reclaim takes back what the holder has in each document. It repeats each step
+// until it succeeds or ctx ends, so it waits while the store is down.
+func (r *Reclaimer) Reclaim(ctx context.Context, holder string) error {
+	if err := r.each(ctx, func(l *Ledger) error { return l.revoke(ctx, holder) }); err != nil {
+		return err
+	}
+	r.bars.Bar(holder)
+	if err := r.barEverywhere(ctx, holder); err != nil {
+		return err
+	}
+	if !sleep(ctx, reclaimWait) {
+		return ctx.Err()
+	}
+	return r.each(ctx, func(l *Ledger) error { return l.reclaim(ctx, holder) })
+}
+
+// barEverywhere returns once every other instance of the region has barred the
+// holder or is proven dead.
+func (r *Reclaimer) barEverywhere(ctx context.Context, holder string) error {
+	var others []domain.InstanceID
+	err := repeat(ctx, func() (err error) {
+		others, err = r.peers.Others(ctx)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	for _, id := range others {
+		err := repeat(ctx, func() error {
+			if r.peers.ProvenDead(id) {
+				return nil
+			}
+			return r.peers.Bar(ctx, id, holder)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Reclaimer) each(ctx context.Context, step func(*Ledger) error) error {
+	for _, l := range r.ledgers {
+		if err := repeat(ctx, func() error { return step(l) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ErrOtherRegion tells that a holder is reclaimed by its own region only.
+var ErrOtherRegion = errors.New("the holder belongs to another region, whose instances reclaim it")
+
+func repeat(ctx context.Context, step func() error) error {
+	for {
+		err := step()
+		if err == nil || errors.Is(err, ErrOtherRegion) {
+			return err
+		}
+		if !sleep(ctx, attemptPause) {
+			return errors.CombineErrors(ctx.Err(), err)
+		}
+	}
+}
+
+// revoke writes the revocation.
+func (l *Ledger) revoke(ctx context.Context, holder string) error {
+	return l.change(ctx, func(d allot.Document) (allot.Document, bool, error) {
+		if h, ok := d.Holders[holder]; ok && h.Region != l.region {
+			return d, false, ErrOtherRegion
+		}
+		next, changed := d.Revoke(holder)
+		return next, changed, nil
+	})
+}
+
+// reclaim removes the revoked holder.
+func (l *Ledger) reclaim(ctx context.Context, holder string) error {
+	return l.change(ctx, func(d allot.Document) (allot.Document, bool, error) {
+		next, changed := d.Reclaim(holder)
+		return next, changed, nil
+	})
+}
+
+// TakeOver stamps the epoch of the partition's new owner. The partition's
+// amounts may be used once it returned nil. uses are what the partition has
+// reserved, as known from its journal.
+func (l *Ledger) TakeOver(ctx context.Context, partition domain.PartitionID, epoch domain.Epoch, uses map[domain.TeamID]TaskUse) error {
+	name := string(partition)
+	err := l.change(ctx, func(d allot.Document) (allot.Document, bool, error) {
+		if d.Holders[name].Epoch == uint64(epoch) { // an earlier attempt whose answer was lost
+			return d, false, nil
+		}
+		next, err := d.Stamp(name, uint64(epoch))
+		return next, err == nil, err
+	})
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	lo := &local{holder: name, epoch: uint64(epoch), reports: true, joined: true, items: make(map[string]*usage)}
+	l.locals[name] = lo
+	for item := range l.doc.Items {
+		u := lo.usage(item)
+		u.hold(l.doc.Held(item, name))
+	}
+	l.refresh()
+	l.mu.Unlock()
+	l.Report(partition, 0, uses)
+	return nil
+}
+
+// Drop forgets the partition, whose amounts stay with it.
+func (l *Ledger) Drop(partition domain.PartitionID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.locals, string(partition))
+}
+
+// Leave returns everything that this instance holds, at a graceful exit. It is
+// called after the last use, and repeats until it succeeds or ctx ends.
+func (l *Ledger) Leave(ctx context.Context) error {
+	l.mu.Lock()
+	lo := l.instance()
+	if lo == nil {
+		l.mu.Unlock()
+		return nil
+	}
+	delete(l.locals, lo.base)
+	holder := lo.holder
+	l.mu.Unlock()
+	return repeat(ctx, func() error {
+		return l.change(ctx, func(d allot.Document) (allot.Document, bool, error) {
+			next, changed := d.Leave(holder)
+			return next, changed, nil
+		})
+	})
+}
+
+// change reads the document, applies the change and writes it, once. A change
+// that is already in the document is done. Any error is worth another attempt,
+// except those of the change itself.
+func (l *Ledger) change(ctx context.Context, apply func(allot.Document) (allot.Document, bool, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := l.fetch(ctx); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	expected := l.revision
+	next, changed, err := apply(l.doc)
+	l.mu.Unlock()
+	if err != nil || !changed {
+		return err
+	}
+	value, err := allot.Encode(next)
+	if err != nil {
+		return err
+	}
+	began := l.clock.Now()
+	revision, err := l.store.CompareAndSwap(ctx, l.key, expected, value)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settle(next, expected, revision, began, err)
+	l.refresh()
+	var conflict *port.ConflictError
+	if errors.As(err, &conflict) {
+		return errors.Wrap(err, "another instance wrote the allotments first, try again")
+	}
+	return err
+}
