--- a/internal/adapter/peergrpc/auth.go
+++ b/internal/adapter/peergrpc/auth.go
@@ -51,8 +51,8 @@
 	return m.Sum(nil)
 }
 
-func (s *signer) request(method, timestamp string, nonce, body []byte) []byte {
-	return s.code([]byte(labelRequest), []byte(method), []byte(timestamp), nonce, body)
+func (s *signer) request(method, sentAt string, nonce, body []byte) []byte {
+	return s.code([]byte(labelRequest), []byte(method), []byte(sentAt), nonce, body)
 }
 
 func (s *signer) answer(method string, nonce, body []byte) []byte {
@@ -87,14 +87,14 @@
 
 // check returns the nonce of an authentic request that was not seen before.
 func (v *verifier) check(md metadata.MD, method string, body []byte, now time.Time) ([]byte, error) {
-	timestamp, nonce, mac := one(md, metaTime), []byte(one(md, metaNonce)), []byte(one(md, metaMAC))
-	if !hmac.Equal(mac, v.signer.request(method, timestamp, nonce, body)) {
+	sentAt, nonce, mac := one(md, metaTime), []byte(one(md, metaNonce)), []byte(one(md, metaMAC))
+	if !hmac.Equal(mac, v.signer.request(method, sentAt, nonce, body)) {
 		return nil, errors.New("peer call has no valid authentication code; give all instances the same peer secret")
 	}
 	if len(nonce) != nonceBytes {
 		return nil, errors.Newf("peer call has a nonce of %d bytes", len(nonce))
 	}
-	millis, err := strconv.ParseInt(timestamp, 10, 64)
+	millis, err := strconv.ParseInt(sentAt, 10, 64)
 	if err != nil {
 		return nil, errors.Wrap(err, "peer call has an invalid time")
 	}
@@ -107,6 +107,9 @@
 	return nonce, nil
 }
 
+// timestamp returns the time as it stands in the metadata.
+func timestamp(t time.Time) string { return strconv.FormatInt(t.UnixMilli(), 10) }
+
 func one(md metadata.MD, key string) string {
 	if values := md.Get(key); len(values) == 1 {
 		return values[0]
--- a/internal/adapter/peergrpc/interceptors.go
+++ b/internal/adapter/peergrpc/interceptors.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/hmac"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,11 +38,11 @@
 			return err
 		}
 		nonce := newNonce()
-		timestamp := strconv.FormatInt(clock.Now().UnixMilli(), 10)
+		sentAt := timestamp(clock.Now())
 		ctx = metadata.AppendToOutgoingContext(ctx,
-			metaTime, timestamp,
+			metaTime, sentAt,
 			metaNonce, string(nonce),
-			metaMAC, string(s.request(method, timestamp, nonce, body)))
+			metaMAC, string(s.request(method, sentAt, nonce, body)))
 		var trailer metadata.MD
 		callErr := invoke(ctx, method, req, reply, cc, append(opts, grpc.Trailer(&trailer))...)
 		answer, err := answerBody(reply, callErr)
