Test the task plane with separate processes under kills, pauses and an outage

Cause of a failure found: after a takeover all jobs were forgotten as soon as their tasks ended. The machine had not seen the time before the first lease reports, so the ends were recorded at time zero, 15 minutes before which ended jobs are dropped. Change: the first event of a partition is a tick. Before: TestOwnerIsKilled lost 12 of 12 jobs. After: TestOwnerIsKilled, TestOwnerIsPaused, TestAllInstancesAreReplaced and TestStoreOutage pass; no worker overcommitted, no task started twice.

--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -129,6 +129,9 @@
 func (p *Partition) start(parent context.Context, log *journal.Log, r journal.Recovery) {
 	ctx, cancel := context.WithCancelCause(parent)
 	p.stop = cancel
+	// The machine needs the time before any other event: an end that is
+	// recorded at time zero counts as long past and its job is forgotten.
+	p.tick()
 	if r.Previous == "" || r.Previous == p.o.Instance {
 		// No other process can still renew leases: the former owner was this
 		// instance's address, which this process holds now, or there was none.
