--- a/internal/core/sched/config.go
+++ b/internal/core/sched/config.go
@@ -39,6 +39,9 @@
 	RestartBurst      int64
 	// FailedEverywhere is the number of distinct workers after which a failing task ends.
 	FailedEverywhere int
+	// AvoidFor is how long a task that may start is kept off workers on which it
+	// failed. Then it takes them too: a small partition may have no others.
+	AvoidFor time.Duration
 	// StableRun is how long a replica must run before its earlier failures are forgotten.
 	StableRun time.Duration
 	// QuarantineFailures failed starts in a row, of QuarantineClasses job classes, quarantine a worker.
@@ -93,6 +96,7 @@
 		RestartsPerSecond:     20,
 		RestartBurst:          40,
 		FailedEverywhere:      3,
+		AvoidFor:              30 * time.Second,
 		StableRun:             10 * time.Minute,
 		QuarantineFailures:    3,
 		QuarantineClasses:     2,
@@ -132,6 +136,7 @@
 	setDefault(&c.RestartsPerSecond, d.RestartsPerSecond)
 	setDefault(&c.RestartBurst, d.RestartBurst)
 	setDefault(&c.FailedEverywhere, d.FailedEverywhere)
+	setDefault(&c.AvoidFor, d.AvoidFor)
 	setDefault(&c.StableRun, d.StableRun)
 	setDefault(&c.QuarantineFailures, d.QuarantineFailures)
 	setDefault(&c.QuarantineClasses, d.QuarantineClasses)
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -25,7 +25,7 @@
 	}
 	req := m.request(j, size)
 	for _, i := range tasks {
-		req.Avoid = append(req.Avoid, j.Tasks[i].FailedOn...)
+		req.Avoid = append(req.Avoid, m.avoided(&j.Tasks[i])...)
 	}
 	workers, err := m.index.PlaceGang(req, n, j.Spec.SpanZones)
 	if err == nil {
--- /dev/null
+++ b/internal/core/sched/health_test.go
@@ -0,0 +1,207 @@
+package sched
+
+import (
+	"testing"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+func (c *cell) quarantined(id domain.WorkerID) bool {
+	s, _ := c.m.Worker(id)
+	return s.Quarantined
+}
+
+// Guards against workers that fail everything and stay in use, and against blame without cause.
+func TestQuarantine(t *testing.T) {
+	cases := []struct {
+		name    string
+		classes int
+		strike  func(c *cell)
+		want    bool
+	}{
+		{"fails jobs of two classes", 2, func(c *cell) { c.workers[0].broken = true }, true},
+		{"fails jobs of one class only", 1, func(c *cell) { c.workers[0].broken = true }, false},
+		{"restarts once", 2, func(c *cell) { c.workers[0].reboot() }, false},
+		{"rack fails", 2, func(c *cell) {
+			for _, w := range c.workers[:3] {
+				w.cut = true
+				c.renew(w)
+			}
+		}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, 4)
+			c.cfg.RestartsPerSecond, c.cfg.RestartBurst = 1000, 1000
+			c.begin()
+			c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 8, Idempotent: true, Class: "x"})
+			if tc.classes > 1 {
+				c.mustSubmit("service2", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 8, Idempotent: true, Class: "y"})
+			}
+			c.advance(2_000)
+			tc.strike(c)
+			if c.workers[0].broken {
+				c.workers[0].reboot()
+			}
+			seen := false
+			for range 60 {
+				c.advance(1_000)
+				seen = seen || c.quarantined("w000")
+			}
+			if seen != tc.want {
+				t.Fatalf("quarantined: %v, want %v", seen, tc.want)
+			}
+			c.mustEqualRecovered()
+		})
+	}
+}
+
+// Guards against a probation that never ends, that takes more than one canary, or whose waits do not double.
+func TestProbation(t *testing.T) {
+	c := newCell(t, 2)
+	c.cfg.RestartsPerSecond, c.cfg.RestartBurst = 1000, 1000
+	c.begin()
+	c.workers[0].broken = true
+	for _, class := range []string{"x", "y"} {
+		c.mustSubmit(domain.JobID("service"+class), "a",
+			domain.JobSpec{Kind: domain.JobService, Tasks: 4, Idempotent: true, Class: class, Resources: amount(2, 2)})
+	}
+	var failures []int64
+	last := 0
+	for range 1_200 {
+		c.advance(250)
+		if h := c.m.health["w000"]; h != nil && h.Quarantined && int(h.WaitMS) != last {
+			last = int(h.WaitMS)
+			failures = append(failures, h.WaitMS)
+		}
+		if n := len(c.workers[0].running()); c.quarantined("w000") && n > 1 {
+			t.Fatalf("%d tasks run on a worker on probation, want one canary", n)
+		}
+	}
+	if len(failures) < 3 || failures[0] != 30_000 || failures[1] != 60_000 || failures[2] != 120_000 {
+		t.Fatalf("waits are %v, want 30 s doubling", failures)
+	}
+	c.workers[0].broken = false
+	c.advance(300_000)
+	if c.quarantined("w000") {
+		t.Fatal("a canary ran and the worker is still quarantined")
+	}
+	c.mustEqualRecovered()
+}
+
+// Guards against a task that fails on every worker and is retried for ever, or is given up too early.
+func TestTaskFails(t *testing.T) {
+	cases := []struct {
+		name    string
+		workers int
+		spec    domain.JobSpec
+		want    domain.JobState
+	}{
+		{"on distinct workers", 5, domain.JobSpec{Kind: domain.JobBatch, Idempotent: true}, domain.JobFailedEverywhere},
+		{"replica on distinct workers", 5, domain.JobSpec{Kind: domain.JobService, Idempotent: true}, domain.JobFailedEverywhere},
+		{"gang on distinct workers", 5, domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Idempotent: true, SpanZones: true}, domain.JobFailedEverywhere},
+		{"not idempotent", 5, domain.JobSpec{Kind: domain.JobBatch}, domain.JobFailed},
+		{"bound of one attempt", 5, domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, MaxAttempts: 1}, domain.JobFailed},
+		{"too few workers for a verdict", 2, domain.JobSpec{Kind: domain.JobBatch, Idempotent: true}, domain.JobFailed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, tc.workers).begin()
+			c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+				return 500, domain.OutcomeFailed, r.Resources
+			}
+			c.mustSubmit("j1", "a", tc.spec)
+			c.advance(240_000)
+			c.mustState("j1", tc.want)
+			c.mustEqualRecovered()
+		})
+	}
+}
+
+// Guards against retries that follow each other without a growing pause.
+func TestBackoff(t *testing.T) {
+	c := newCell(t, 1).begin()
+	var at []int64
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		at = append(at, c.now)
+		return 0, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("daemon", "a", domain.JobSpec{Kind: domain.JobService, Idempotent: true})
+	c.advance(120_000)
+	for i := 2; i < len(at); i++ {
+		if pause := at[i] - at[i-1]; pause < min(int64(60_000), int64(1_000)<<(i-1)) {
+			t.Fatalf("start %d follows after %d ms: %v", i, pause, at)
+		}
+	}
+	if len(at) < 4 {
+		t.Fatalf("%d starts in two minutes", len(at))
+	}
+}
+
+// Guards against reservations that ignore what a class was seen to use.
+func TestEstimates(t *testing.T) {
+	c := newCell(t, 4).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		return 12_000, domain.OutcomeSucceeded, domain.Resources{CPUMilli: 2_500, MemoryMB: 1_500}
+	}
+	spec := domain.JobSpec{Kind: domain.JobBatch, Tasks: 6, Idempotent: true, Class: "model", Resources: amount(1, 2)}
+	c.mustSubmit("j1", "a", spec)
+	c.advance(30_000)
+	c.mustState("j1", domain.JobSucceeded)
+	if len(c.throttled) == 0 || c.throttled[0].CPUMilli != 1_000 {
+		t.Fatalf("throttles are %+v, want caps at the reservation", c.throttled)
+	}
+	c.mustSubmit("j2", "a", spec)
+	c.mustSubmit("j3", "b", spec)
+	c.advance(250)
+	for _, a := range c.m.Inspect().Attempts {
+		want := amount(1, 2)
+		if a.Job == "j2" {
+			want.CPUMilli = 2_500
+		}
+		if a.Reservation != want {
+			t.Errorf("%s reserves %+v, want %+v", a.ID, a.Reservation, want)
+		}
+	}
+}
+
+// Guards against percentiles off by one rank.
+func TestPercentile95(t *testing.T) {
+	cases := []struct {
+		n, least int
+		want     int64
+	}{{0, 1, 0}, {4, 5, 0}, {1, 1, 1}, {20, 5, 19}, {21, 5, 20}, {100, 5, 95}}
+	for _, tc := range cases {
+		var samples []sample
+		for i := range tc.n {
+			samples = append(samples, sample{CPUMilli: int64(i + 1)})
+		}
+		if got := percentile95(samples, tc.least, func(s sample) int64 { return s.CPUMilli }); got != tc.want {
+			t.Errorf("of 1 to %d: %d, want %d", tc.n, got, tc.want)
+		}
+	}
+}
+
+// Guards against tasks above their memory reservation that go on, lose their progress or come back as small.
+func TestMemoryAboveReservation(t *testing.T) {
+	for _, saved := range []bool{true, false} {
+		c := newCell(t, 2).begin()
+		c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+			return 30_000, domain.OutcomeSucceeded, domain.Resources{CPUMilli: 500, MemoryMB: 5_000}
+		}
+		c.mustSubmit("j1", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: saved, Resources: amount(1, 2)})
+		c.advance(10_000)
+		v := c.m.Inspect()
+		if len(v.Attempts) != 1 || v.Attempts[0].Reservation.MemoryMB != 6_251 {
+			t.Fatalf("attempts are %+v, want one with a quarter more than its peak", v.Attempts)
+		}
+		resumed := c.find(v.Attempts[0].Worker).running()[0].request.Checkpoint
+		if (resumed != "") != saved {
+			t.Errorf("resumed from %q, checkpointable: %v", resumed, saved)
+		}
+		c.advance(60_000)
+		c.mustState("j1", domain.JobSucceeded)
+		c.mustEqualRecovered()
+	}
+}
--- /dev/null
+++ b/internal/core/sched/policy_test.go
@@ -0,0 +1,337 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"auburnpier/internal/core/placement"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/refusal"
+)
+
+// endless makes all tasks run on with the given usage.
+func (c *cell) endless(usage func(port.StartRequest) domain.Resources) {
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		return 1 << 40, domain.OutcomeSucceeded, usage(r)
+	}
+}
+
+func reservedUsage(r port.StartRequest) domain.Resources { return r.Resources }
+
+// Guards against refusals that name the wrong reason, and against accepting what can never run.
+func TestSubmitRefusals(t *testing.T) {
+	small := amount(1, 2)
+	cases := []struct {
+		name string
+		team domain.TeamID
+		spec domain.JobSpec
+		want refusal.Reason
+		// remedy is part of the text that helps the submitter.
+		remedy string
+	}{
+		{"unknown team", "x", domain.JobSpec{Kind: domain.JobBatch, Tasks: 1, Resources: small}, refusal.TeamUnknown, "operators"},
+		{"too large for a worker", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 1, Resources: amount(16, 20)},
+			refusal.NeverFits, "8000 mCPU, 20000 MB"},
+		{"gang too large for a zone", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 9, Resources: amount(4, 4)},
+			refusal.NeverFits, "nearest shape"},
+		{"above the limit", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 1001, Resources: amount(1, 1)}, refusal.LimitTooSmall, "limit"},
+		{"no tasks", "a", domain.JobSpec{Kind: domain.JobBatch, Resources: small}, refusal.InvalidRequest, "tasks"},
+		{"no size", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 1}, refusal.InvalidRequest, "component"},
+		{"service that is not idempotent", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 1, Resources: small},
+			refusal.InvalidRequest, "idempotent"},
+		{"same key, other job", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: small, IdempotencyKey: "k"},
+			refusal.IdempotencyMismatch, "idempotency_key"},
+	}
+	c := newCell(t, 8).begin()
+	spec := domain.JobSpec{Kind: domain.JobBatch, Name: "n", Tasks: 1, Resources: small, IdempotencyKey: "k"}
+	c.mustSubmit("first", "a", spec)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.spec.Name = "n"
+			r := c.m.Step(Submit{Job: "j", Team: tc.team, Spec: tc.spec})
+			got := refusal.From(r.Err)
+			if r.Err == nil || got.Reason != tc.want || !got.NotRun || !strings.Contains(got.Remedy, tc.remedy) {
+				t.Fatalf("refusal is %v, want %s with a remedy about %q", r.Err, tc.want, tc.remedy)
+			}
+		})
+	}
+	r := c.m.Step(Submit{Job: "again", Team: "a", Spec: spec})
+	if r.Err != nil || r.Job != "first" || !r.Existing || r.Batch == 0 {
+		t.Fatalf("a repeated key before durability gives %+v, want the first job and its batch", r)
+	}
+	c.advance(1_000)
+	if r := c.m.Step(Submit{Job: "other", Team: "b", Spec: spec}); r.Existing {
+		t.Fatal("the key of one team was taken for another's")
+	}
+}
+
+// Guards against a lowered limit that stops the wrong work or leaves work above it.
+func TestLimitLowered(t *testing.T) {
+	c := newCell(t, 8).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 2, Idempotent: true})
+	c.mustSubmit("old", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 4, Idempotent: true})
+	c.advance(2_000)
+	c.mustSubmit("new", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 4, Idempotent: true, Checkpointable: true})
+	c.advance(2_000)
+	c.setAllotment("a", amount(5, 10))
+	c.advance(10_000)
+	for id, want := range map[domain.JobID]int{"service1": 2, "old": 3, "new": 0} {
+		if s, _ := c.m.Status(id); s.Running != want {
+			t.Errorf("%s runs %d tasks under the lowered limit, want %d", id, s.Running, want)
+		}
+	}
+	if want := amount(10, 20); c.wishes["a"] != want {
+		t.Errorf("the wish is %+v, want %+v", c.wishes["a"], want)
+	}
+	c.setAllotment("a", amount(100, 400))
+	c.advance(10_000)
+	if s, _ := c.m.Status("new"); s.Running != 4 {
+		t.Errorf("new runs %d tasks after the limit rose, want 4", s.Running)
+	}
+	c.mustEqualRecovered()
+}
+
+// Guards against an owner that stops everything because it was told the teams before the allotments.
+func TestTeamsBeforeAllotments(t *testing.T) {
+	c := running(t, true)
+	c.m = c.recover(false)
+	c.checker.Restarted()
+	c.step(Tick{Now: fromMillis(c.now)})
+	c.step(TeamsChanged{Teams: c.teams})
+	c.list()
+	c.advance(2_000)
+	if got := len(c.workers[0].running()); got != 1 {
+		t.Fatalf("%d tasks run, want 1", got)
+	}
+}
+
+// Guards against queued work of a deleted team that waits for ever.
+func TestTeamDeleted(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("j1", "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 20, Idempotent: true})
+	c.mustSubmit("j2", "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 20})
+	c.mustSubmit("kept", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 1})
+	c.advance(2_000)
+	c.step(TeamsChanged{Teams: slices.DeleteFunc(slices.Clone(c.teams), func(r TeamRow) bool { return r.ID == "b" })})
+	c.advance(10_000)
+	for _, id := range []domain.JobID{"j1", "j2"} {
+		c.mustState(id, domain.JobCancelled)
+		if s, _ := c.m.Status(id); !strings.Contains(s.Reason, "team was deleted") {
+			t.Errorf("the reason of %s is %q", id, s.Reason)
+		}
+	}
+	c.mustState("kept", domain.JobRunning)
+}
+
+// Guards against urgent work that waits behind preemptible work, or preempts what it must not.
+func TestPreemption(t *testing.T) {
+	cases := []struct {
+		name string
+		team domain.TeamID
+		spec domain.JobSpec
+		want bool
+	}{
+		{"checkpointable batch above its share", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: true}, true},
+		{"not checkpointable", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true}, false},
+		{"not idempotent", "a", domain.JobSpec{Kind: domain.JobBatch, Checkpointable: true}, false},
+		{"same team", "b", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: true}, false},
+		{"service", "a", domain.JobSpec{Kind: domain.JobService, Idempotent: true, Checkpointable: true}, false},
+		{"urgent too", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: true, Priority: domain.PriorityUrgent}, false},
+	}
+	for _, tc := range cases {
+		for _, kind := range []domain.JobKind{domain.JobBatch, domain.JobGang} {
+			t.Run(tc.name+" for "+string(kind), func(t *testing.T) {
+				c := newCell(t, 4).begin()
+				c.endless(reservedUsage)
+				tc.spec.Tasks = 32
+				c.mustSubmit("full", tc.team, tc.spec)
+				c.advance(3_000)
+				c.mustSubmit("now", "b", domain.JobSpec{Kind: kind, Tasks: 3, Priority: domain.PriorityUrgent, SpanZones: true})
+				c.mustSubmit("thief", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 5})
+				c.advance(6_500)
+				s, _ := c.m.Status("now")
+				if (s.Running == 3) != tc.want {
+					t.Fatalf("%d of 3 urgent tasks run within 6.5 s, preemption wanted: %v; %s", s.Running, tc.want, s.Reason)
+				}
+				if got := c.m.Stats().Preemptions; tc.want && got != 3 {
+					t.Fatalf("%d attempts were preempted, want 3", got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against gangs that starve behind small tasks, and against backfill that delays them.
+func TestGangReservation(t *testing.T) {
+	c := newCell(t, 2).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		run := map[domain.JobID]int64{"fill": 60_000, "short": 5_000, "long": 90_000, "gang": 1 << 40}
+		return run[r.Job], domain.OutcomeSucceeded, r.Resources
+	}
+	batch := func(tasks int, runMS int64, cpus int64) domain.JobSpec {
+		return domain.JobSpec{Kind: domain.JobBatch, Tasks: tasks, Resources: amount(cpus, 1), RunTimeMS: runMS, Idempotent: true}
+	}
+	c.mustSubmit("fill", "a", batch(2, 60_000, 4))
+	c.advance(1_000)
+	c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
+	c.advance(31_000)
+	c.mustSubmit("long", "c", batch(2, 90_000, 4))
+	c.mustSubmit("short", "c", batch(2, 5_000, 4))
+	c.advance(12_000)
+	c.mustState("short", domain.JobSucceeded)
+	c.mustState("long", domain.JobQueued)
+	c.advance(30_000)
+	c.mustState("gang", domain.JobRunning)
+	if s, _ := c.m.Status("gang"); s.Running != 2 {
+		t.Fatalf("%d of 2 members run", s.Running)
+	}
+}
+
+// Guards against a gang of which some members go on while others start again.
+func TestGangMemberFails(t *testing.T) {
+	c := newCell(t, 8).begin()
+	failed := false
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		if r.Task == 2 && !failed {
+			failed = true
+			return 2_000, domain.OutcomeFailed, r.Resources
+		}
+		return 20_000, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("gang", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 4, Idempotent: true, SpanZones: true})
+	c.mustSubmit("once", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 4, SpanZones: true})
+	c.advance(60_000)
+	c.mustState("gang", domain.JobSucceeded)
+	c.mustState("once", domain.JobSucceeded)
+	if c.started != 12 {
+		t.Fatalf("%d starts, want 4 of the gang twice and 4 of the other", c.started)
+	}
+}
+
+// Guards against leaving VMs that get new starts or keep what could move.
+func TestLeavingVM(t *testing.T) {
+	c := newCell(t, 4).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 4, Idempotent: true})
+	c.mustSubmit("saved", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.mustSubmit("pinned", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8})
+	c.advance(2_000)
+	for _, w := range c.workers[:2] {
+		w.vm.Leaving = true
+	}
+	c.list()
+	before := len(c.workers[0].attempts)
+	least := 4
+	for range 60 {
+		c.advance(500)
+		s, _ := c.m.Status("service1")
+		least = min(least, s.Running)
+	}
+	if least < 3 {
+		t.Errorf("the service went down to %d of 4 replicas", least)
+	}
+	for _, w := range c.workers[:2] {
+		for _, a := range w.running() {
+			if a.request.Job != "pinned" {
+				t.Errorf("%s still runs on the leaving %s, which had %d attempts", a.report.ID, w.vm.ID, before)
+			}
+		}
+	}
+	resumed := 0
+	for _, w := range c.workers[2:] {
+		for _, a := range w.running() {
+			if a.request.Checkpoint != "" {
+				resumed++
+			}
+		}
+	}
+	if s, _ := c.m.Status("saved"); s.Running != 8 || resumed == 0 {
+		t.Errorf("%d of 8 checkpointable tasks run, %d of them resumed", s.Running, resumed)
+	}
+}
+
+// Guards against a history without bound, and against explanations that do not say why a job waits.
+func TestExplain(t *testing.T) {
+	c := newCell(t, 3).begin()
+	c.endless(reservedUsage)
+	c.workers[2].vm.Leaving = true
+	c.list()
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 30, Idempotent: true})
+	c.advance(1_000)
+	c.mustSubmit("late", "b", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(4, 2), Idempotent: true})
+	c.advance(3_000)
+	e, _ := c.m.Explain("late")
+	last := e.Events[len(e.Events)-1]
+	for _, part := range []string{string(placement.RejectCPU) + ": 2", string(placement.RejectLeaving) + ": 1"} {
+		if !strings.Contains(last.Detail, part) {
+			t.Errorf("the last event is %+v, want the count %q", last, part)
+		}
+	}
+	for i := range 50 {
+		c.setAllotment("a", amount(int64(i%2)*10, 400))
+		c.advance(2_000)
+	}
+	e, _ = c.m.Explain("full")
+	if got := len(e.Events); got > DefaultConfig().MaxEvents+1 || e.Events[0].Kind != "accepted" {
+		t.Errorf("%d events, the first is %+v", got, e.Events[0])
+	}
+	if _, ok := c.m.Explain("nobody"); ok {
+		t.Error("an unknown job is explained")
+	}
+}
+
+// Guards against a wave of cancellations that loses some or leaves work behind.
+func TestCancellationWave(t *testing.T) {
+	c := newCell(t, 8)
+	c.cfg.MaxEnded = 20_000
+	c.begin()
+	c.endless(reservedUsage)
+	ids := make([]domain.JobID, 0, 10_000)
+	for i := range 10_000 {
+		id := domain.JobID(fmt.Sprintf("j%d", i))
+		c.m.Step(Submit{Job: id, Team: "a", Spec: domain.JobSpec{Name: "n", Kind: domain.JobBatch, Tasks: 1, Resources: amount(1, 1)}})
+		ids = append(ids, id)
+	}
+	c.advance(1_000)
+	r := c.step(Cancel{Jobs: append(ids, ids...), Reason: "wave"})
+	if r.Cancelled != 10_000 {
+		t.Fatalf("%d jobs were cancelled, want 10000", r.Cancelled)
+	}
+	c.advance(10_000)
+	s := c.m.Stats()
+	if s.TasksActive != 0 || s.TasksWaiting != 0 || s.JobsEnded != 10_000 {
+		t.Fatalf("%d active, %d waiting, %d ended", s.TasksActive, s.TasksWaiting, s.JobsEnded)
+	}
+	c.mustEqualRecovered()
+}
+
+// Guards against restarts after a rack failure that flood the workers, and against services that wait behind batch work.
+func TestRestartRate(t *testing.T) {
+	c := newCell(t, 8)
+	c.cfg.RestartsPerSecond, c.cfg.RestartBurst = 1, 1
+	c.begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("batch", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 16, Idempotent: true})
+	c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 8, Idempotent: true})
+	c.advance(2_000)
+	before := c.started
+	for _, w := range c.workers {
+		w.reboot()
+	}
+	c.advance(16_000)
+	if got := c.started - before; got < 8 || got > 17 {
+		t.Errorf("%d restarts in 16 s at one per second", got)
+	}
+	if s, _ := c.m.Status("service1"); s.Running != 8 {
+		t.Errorf("%d of 8 replicas run again; services go first", s.Running)
+	}
+	if c.m.Stats().Retries[metrics.RetryTaskLost] != 24 {
+		t.Errorf("retries are %v, want 24 lost tasks", c.m.Stats().Retries)
+	}
+}
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -50,6 +50,9 @@
 
 func (m *Machine) preemptAll(victims []*attempt) {
 	for _, a := range victims {
+		if a.cause != CauseNone {
+			continue
+		}
 		m.stats.Preemptions++
 		m.requestEnd(a, CausePreempted)
 	}
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -86,7 +86,7 @@
 		return
 	}
 	req := m.request(j, size)
-	req.Avoid = append(req.Avoid, j.Tasks[task].FailedOn...)
+	req.Avoid = append(req.Avoid, m.avoided(&j.Tasks[task])...)
 	id, err := m.index.Place(req)
 	if err == nil && !m.index.Reserve(id, j.ID, size) {
 		err = fmt.Errorf("worker %s has less room than the index offered", id)
@@ -144,29 +144,37 @@
 	if run := m.roundedRunMS(j); run > 0 {
 		b.WriteString("r" + strconv.FormatInt(run, 10) + " ")
 	}
-	for _, id := range j.avoided() {
+	for _, id := range m.avoidedNext(j) {
 		b.WriteString("a" + string(id) + " ")
 	}
 	return b.String()
 }
 
-// avoided lists the workers that the job's next task or gang avoids.
-func (j *job) avoided() []domain.WorkerID {
+// avoidedNext lists the workers that the job's next task or gang avoids.
+func (m *Machine) avoidedNext(j *job) []domain.WorkerID {
 	switch {
 	case len(j.fresh) > 0:
-		return j.Tasks[j.fresh[0]].FailedOn
+		return m.avoided(&j.Tasks[j.fresh[0]])
 	case len(j.restarts) > 0:
-		return j.Tasks[j.restarts[0]].FailedOn
+		return m.avoided(&j.Tasks[j.restarts[0]])
 	case !j.isGang():
 		return nil
 	}
 	var list []domain.WorkerID
 	for i := range j.Tasks {
-		list = append(list, j.Tasks[i].FailedOn...)
+		list = append(list, m.avoided(&j.Tasks[i])...)
 	}
 	return list
 }
 
+// avoided lists the workers on which the task failed, for a limited time.
+func (m *Machine) avoided(t *durableTask) []domain.WorkerID {
+	if len(t.FailedOn) == 0 || m.now-t.NotBeforeMS >= m.cfg.AvoidFor.Milliseconds() {
+		return nil
+	}
+	return t.FailedOn
+}
+
 // roundedRunMS returns the expected run time of a batch task, rounded up to a
 // power of two so that the queue can group jobs. Zero means unknown.
 func (m *Machine) roundedRunMS(j *job) int64 {
