Fix reuse of caller connections after a streamed body was not read whole

Cause: TestEveryRequestIsAccountedFor made net/http panic with 'invalid concurrent Body.Read call'. With full duplex the server skips the rest of a body after the handler and starts its background read too late. A forwarded request also waited at an instance without free slots until its deadline. Change: answers to a streamed body that may be unread carry Connection: close; an instance without a free slot refuses a forwarded request as not run.

--- a/internal/app/requestplane/answer.go
+++ b/internal/app/requestplane/answer.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"time"
 
 	"auburnpier/internal/core/route"
 )
@@ -18,7 +17,7 @@
 		// A nil value keeps net/http from guessing a type.
 		h[headerContentType] = nil
 	}
-	if p.draining.Load() {
+	if p.draining.Load() || q.body.leftOver() {
 		h.Set(headerConnection, "close")
 	}
 	q.w.WriteHeader(x.resp.StatusCode)
@@ -28,8 +27,8 @@
 	stream := x.resp.ContentLength < 0
 	if stream || x.resp.ContentLength > copyBufferBytes {
 		// A caller that reads slowly holds the slot until its deadline at most.
+		// The server clears the deadline before the next request.
 		_ = rc.SetWriteDeadline(q.deadline)
-		defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	}
 	for {
 		n, readErr := x.resp.Body.Read(*buf)
--- a/internal/app/requestplane/faults_test.go
+++ b/internal/app/requestplane/faults_test.go
@@ -52,11 +52,10 @@
 				name += "/reused connection"
 			}
 			t.Run(name, func(t *testing.T) {
-				c := newCell(t, cellOptions{servers: 2, hold: 200 * time.Millisecond})
+				c := newCell(t, cellOptions{servers: 2, far: true, hold: 200 * time.Millisecond})
 				if run.reused {
 					c.do(ask{id: "warm", body: "x"})
 				}
-				// Both servers are equal, so the first in order of ID is chosen.
 				c.servers[0].Inject(backend.Fault{Kind: tc.kind, Delay: 50 * time.Millisecond})
 				got := c.do(ask{id: "id", body: "payload", header: map[string]string{HeaderIdempotency: run.idempotency}})
 				if run.want.status == 0 {
@@ -124,7 +123,7 @@
 // Guards against not_run on a refusal after an earlier attempt that may have
 // run: the first server runs the request and breaks off, all others refuse.
 func TestEarlierAttemptForbidsNotRun(t *testing.T) {
-	c := newCell(t, cellOptions{servers: 2})
+	c := newCell(t, cellOptions{servers: 2, far: true})
 	c.servers[0].Inject(backend.Fault{Kind: backend.CloseAfter})
 	c.servers[1].SetFault(backend.Fault{Kind: backend.NotRun})
 	c.servers[0].SetFault(backend.Fault{Kind: backend.NotRun})
--- a/internal/app/requestplane/harness_test.go
+++ b/internal/app/requestplane/harness_test.go
@@ -60,6 +60,8 @@
 	row     domain.QueueRow
 	peers   Peers
 	bytes   int64
+	// far puts all servers but the first in another region, so that the first is chosen.
+	far bool
 }
 
 func newCell(t *testing.T, o cellOptions) *cell {
@@ -97,6 +99,9 @@
 	c.servers = append(c.servers, s)
 	c.vms = append(c.vms, domain.VM{ID: fmt.Sprintf("b%d", i), Role: domain.RoleBackend, Address: s.Address(),
 		Slots: o.slots, MaxConnections: 60, Queues: []domain.QueueID{testQueue}})
+	if o.far && i > 0 {
+		c.vms[i].Location.Region = "far"
+	}
 }
 
 // url returns the address of the queue's requests.
--- /dev/null
+++ b/internal/app/requestplane/overflow_test.go
@@ -0,0 +1,88 @@
+package requestplane
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/standin/backend"
+)
+
+// fixedPeers offers one instance a number of times.
+type fixedPeers struct {
+	mu      sync.Mutex
+	address string
+	left    int
+	taken   int
+}
+
+func (p *fixedPeers) Take(domain.QueueID) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.left == 0 {
+		return Peer{}, false
+	}
+	p.left--
+	p.taken++
+	return Peer{ID: "other", Address: p.address}, true
+}
+
+// Guards against an overflow that loses, repeats or loops a request, and
+// against a request that fails because the other instance is unusable.
+func TestOverflow(t *testing.T) {
+	cases := []struct {
+		name      string
+		other     func(t *testing.T, back *fixedPeers) *cell
+		idem      string
+		status    int
+		here      int // runs at this instance's server
+		there     int
+		forwarded int
+	}{
+		{"free slots there", func(t *testing.T, back *fixedPeers) *cell {
+			return newCell(t, cellOptions{servers: 1, peers: back})
+		}, "no", http.StatusOK, 0, 1, 1},
+		{"no slots there either", func(t *testing.T, back *fixedPeers) *cell {
+			c := newCell(t, cellOptions{servers: 1, peers: back, row: domain.QueueRow{TimeoutMS: 100}})
+			c.slots.Set("b0", 0)
+			return c
+		}, "no", http.StatusOK, 1, 0, 1},
+		{"draining there", func(t *testing.T, back *fixedPeers) *cell {
+			c := newCell(t, cellOptions{servers: 1, peers: back})
+			c.plane.draining.Store(true)
+			return c
+		}, "no", http.StatusOK, 1, 0, 1},
+		{"connection refused there", func(t *testing.T, back *fixedPeers) *cell {
+			c := newCell(t, cellOptions{servers: 1, peers: back})
+			c.front.Close()
+			return c
+		}, "no", http.StatusOK, 1, 0, 1},
+		{"outcome unknown there", func(t *testing.T, back *fixedPeers) *cell {
+			c := newCell(t, cellOptions{servers: 1, peers: back})
+			c.servers[0].SetFault(backend.Fault{Kind: backend.CloseAfter})
+			return c
+		}, "no", http.StatusBadGateway, 0, 1, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			back, out := &fixedPeers{left: 9}, &fixedPeers{left: 9}
+			there := tc.other(t, back)
+			here := newCell(t, cellOptions{servers: 1, slots: 1, work: 300 * time.Millisecond, peers: out})
+			back.address = strings.TrimPrefix(here.front.URL, "http://")
+			out.address = strings.TrimPrefix(there.front.URL, "http://")
+			go here.do(ask{id: "first"})
+			here.waitFor("the slot is in use", func() bool { return here.servers[0].Running() == 1 })
+			got := here.do(ask{id: "id", body: "payload", header: map[string]string{HeaderIdempotency: tc.idem}})
+			if got.status != tc.status || (got.status == http.StatusOK && string(got.body) != "payload") {
+				t.Errorf("got %d %q %v", got.status, got.body, got.err)
+			}
+			if here.ran("id") != tc.here || there.ran("id") != tc.there || out.taken != tc.forwarded || back.taken != 0 {
+				t.Errorf("ran %d times here, %d there, forwarded %d times and %d times back, want %d, %d, %d and 0",
+					here.ran("id"), there.ran("id"), out.taken, back.taken, tc.here, tc.there, tc.forwarded)
+			}
+		})
+	}
+}
--- a/internal/app/requestplane/refuse.go
+++ b/internal/app/requestplane/refuse.go
@@ -38,6 +38,12 @@
 		"send the request again later, or ask the operators for servers of this queue").After(time.Second)
 }
 
+func refuseNoFreeSlot(queue domain.QueueID) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.ForwardingUnavailable,
+		"the instance has no free slot of queue "+string(queue)+" for a forwarded request",
+		"let the request wait at the instance that accepted it").After(time.Second)
+}
+
 func refuseShuttingDown() *refusal.Refusal {
 	return refusal.New(http.StatusServiceUnavailable, refusal.ShuttingDown,
 		"the instance is shutting down",
--- a/internal/app/requestplane/request.go
+++ b/internal/app/requestplane/request.go
@@ -51,11 +51,12 @@
 	started bool // the stream was handed to an attempt
 }
 
-// callerBody is a streamed body that remembers whether the caller broke it off.
+// callerBody is a streamed body that remembers how its reading ended.
 type callerBody struct {
 	r       io.Reader
-	broken  atomic.Bool
-	stopped atomic.Bool
+	ended   atomic.Bool // read to its end
+	broken  atomic.Bool // broken off by the caller
+	stopped atomic.Bool // broken off by the plane
 }
 
 // stop tells that the plane itself breaks off the body from now on.
@@ -64,7 +65,10 @@
 // Read implements io.Reader.
 func (b *callerBody) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if err != nil && err != io.EOF && !b.stopped.Load() {
+	switch {
+	case err == io.EOF:
+		b.ended.Store(true)
+	case err != nil && !b.stopped.Load():
 		b.broken.Store(true)
 	}
 	return n, err
@@ -73,6 +77,11 @@
 // failed reports whether the caller broke off its body.
 func (b *body) failed() bool { return b.stream != nil && b.stream.broken.Load() }
 
+// leftOver reports whether a part of the caller's body may still be unread.
+// The server must then close the caller's connection after the answer: with
+// full duplex it cannot skip the rest and read another request.
+func (b *body) leftOver() bool { return b.stream != nil && !b.stream.ended.Load() }
+
 // replayable reports whether the whole body can still be sent.
 func (b *body) replayable() bool { return b.stream == nil || !b.started }
 
--- a/internal/app/requestplane/serve.go
+++ b/internal/app/requestplane/serve.go
@@ -29,12 +29,8 @@
 				return
 			}
 		}
-		var err error
 		if ref == nil && !granted {
-			ref, err = p.wait(q, t)
-		}
-		if err != nil {
-			p.abort(errCallerGone)
+			ref = p.wait(q, t)
 		}
 		if ref != nil {
 			p.refuse(q, ref)
@@ -52,8 +48,12 @@
 	}
 }
 
-// wait queues the request and measures how long it waited.
-func (p *Plane) wait(q *request, t *ticket) (*refusal.Refusal, error) {
+// wait queues the request and measures how long it waited. A forwarded request
+// does not wait here: the first free slot may be at the instance it came from.
+func (p *Plane) wait(q *request, t *ticket) *refusal.Refusal {
+	if q.hop {
+		return refuseNoFreeSlot(q.queue)
+	}
 	bounds := route.Bounds{Waiting: q.caller.Row.MaxWaiting, Bytes: p.disp.maxBytes}
 	if bounds.Waiting <= 0 {
 		bounds.Waiting = DefaultMaxWaiting
@@ -61,7 +61,10 @@
 	began := p.clock.Now()
 	ref, err := p.disp.wait(q.r.Context(), t, bounds)
 	p.waited.Update(p.clock.Now().Sub(began))
-	return ref, err
+	if err != nil {
+		p.abort(errCallerGone)
+	}
+	return ref
 }
 
 // run sends the request to the server of the ticket and answers the caller.
@@ -168,6 +171,9 @@
 		c.Message += "; an earlier attempt may have run the request"
 		ref = &c
 	}
+	if q.body.leftOver() {
+		q.w.Header().Set(headerConnection, "close")
+	}
 	p.writeRefusal(q.w, ref)
 }
 
--- a/internal/standin/backend/misbehave.go
+++ b/internal/standin/backend/misbehave.go
@@ -4,23 +4,19 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 )
 
 // hijack takes the connection over. The answer is then written by hand.
-func hijack(w http.ResponseWriter) (*net.TCPConn, *bufio.ReadWriter, bool) {
+func hijack(w http.ResponseWriter) (*countedConn, *bufio.ReadWriter, bool) {
 	nc, rw, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return nil, nil, false
 	}
-	if c, ok := nc.(*countedConn); ok {
-		return c.TCPConn, rw, true
-	}
-	tcp, ok := nc.(*net.TCPConn)
-	return tcp, rw, ok
+	c, ok := nc.(*countedConn)
+	return c, rw, ok
 }
 
 // hangUp ends the connection without an answer.
