--- /dev/null
+++ b/internal/core/route/table_test.go
@@ -0,0 +1,204 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"auburnpier/internal/domain"
+)
+
+func eight(domain.BackendID) int { return 8 }
+
+func tableOf(n int) *Table {
+	t := NewTable(domain.Location{Region: "lulea", Zone: "a"})
+	var list []ServerInfo
+	for i := range n {
+		list = append(list, ServerInfo{ID: domain.BackendID(rune('a' + i)), Address: "x", Slots: 8,
+			Location: domain.Location{Region: "lulea", Zone: "a"}})
+	}
+	t.Update(list)
+	return t
+}
+
+// Guards against a choice of a server that must not get work, or of a worse one.
+func TestChoose(t *testing.T) {
+	answer := func(tb *Table, s int, n int, latency time.Duration) {
+		for range n {
+			tb.Report(tb.servers[s], "q", Answered, latency, start)
+		}
+	}
+	cases := []struct {
+		name   string
+		change func(*Table)
+		held   Held
+		want   domain.BackendID // empty means none
+	}{
+		{"first of equals", func(*Table) {}, eight, "a"},
+		{"leaving", func(tb *Table) { tb.servers[0].Info.Leaving = true }, eight, "b"},
+		{"other queue", func(tb *Table) { tb.servers[0].Info.Queues = []domain.QueueID{"other"} }, eight, "b"},
+		{"no free slot", func(tb *Table) { tb.servers[0].InUse = 8 }, eight, "b"},
+		{"no slot held", func(*Table) {}, func(id domain.BackendID) int { return map[domain.BackendID]int{"c": 2}[id] }, "c"},
+		{"nothing held", func(*Table) {}, func(domain.BackendID) int { return 0 }, ""},
+		{"fewer free slots", func(tb *Table) { tb.servers[0].InUse = 1 }, eight, "b"},
+		{"longer latency", func(tb *Table) { answer(tb, 0, 1, 20*time.Millisecond) }, eight, "b"},
+		{"other zone", func(tb *Table) { tb.servers[0].Info.Location.Zone = "b" }, eight, "b"},
+		{"other region", func(tb *Table) {
+			tb.servers[0].Info.Location.Region = "mora"
+			tb.servers[1].InUse, tb.servers[2].InUse = 7, 7
+		}, eight, "b"},
+		{"region is better than a queue", func(tb *Table) {
+			tb.servers[0].Info.Location.Region = "mora"
+			tb.servers[1].InUse, tb.servers[2].InUse = 8, 8
+		}, eight, "a"},
+		{"failing", func(tb *Table) {
+			for range failuresToEject {
+				tb.Report(tb.servers[0], "q", Broken, 0, start)
+			}
+		}, eight, "b"},
+		{"slow", func(tb *Table) {
+			answer(tb, 1, slowSamples, time.Millisecond)
+			answer(tb, 0, slowToEject, 100*time.Millisecond)
+			tb.servers[1].InUse, tb.servers[2].InUse = 8, 8
+		}, eight, ""},
+		{"one pause is not slow", func(tb *Table) {
+			answer(tb, 1, slowSamples, time.Millisecond)
+			answer(tb, 0, 1, 100*time.Millisecond)
+			tb.servers[1].InUse, tb.servers[2].InUse = 8, 8
+		}, eight, "a"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tb := tableOf(3)
+			tc.change(tb)
+			got := domain.BackendID("")
+			if s := tb.Choose("q", tc.held, nil, start); s != nil {
+				got = s.Info.ID
+			}
+			if got != tc.want {
+				t.Errorf("chose %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a request that goes back to the server where it failed while
+// another one has room, and against one that then has nowhere to go.
+func TestChooseAvoids(t *testing.T) {
+	tb := tableOf(2)
+	if s := tb.Choose("q", eight, tb.servers[0], start); s != tb.servers[1] {
+		t.Error("chose the avoided server")
+	}
+	tb.servers[1].InUse = 8
+	if s := tb.Choose("q", eight, tb.servers[0], start); s != tb.servers[0] {
+		t.Error("chose no server although the avoided one has room")
+	}
+}
+
+// Guards against ejecting so many servers that the rest cannot carry the load.
+func TestAtMostHalfEjected(t *testing.T) {
+	for _, tc := range []struct{ servers, want int }{{1, 0}, {2, 1}, {3, 1}, {4, 2}, {7, 3}} {
+		tb := tableOf(tc.servers)
+		for range 3 * failuresToEject {
+			for _, s := range tb.servers {
+				tb.Report(s, "q", Broken, 0, start)
+			}
+		}
+		ejected := 0
+		for _, s := range tb.servers {
+			if tb.Condition(s, start) == Failing {
+				ejected++
+			}
+		}
+		if ejected != tc.want {
+			t.Errorf("%d of %d failing servers are ejected, want %d", ejected, tc.servers, tc.want)
+		}
+	}
+}
+
+// Guards against an ejection without end, a probation that lets the full load
+// through, and a server that fails again but comes back as early as before.
+func TestProbation(t *testing.T) {
+	tb := tableOf(2)
+	s := tb.servers[0]
+	now := start
+	for range failuresToEject {
+		tb.Report(s, "q", Unreachable, 0, now)
+	}
+	tb.servers[1].InUse = 8
+	choose := func() *Server { return tb.Choose("q", eight, nil, now) }
+	now = now.Add(firstEjection - 1)
+	if choose() != nil {
+		t.Fatal("ejected server was chosen")
+	}
+	now = now.Add(1)
+	if choose() != s || tb.Condition(s, now) != Probation {
+		t.Fatal("server is not on probation after its ejection")
+	}
+	tb.Begin(s)
+	if choose() != nil {
+		t.Error("server on probation got a second request")
+	}
+	tb.End(s)
+	tb.Report(s, "q", Broken, 0, now)
+	now = now.Add(firstEjection)
+	if choose() != nil {
+		t.Error("second ejection is not longer than the first")
+	}
+	now = now.Add(firstEjection)
+	if choose() != s {
+		t.Fatal("server is not on probation after its second ejection")
+	}
+	for range successesToTrust {
+		tb.Report(s, "q", Answered, time.Millisecond, now)
+	}
+	if tb.Condition(s, now) != Healthy {
+		t.Errorf("condition after %d answers is %s, want healthy", successesToTrust, tb.Condition(s, now))
+	}
+}
+
+// Guards against slow, failing and leaving servers that are taken for one another.
+func TestConditionsToldApart(t *testing.T) {
+	tb := tableOf(8)
+	for i := 3; i < 8; i++ {
+		for range slowSamples {
+			tb.Report(tb.servers[i], "q", Answered, time.Millisecond, start)
+		}
+	}
+	for range slowToEject {
+		tb.Report(tb.servers[0], "q", Answered, time.Second, start)
+	}
+	for range failuresToEject {
+		tb.Report(tb.servers[1], "q", Broken, 0, start)
+	}
+	tb.servers[2].Info.Leaving = true
+	for range failuresToEject {
+		tb.Report(tb.servers[3], "q", Abandoned, 0, start)
+		tb.Report(tb.servers[4], "q", TimedOut, 5*time.Millisecond, start)
+	}
+	for i, want := range []Condition{Slow, Failing, Leaving, Healthy, Healthy, Healthy} {
+		if got := tb.Condition(tb.servers[i], start); got != want {
+			t.Errorf("server %d is %s, want %s", i, got, want)
+		}
+	}
+}
+
+// Guards against a server that keeps its past under a new address, and one
+// that loses it by being listed again.
+func TestUpdateKeepsState(t *testing.T) {
+	tb := tableOf(2)
+	a, b := tb.servers[0], tb.servers[1]
+	tb.Begin(a)
+	changed := b.Info
+	changed.Address = "y"
+	tb.Update([]ServerInfo{a.Info, changed})
+	if tb.servers[0] != a || a.InUse != 1 {
+		t.Error("a server that stays lost its state")
+	}
+	if tb.servers[1] == b || !b.Gone() {
+		t.Error("a server at a new address kept its state")
+	}
+	tb.Update([]ServerInfo{changed})
+	if len(tb.Servers()) != 1 || !a.Gone() {
+		t.Error("a server that was dropped is still there")
+	}
+}
