Check allotment histories and reclaims

40 users at 4 instances take and return units of one limit while the store loses answers and one instance is cut off and reclaimed; the history must be that of one counter.

--- /dev/null
+++ b/internal/app/allotment/history_test.go
@@ -0,0 +1,224 @@
+package allotment
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+)
+
+const historyLimit = 12
+
+// semaphore is the model of a team's limit over the fleet: a unit is taken
+// only while fewer than the limit are in use.
+func semaphore() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return 0 },
+		Step: func(state, input, _ any) (bool, any) {
+			inUse := state.(int)
+			if input.(string) == "release" {
+				return true, inUse - 1
+			}
+			return inUse < historyLimit, inUse + 1
+		},
+	}
+}
+
+// blindStore writes whatever revision the key has, so that a racing claim is
+// overwritten.
+type blindStore struct{ port.Store }
+
+func (b blindStore) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (int64, error) {
+	if e, err := b.Get(ctx, key); err == nil {
+		expected = e.Revision
+	}
+	return b.Store.CompareAndSwap(ctx, key, expected, value)
+}
+
+// distantStore takes up to 200 ms for a write or a read, so that calls of
+// several instances overlap.
+type distantStore struct {
+	port.Store
+	mu     *sync.Mutex
+	random *rand.Rand
+}
+
+func (d distantStore) pause() {
+	d.mu.Lock()
+	wait := time.Duration(d.random.Int64N(int64(100 * time.Millisecond)))
+	d.mu.Unlock()
+	time.Sleep(wait)
+}
+
+func (d distantStore) Get(ctx context.Context, key string) (port.Entry, error) {
+	d.pause()
+	defer d.pause()
+	return d.Store.Get(ctx, key)
+}
+
+func (d distantStore) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte) (int64, error) {
+	d.pause()
+	defer d.pause()
+	return d.Store.CompareAndSwap(ctx, key, expected, value)
+}
+
+// The units taken at all instances must look as if they came from one counter
+// with the limit, whatever the store loses and while one instance is cut off
+// from the store and reclaimed. The check must fail for a store that loses
+// updates and for peers that vouch for a holder that they have barred.
+func TestAllotmentHistories(t *testing.T) {
+	cases := []struct {
+		name  string
+		plant func(*cell)
+		store func(port.Store) port.Store
+		ok    bool
+	}{
+		{"as designed", nil, nil, true},
+		{"planted: writes ignore the expected revision", nil, func(s port.Store) port.Store { return blindStore{s} }, false},
+		{"planted: bars are not kept", func(c *cell) { c.vouchAll = true }, nil, false},
+	}
+	// A lost update shows in about a quarter of the histories, so a planted
+	// fault gets more of them; the first one found ends the search.
+	const seeds, plantedSeeds = 10, 100
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			histories, operations, found := uint64(seeds), 0, false
+			if !c.ok {
+				histories = plantedSeeds
+			}
+			for seed := uint64(0); seed < histories && !found; seed++ {
+				var history []porcupine.Operation
+				synctest.Test(t, func(t *testing.T) { history = recordUses(t, seed, c.plant, c.store) })
+				operations += len(history)
+				result := porcupine.CheckOperationsTimeout(semaphore(), history, 20*time.Second)
+				if result == porcupine.Unknown {
+					t.Fatalf("seed %d: the check did not end", seed)
+				}
+				found = result == porcupine.Illegal
+				if found {
+					t.Logf("more than the limit was in use with seed %d", seed)
+				}
+			}
+			t.Logf("%d operations", operations)
+			if found == c.ok {
+				t.Errorf("found is %v", found)
+			}
+			if c.ok && operations < seeds*200 {
+				t.Errorf("only %d operations", operations)
+			}
+		})
+	}
+}
+
+// recordUses lets 40 users at 4 instances take and return units for a minute
+// while the store loses requests and answers. The load moves from instance to
+// instance, so that amounts are transferred all the time.
+func recordUses(t *testing.T, seed uint64, plant func(*cell), over func(port.Store) port.Store) []porcupine.Operation {
+	ctx, cancel := context.WithCancel(t.Context())
+	c := newCell(4, historyLimit, func(s port.Store) port.Store {
+		s = distantStore{Store: s, mu: new(sync.Mutex), random: rand.New(rand.NewPCG(seed, 99))}
+		if over != nil {
+			s = over(s)
+		}
+		return s
+	})
+	if plant != nil {
+		plant(c)
+	}
+	c.start(ctx)
+	time.Sleep(3 * time.Second)
+	ends := time.Now().Add(time.Minute)
+	h := &useRecorder{}
+	var wg sync.WaitGroup
+	for user := range 40 {
+		wg.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(user)))
+			for time.Now().Before(ends) {
+				// All users crowd at one instance for 8 s, then at another.
+				crowded := int(time.Until(ends)/(8*time.Second)) % len(c.nodes)
+				if user%4 == 0 {
+					crowded = random.IntN(len(c.nodes))
+				}
+				h.use(user, c.nodes[crowded], time.Duration(random.IntN(900)+100)*time.Millisecond)
+				time.Sleep(time.Duration(random.IntN(200)+20) * time.Millisecond)
+				if random.IntN(60) == 0 {
+					injectRandom(random, c.faults[random.IntN(len(c.faults))])
+				}
+			}
+		})
+	}
+	wg.Go(func() { reclaimFirst(ctx, c) })
+	wg.Wait()
+	cancel()
+	time.Sleep(10 * time.Second) // late writes end
+	synctest.Wait()
+	return h.operations
+}
+
+// reclaimFirst cuts instance 0 off from the store after 15 s, has instance 1
+// reclaim it, and ends the cut 30 s later.
+func reclaimFirst(ctx context.Context, c *cell) {
+	time.Sleep(15 * time.Second)
+	holder := c.nodes[0].holder()
+	c.faults[0].Clear()
+	c.faults[0].Inject(store.Fault{Action: store.Refuse})
+	call, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	r := NewReclaimer(c.nodes[1].bars, c.nodes[1], c.nodes[1].Ledger)
+	_ = r.Reclaim(call, domain.InstanceID(c.nodes[0].name), holder)
+	<-call.Done()
+	c.faults[0].Clear()
+}
+
+func injectRandom(random *rand.Rand, f *store.Faulty) {
+	writes := []store.Kind{store.CompareAndSwap}
+	faults := []store.Fault{
+		{Action: store.LoseAnswer, Kinds: writes, Times: 1},
+		{Action: store.LoseAnswer, Kinds: writes, Times: 1},
+		{Action: store.LoseRequest, Kinds: writes, Times: 1},
+		{Action: store.Late, Kinds: writes, Times: 1, Delay: 1500 * time.Millisecond},
+		{Action: store.Late, Kinds: writes, Times: 2, Delay: 400 * time.Millisecond},
+		{Action: store.Refuse, Times: 3},
+		{Action: store.Slow, Times: 3, Delay: 600 * time.Millisecond},
+		{Action: store.Gap, Times: 1},
+		{Action: store.Hang, Kinds: []store.Kind{store.Watch}, Times: 1},
+	}
+	f.Inject(faults[random.IntN(len(faults))])
+}
+
+type useRecorder struct {
+	mu         sync.Mutex
+	sequence   atomic.Int64
+	operations []porcupine.Operation
+}
+
+// use takes a unit, holds it and returns it. A refusal is no operation: an
+// instance may refuse while another one has units left.
+func (h *useRecorder) use(user int, n *node, hold time.Duration) {
+	called := h.sequence.Add(1)
+	if !n.Acquire(team) {
+		return
+	}
+	h.add(user, "acquire", called)
+	time.Sleep(hold)
+	called = h.sequence.Add(1)
+	n.Release(team)
+	h.add(user, "release", called)
+}
+
+func (h *useRecorder) add(user int, input string, called int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{
+		ClientId: user, Input: input, Call: called, Return: h.sequence.Add(1),
+	})
+}
--- a/internal/app/allotment/local.go
+++ b/internal/app/allotment/local.go
@@ -98,12 +98,16 @@
 	return allot.Units(u.peak + u.peak/headroomPart + 1).Max(u.inUse)
 }
 
-// age moves the peaks on by one round. A peak falls by an eighth each round.
+// age moves the peaks on by one round. A peak falls by an eighth each round, or
+// by half while holders compete, so that amounts reach the busy ones in seconds.
 func (l *Ledger) age() {
 	for _, lo := range l.locals {
-		for _, u := range lo.items {
-			need := max(u.inUse[0], u.asked[0]) + u.misses
-			u.peak = max(need, u.peak*7/8)
+		for item, u := range lo.items {
+			kept := u.peak * 7 / 8
+			if l.doc.Items[item].Contended() {
+				kept = u.peak / 2
+			}
+			u.peak = max(max(u.inUse[0], u.asked[0])+u.misses, kept)
 			u.misses = 0
 		}
 	}
--- a/internal/app/allotment/reclaim.go
+++ b/internal/app/allotment/reclaim.go
@@ -75,7 +75,8 @@
 func (l *Ledger) vouches(holder string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.seen && !l.broken && !l.doc.Holders[holder].Revoked
+	h, ok := l.doc.Holders[holder]
+	return l.seen && !l.broken && ok && !h.Revoked
 }
 
 // Reclaimer takes back what unreachable holders of the region have.
@@ -90,14 +91,15 @@
 	return &Reclaimer{ledgers: ledgers, bars: bars, peers: peers}
 }
 
-// Reclaim takes back what the holder has in each document. It repeats each step
-// until it succeeds or ctx ends, so it waits while the store is down.
-func (r *Reclaimer) Reclaim(ctx context.Context, holder string) error {
+// Reclaim takes back what the holder, a process of the instance, has in each
+// document. It repeats each step until it succeeds or ctx ends, so it waits
+// while the store is down.
+func (r *Reclaimer) Reclaim(ctx context.Context, instance domain.InstanceID, holder string) error {
 	if err := r.each(ctx, func(l *Ledger) error { return l.revoke(ctx, holder) }); err != nil {
 		return err
 	}
 	r.bars.Bar(holder)
-	if err := r.barEverywhere(ctx, holder); err != nil {
+	if err := r.barEverywhere(ctx, instance, holder); err != nil {
 		return err
 	}
 	if !sleep(ctx, reclaimWait) {
@@ -107,8 +109,9 @@
 }
 
 // barEverywhere returns once every other instance of the region has barred the
-// holder or is proven dead.
-func (r *Reclaimer) barEverywhere(ctx context.Context, holder string) error {
+// holder or is proven dead. The holder's own instance is not asked: an instance
+// acknowledges no pings of its own.
+func (r *Reclaimer) barEverywhere(ctx context.Context, instance domain.InstanceID, holder string) error {
 	var others []domain.InstanceID
 	err := repeat(ctx, func() (err error) {
 		others, err = r.peers.Others(ctx)
@@ -119,7 +122,7 @@
 	}
 	for _, id := range others {
 		err := repeat(ctx, func() error {
-			if r.peers.ProvenDead(id) {
+			if id == instance || r.peers.ProvenDead(id) {
 				return nil
 			}
 			return r.peers.Bar(ctx, id, holder)
--- a/internal/app/allotment/round.go
+++ b/internal/app/allotment/round.go
@@ -36,6 +36,7 @@
 	if len(l.locals) == 0 || !l.seen {
 		return false
 	}
+	l.rejoin()
 	l.age()
 	l.refresh()
 	if len(l.pending) > 0 {
--- a/internal/core/allot/divide.go
+++ b/internal/core/allot/divide.go
@@ -55,8 +55,8 @@
 	return parts
 }
 
-// contended reports whether the demands exceed the limit in any component.
-func (it Item) contended() bool {
+// Contended reports whether the demands exceed the limit in any component.
+func (it Item) Contended() bool {
 	var sum Vector
 	for _, v := range it.Demand {
 		sum = sum.Add(v)
--- a/internal/core/allot/plan.go
+++ b/internal/core/allot/plan.go
@@ -171,7 +171,7 @@
 		rises = rises || demand[c] > published[c] && demand[c] > held[c]
 		falls = falls || demand[c]*4 <= published[c]*3 && published[c] > 0
 	}
-	if !rises && (!falls || !it.contended()) {
+	if !rises && (!falls || !it.Contended()) {
 		return false
 	}
 	it.Demand[holder] = demand
@@ -180,7 +180,7 @@
 
 // floor returns the floor where the item is not contended.
 func (it Item) floor(floor Vector) Vector {
-	if it.contended() {
+	if it.Contended() {
 		return Vector{}
 	}
 	return floor
