--- a/internal/app/taskplane/dispatch.go
+++ b/internal/app/taskplane/dispatch.go
@@ -36,6 +36,9 @@
 	for _, ack := range ready.Acknowledge {
 		p.worker(ctx, ack.Worker).keeper.acknowledge(ack.Attempts)
 	}
+	for _, wish := range ready.Wishes {
+		p.wishes[wish.Team] = wish.Amount
+	}
 	for _, id := range ready.Forgotten {
 		p.forget(id)
 	}
--- a/internal/app/taskplane/manager.go
+++ b/internal/app/taskplane/manager.go
@@ -53,8 +53,6 @@
 type Inputs struct {
 	Partitions []domain.PartitionRow
 	Teams      []sched.TeamRow
-	// Allotments returns the parts of the teams' limits that the partition holds.
-	Allotments func(domain.PartitionID) []sched.Allotment
 }
 
 // Manager owns the partitions of this instance: it takes over those without a
@@ -301,6 +299,13 @@
 	}
 }
 
+// PreferredInstance chooses one live instance of the region for a key, by the
+// same hashing as owners of partitions are chosen. It returns "" where none is live.
+func PreferredInstance(key string, region domain.RegionID, live []Member) domain.InstanceID {
+	id, _ := preferredOwner(domain.PartitionID(key), region, live)
+	return id
+}
+
 // preferredOwner chooses by rendezvous hashing over the live instances of the
 // region that do not drain, so that a change of one instance moves only its
 // partitions. It returns the number of the other instances too.
--- a/internal/app/taskplane/options.go
+++ b/internal/app/taskplane/options.go
@@ -55,10 +55,12 @@
 	Instance domain.InstanceID
 	Store    port.Store
 	Workers  port.Workers
-	Clock    port.Clock
-	Weights  policy.Weights
-	Log      *zap.Logger
-	Metrics  *metrics.Registry
+	// Allotments divides the teams' limits over the partitions.
+	Allotments Allotments
+	Clock      port.Clock
+	Weights    policy.Weights
+	Log        *zap.Logger
+	Metrics    *metrics.Registry
 	// NewID returns unique IDs of 26 characters or fewer without a dot.
 	NewID func() string
 	// ListLag is how far the platform's list may lag behind.
--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -36,7 +36,8 @@
 	durable    uint64
 	oldest     time.Time // when the oldest batch that is not durable was handed out
 	confirming []confirmation
-	draining   bool // the partition is being handed over
+	draining   bool                               // the partition is being handed over
+	wishes     map[domain.TeamID]domain.Resources // the last wish of each team
 	notified   map[domain.JobID][]chan struct{}
 
 	// The journal's goroutine sets these and signals wake. It never waits for
@@ -103,6 +104,7 @@
 		workers:  make(map[domain.WorkerID]*workerLoop),
 		notified: make(map[domain.JobID][]chan struct{}),
 		wake:     make(chan struct{}, 1),
+		wishes:   make(map[domain.TeamID]domain.Resources),
 	}
 }
 
@@ -141,6 +143,7 @@
 	group.Go(func() { p.runJournal(ctx, log) })
 	group.Go(func() { p.runMachine(ctx) })
 	group.Go(func() { p.runClock(ctx) })
+	group.Go(func() { p.runAllotments(ctx) })
 	go func() {
 		group.Wait()
 		p.loops.Wait()
@@ -273,12 +276,9 @@
 	return errStopped
 }
 
-// setInputs passes the teams and the partition's allotments to the machine.
+// setInputs passes the teams to the machine.
 func (p *Partition) setInputs(in Inputs) {
 	p.postNow(sched.TeamsChanged{Teams: in.Teams})
-	if in.Allotments != nil {
-		p.postNow(sched.AllotmentsChanged{Allotments: in.Allotments(p.id)})
-	}
 }
 
 // setWorkers passes one read of the platform's list to the machine.
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -37,6 +37,7 @@
 		case <-ctx.Done():
 			return
 		case snapshot := <-versions:
+			i.amounts.setConfig(snapshot.Doc)
 			i.manager.SetInputs(inputs(snapshot.Doc))
 			i.log.Info("configuration in force", zap.Uint64("version", snapshot.Version()))
 		}
@@ -49,27 +50,9 @@
 		in.Teams = append(in.Teams, sched.TeamRow{ID: id, Share: row.Share, Limit: row.Limit})
 	}
 	sort.Slice(in.Teams, func(a, b int) bool { return in.Teams[a].ID < in.Teams[b].ID })
-	parts := int64(max(1, len(doc.Partitions)))
-	in.Allotments = func(domain.PartitionID) []sched.Allotment {
-		return evenAllotments(in.Teams, parts)
-	}
 	return in
 }
 
-// evenAllotments gives each partition the same part of each limit, rounded
-// down, so that the sum over the partitions never exceeds the limit.
-func evenAllotments(teams []sched.TeamRow, parts int64) []sched.Allotment {
-	list := make([]sched.Allotment, 0, len(teams))
-	for _, t := range teams {
-		list = append(list, sched.Allotment{Team: t.ID, Amount: domain.Resources{
-			CPUMilli:     t.Limit.CPUMilli / parts,
-			MemoryMB:     t.Limit.MemoryMB / parts,
-			Accelerators: t.Limit.Accelerators / parts,
-		}})
-	}
-	return list
-}
-
 // reportState hands the own state to the membership.
 func (i *Instance) reportState(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -50,6 +50,7 @@
 	manager *taskplane.Manager
 	router  *taskplane.Router
 	plane   *requestplane.Plane
+	amounts *allotments
 	vms     *vmlisthttp.Poller
 
 	listener net.Listener
@@ -79,6 +80,7 @@
 		Store: i.store, Watch: i.watch, Clock: i.clock, Metrics: i.metrics, Log: log,
 		Peers: configPeers{peers: i.peers, applied: i.appliedVersion},
 	})
+	i.amounts = newAllotments(i)
 	i.newTaskPlane()
 	i.newRequestPlane()
 	i.vms = vmlisthttp.NewPoller(vmlisthttp.NewClient(s.VMList.Address), i.clock, i.deliverVMs)
@@ -144,15 +146,16 @@
 	p := i.settings.Policy
 	view := peerView{peers: i.peers}
 	i.manager = taskplane.NewManager(taskplane.Options{
-		Instance: i.settings.Instance,
-		Store:    i.store,
-		Workers:  workerhttp.NewDialer(),
-		Clock:    i.clock,
-		Weights:  policy.Weights{Share: p.ShareWeight, Waiting: p.WaitingWeight, Packing: p.PackingWeight},
-		Log:      i.log,
-		Metrics:  i.metrics,
-		NewID:    newID,
-		ListLag:  settings.Milliseconds(i.settings.VMList.LagMS),
+		Instance:   i.settings.Instance,
+		Store:      i.store,
+		Workers:    workerhttp.NewDialer(),
+		Allotments: i.amounts.tasks,
+		Clock:      i.clock,
+		Weights:    policy.Weights{Share: p.ShareWeight, Waiting: p.WaitingWeight, Packing: p.PackingWeight},
+		Log:        i.log,
+		Metrics:    i.metrics,
+		NewID:      newID,
+		ListLag:    settings.Milliseconds(i.settings.VMList.LagMS),
 	}, i.settings.Location.Region, view, formerOwners{peers: i.peers, self: i.settings.Instance, clock: i.clock})
 	i.router = taskplane.NewRouter(i.manager, view)
 	i.peers.Handle(peering.Handlers{
@@ -168,8 +171,8 @@
 	i.plane = requestplane.New(requestplane.Options{
 		Location:        domain.Location{Region: s.Location.Region, Zone: s.Location.Zone},
 		Admission:       admission{config: i.config},
-		Slots:           &requestplane.StaticSlots{},
-		Teams:           &requestplane.StaticTeamLimits{},
+		Slots:           slotUse{i.amounts.slots},
+		Teams:           teamUse{i.amounts.teams},
 		Peers:           newOverflow(i.peers, i.clock.Now),
 		Clock:           i.clock,
 		Metrics:         i.metrics,
@@ -183,6 +186,7 @@
 	if err := i.peers.ObserveVMs(context.Background(), vms); err != nil {
 		i.log.Warn("the platform's list was not compared with the members", zap.Error(err))
 	}
+	i.amounts.setVMs(vms)
 	i.manager.SetVMs(vms)
 	i.plane.UpdateVMs(vms)
 }
@@ -249,6 +253,7 @@
 	group.Go(func() { i.runPeers(parts) })
 	group.Go(func() { i.feedConfig(parts) })
 	group.Go(func() { i.vms.Run(parts) })
+	group.Go(func() { i.amounts.run(parts) })
 	group.Go(func() { i.plane.Run(parts) })
 	group.Go(func() { i.reportState(parts) })
 	group.Go(func() { i.bootstrap(parts) })
@@ -289,6 +294,7 @@
 	case <-managed:
 	case <-ctx.Done():
 	}
+	err = errors.CombineErrors(err, i.amounts.leave(ctx))
 	i.log.Info("graceful shutdown ends", zap.Duration("took", i.clock.Now().Sub(start)), zap.Error(err))
 	return err
 }
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -230,17 +229,36 @@
 
 func (c *cell) awaitReady(i *instance) {
 	c.t.Helper()
-	c.eventually(15*time.Second, string(i.id)+" is ready", func() error {
-		resp, err := http.Get("http://" + i.api + "/readyz")
-		if err != nil {
-			return err
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			return fmt.Errorf("status %d", resp.StatusCode)
-		}
-		return nil
+	c.eventually(15*time.Second, string(i.id)+" is ready", func() error { return c.ready(i) })
+}
+
+// probe is the client of health checks. A paused instance does not answer.
+var probe = &http.Client{Timeout: time.Second}
+
+func (c *cell) ready(i *instance) error {
+	resp, err := probe.Get("http://" + i.api + "/readyz")
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// keyRevision returns the revision of a key's row.
+func (c *cell) keyRevision(id string) uint64 {
+	c.t.Helper()
+	var revision uint64
+	c.eventually(10*time.Second, "read the table", func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		table, err := c.client(c.all()[0], c.operator).Table(ctx)
+		revision = table.Keys[id].Revision
+		return err
 	})
+	return revision
 }
 
 // configure waits for the first configuration and adds a team and the queues.
@@ -437,13 +455,3 @@
 		}
 	}
 }
-
-// listening reports whether the address accepts connections.
-func listening(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
