sched: hold no room for gangs behind replicas, bound worker texts

Change: a hold counts the room beside replicas; texts are clipped to 300 bytes of valid UTF-8; strays are released when the lease has lapsed. Two runs of one walk are compared record by record. Conclusion: a gang that cannot start costs no room.

--- a/internal/core/sched/end.go
+++ b/internal/core/sched/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
@@ -27,7 +28,7 @@
 	}
 	j := a.j
 	r := &EndedRecord{
-		Attempt: a.ID, Outcome: e.outcome, Peak: a.peak, RunMS: e.runMS, Detail: e.detail, BlameWorker: e.blame,
+		Attempt: a.ID, Outcome: e.outcome, Peak: a.peak, RunMS: e.runMS, Detail: clip(e.detail), BlameWorker: e.blame,
 	}
 	if e.outcome == domain.OutcomeStopped || e.outcome == domain.OutcomeCheckpointed || e.outcome == domain.OutcomeNeverStarted {
 		r.Cause = a.cause
@@ -45,6 +46,17 @@
 	}
 }
 
+// maxDetail bounds a worker's text in bytes: it is journaled and kept in the history.
+const maxDetail = 300
+
+// clip shortens a text to maxDetail bytes of valid UTF-8, which CBOR requires.
+func clip(text string) string {
+	if len(text) > maxDetail {
+		text = text[:maxDetail]
+	}
+	return strings.ToValidUTF8(text, "")
+}
+
 // endMembers ends the remaining members of a gang that fails or restarts.
 func (m *Machine) endMembers(j *job, cause Cause) {
 	if j.GangFailed || (cause != CauseLeaving && cause != CausePreempted && cause != CauseLimit) {
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 
 	"auburnpier/internal/core/placement"
@@ -87,7 +88,7 @@
 		}
 		m.dropGangHold()
 	}
-	workers, ok := m.index.GangCandidates(req, n, j.Spec.SpanZones)
+	workers, ok := m.gangWorkers(j, req, n)
 	if !ok {
 		return
 	}
@@ -101,6 +102,54 @@
 	m.dirty = true
 }
 
+// maxCandidateTries bounds the searches for workers of one gang.
+const maxCandidateTries = 8
+
+// gangWorkers chooses workers that hold the gang once their batch work has
+// ended. Replicas do not end: room behind them would be held in vain.
+func (m *Machine) gangWorkers(j *job, req placement.Request, n int) ([]domain.WorkerID, bool) {
+	want := n
+	for range maxCandidateTries {
+		workers, ok := m.index.GangCandidates(req, want, j.Spec.SpanZones)
+		if !ok {
+			return nil, false
+		}
+		members := 0
+		for _, id := range workers {
+			members += copies(req.Size, m.roomBesideServices(m.worker(id)))
+		}
+		if members >= n {
+			return workers, true
+		}
+		want += n - members
+	}
+	return nil, false
+}
+
+// roomBesideServices returns what the worker has once its batch work has ended.
+func (m *Machine) roomBesideServices(w *worker) domain.Resources {
+	room := w.capacity
+	for _, a := range w.attempts {
+		if a.j.isService() {
+			room = room.Sub(a.Reservation)
+		}
+	}
+	return room
+}
+
+// copies returns how many tasks of a size fit in room.
+func copies(size, room domain.Resources) int {
+	n := int64(math.MaxInt32)
+	for _, c := range [...][2]int64{
+		{size.CPUMilli, room.CPUMilli}, {size.MemoryMB, room.MemoryMB}, {size.Accelerators, room.Accelerators},
+	} {
+		if c[0] > 0 {
+			n = min(n, max(0, c[1])/c[0])
+		}
+	}
+	return int(n)
+}
+
 // expectedFree returns when the batch work on the workers is expected to have
 // ended. It is zero where a run time is not known, so that nothing backfills.
 func (m *Machine) expectedFree(workers []domain.WorkerID) int64 {
--- a/internal/core/sched/health_test.go
+++ b/internal/core/sched/health_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"strings"
 	"testing"
 
 	"auburnpier/internal/domain"
@@ -205,3 +206,13 @@
 		c.mustEqualRecovered()
 	}
 }
+
+// Guards against a worker's text that cannot be journaled: too long, or not valid UTF-8.
+func TestClip(t *testing.T) {
+	for _, text := range []string{strings.Repeat("x", 10_000), strings.Repeat("å", maxDetail), "bad \xff byte"} {
+		r := Record{Version: RecordVersion, Ended: &EndedRecord{Attempt: "a", Detail: clip(text)}}
+		if got := recode(t, r).Ended.Detail; len(got) > maxDetail || got != r.Ended.Detail {
+			t.Errorf("%.20q becomes %d bytes", text, len(got))
+		}
+	}
+}
--- a/internal/core/sched/lease.go
+++ b/internal/core/sched/lease.go
@@ -203,6 +203,7 @@
 		}
 		w.lapsed = true
 		w.lease = ""
+		m.clearStrays(w)
 		m.endAll(w, "the worker was unreachable until its lease lapsed", w.rackFailure)
 		m.updateExclusion(w)
 	}
--- a/internal/core/sched/policy_test.go
+++ b/internal/core/sched/policy_test.go
@@ -193,6 +193,22 @@
 	}
 }
 
+// Guards against room that is held in vain for a gang which replicas keep out.
+func TestGangBehindServices(t *testing.T) {
+	c := newCell(t, 2).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 2, Idempotent: true, Resources: amount(4, 4)})
+	c.advance(2_000)
+	c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
+	c.advance(40_000)
+	c.mustSubmit("batch", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(4, 4)})
+	c.advance(5_000)
+	c.mustState("gang", domain.JobQueued)
+	if s, _ := c.m.Status("batch"); s.Running != 2 {
+		t.Fatalf("%d of 2 tasks run beside the replicas: %s", s.Running, s.Reason)
+	}
+}
+
 // Guards against a gang of which some members go on while others start again.
 func TestGangMemberFails(t *testing.T) {
 	c := newCell(t, 8).begin()
--- a/internal/core/sched/walk_test.go
+++ b/internal/core/sched/walk_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 
 	"auburnpier/internal/domain"
@@ -152,7 +153,18 @@
 	}
 }
 
-func walk(t *testing.T, seed uint64, steps int) {
+// Guards against decisions that depend on map order: the same events give the same journal.
+func TestSameEventsSameRecords(t *testing.T) {
+	for seed := range uint64(3) {
+		if a, b := walk(t, seed, 60), walk(t, seed, 60); !reflect.DeepEqual(a, b) {
+			t.Fatalf("seed %d: two runs journaled %d and %d records, which differ", seed, len(a), len(b))
+		}
+	}
+}
+
+// walk returns the journal of a random walk.
+func walk(t *testing.T, seed uint64, steps int) []Record {
+	t.Helper()
 	w := &walker{cell: newCell(t, 6), r: rand.New(rand.NewPCG(seed, 1))}
 	w.plan = w.outcome
 	w.begin()
@@ -170,4 +182,5 @@
 		}
 	}
 	w.mustEqualRecovered()
+	return w.journal
 }
