sched: count each class of a loss, test what mutations survived

Cause: trial mutations of the package survived the tests: forgetting the stop of a cancelled job after a crash, not repeating lost stops, not excusing rack failures, leaving members of a failed gang running, and starting on a worker that became unfit. The table for losses showed that a worker lost again and again was never quarantined, because a loss counted the class of its first attempt only. Change: each lost attempt adds its class; tables cover the survivors. Explain reads the queue's current reason instead of an old one. Conclusion: repeated losses quarantine a worker, rack failures do not.

--- a/internal/core/sched/cell_test.go
+++ b/internal/core/sched/cell_test.go
@@ -38,6 +38,8 @@
 	pending   []Ready
 	storeDown bool
 	paused    bool
+	// loseEnds drops stops and checkpoints on their way.
+	loseEnds  bool
 	failStart func(worker string) string // "", "lost", "unknown" or "refused"
 	acks      map[domain.WorkerID][]domain.AttemptID
 	delayed   []StartCall
@@ -68,7 +70,7 @@
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%03d", i)
-		c.workers = append(c.workers, newFakeWorker(id, fmt.Sprintf("z%d", i%2), fmt.Sprintf("rack%d", i/4), amount(8, 40)))
+		c.workers = append(c.workers, newFakeWorker(id, fmt.Sprintf("z%d", i/4%2), fmt.Sprintf("rack%d", i/4), amount(8, 40)))
 		c.listed[id] = true
 	}
 	for _, id := range []domain.TeamID{"a", "b", "c"} {
@@ -110,7 +112,6 @@
 
 // step handles one event, delivers what follows and checks the invariants.
 func (c *cell) step(ev Event) Result {
-	c.t.Helper()
 	r := c.m.Step(ev)
 	c.check(ev)
 	c.deliver()
@@ -118,7 +119,6 @@
 }
 
 func (c *cell) check(ev Event) {
-	c.t.Helper()
 	if err := c.checker.Check(c.m.Inspect(), c.truth()); err != nil {
 		c.t.Fatalf("at %d ms after %T: %v", c.now-startMS, ev, err)
 	}
@@ -163,7 +163,6 @@
 
 // deliver carries out what the machine asks for.
 func (c *cell) deliver() {
-	c.t.Helper()
 	r := c.m.Ready()
 	if r.Batch != 0 {
 		c.pending = append(c.pending, r)
@@ -193,7 +192,7 @@
 }
 
 func (c *cell) callEnd(call AttemptCall, o domain.Outcome) {
-	if w := c.find(call.Worker); !w.cut {
+	if w := c.find(call.Worker); !w.cut && !c.loseEnds {
 		w.endAll(call, o, c.now)
 	}
 }
@@ -291,7 +290,6 @@
 
 // advance moves the clock by ms in steps of a tick, with renewals and reads of the list.
 func (c *cell) advance(ms int64) {
-	c.t.Helper()
 	for end := c.now + ms; c.now < end; {
 		c.now += 250
 		for _, w := range c.workers {
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -21,7 +21,7 @@
 func (m *Machine) considerGang(r *round, j *job, size domain.Resources, n int) {
 	tasks, restart := waitingMembers(j)
 	if restart && !m.mayRestart() {
-		m.pass(r, j, policy.WaitRestarts, "restarts after failures are at their rate")
+		m.pass(r, j, policy.WaitRestarts, "")
 		return
 	}
 	req := m.request(j, size)
--- a/internal/core/sched/health.go
+++ b/internal/core/sched/health.go
@@ -38,8 +38,18 @@
 		h.Canary = ""
 	case r.BlameWorker:
 		m.blame(a, at)
-	case r.Outcome == domain.OutcomeSucceeded && h != nil && !h.Quarantined:
+	case h == nil || h.Quarantined:
+	case r.Outcome == domain.OutcomeSucceeded:
 		delete(m.health, a.Worker)
+	case r.Outcome == domain.OutcomeLost:
+		// The loss was counted once for all its attempts; each adds its class.
+		m.addClass(h, a.j)
+	}
+}
+
+func (m *Machine) addClass(h *workerHealth, j *job) {
+	if key := j.classKey(); len(h.Classes) < m.cfg.QuarantineClasses && !slices.Contains(h.Classes, key) {
+		h.Classes = append(h.Classes, key)
 	}
 }
 
@@ -54,9 +64,7 @@
 		return
 	}
 	h.Streak++
-	if key := a.j.classKey(); len(h.Classes) < m.cfg.QuarantineClasses && !slices.Contains(h.Classes, key) {
-		h.Classes = append(h.Classes, key)
-	}
+	m.addClass(h, a.j)
 	if h.Streak < m.cfg.QuarantineFailures || len(h.Classes) < m.cfg.QuarantineClasses {
 		return
 	}
--- a/internal/core/sched/health_test.go
+++ b/internal/core/sched/health_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -13,6 +14,21 @@
 	return s.Quarantined
 }
 
+// loseThrice cuts workers off until their leases lapsed, three times.
+func (c *cell) loseThrice(list []*fakeWorker) {
+	for range 3 {
+		for _, w := range list {
+			w.cut = true
+			c.renew(w)
+		}
+		c.advance(45_000)
+		for _, w := range list {
+			w.cut = false
+		}
+		c.advance(30_000)
+	}
+}
+
 // Guards against workers that fail everything and stay in use, and against blame without cause.
 func TestQuarantine(t *testing.T) {
 	cases := []struct {
@@ -24,21 +40,17 @@
 		{"fails jobs of two classes", 2, func(c *cell) { c.workers[0].broken = true }, true},
 		{"fails jobs of one class only", 1, func(c *cell) { c.workers[0].broken = true }, false},
 		{"restarts once", 2, func(c *cell) { c.workers[0].reboot() }, false},
-		{"rack fails", 2, func(c *cell) {
-			for _, w := range c.workers[:3] {
-				w.cut = true
-				c.renew(w)
-			}
-		}, false},
+		{"is lost three times", 2, func(c *cell) { c.loseThrice(c.workers[:1]) }, true},
+		{"rack fails three times", 2, func(c *cell) { c.loseThrice(c.workers[:3]) }, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := newCell(t, 4)
 			c.cfg.RestartsPerSecond, c.cfg.RestartBurst = 1000, 1000
 			c.begin()
-			c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 8, Idempotent: true, Class: "x"})
+			c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 4, Idempotent: true, Class: "x", Resources: amount(4, 4)})
 			if tc.classes > 1 {
-				c.mustSubmit("service2", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 8, Idempotent: true, Class: "y"})
+				c.mustSubmit("service2", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 4, Idempotent: true, Class: "y", Resources: amount(4, 4)})
 			}
 			c.advance(2_000)
 			tc.strike(c)
@@ -216,3 +228,29 @@
 		}
 	}
 }
+
+// Guards against a rack failure that uses up the attempts of tasks, and against losses that never count.
+func TestLossesCount(t *testing.T) {
+	cases := []struct {
+		name string
+		lost int
+		want domain.JobState
+	}{{"one worker", 1, domain.JobFailed}, {"rack", 2, domain.JobRunning}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, 8).begin()
+			c.endless(reservedUsage)
+			c.mustSubmit("j1", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, MaxAttempts: 1})
+			c.advance(1_000)
+			on := slices.Index(c.workers, c.find(c.m.Inspect().Attempts[0].Worker))
+			rack := c.workers[on/4*4 : on/4*4+4]
+			hit := append([]*fakeWorker{c.workers[on]}, slices.DeleteFunc(slices.Clone(rack), func(w *fakeWorker) bool { return w == c.workers[on] })...)
+			for _, w := range hit[:tc.lost] {
+				w.cut = true
+				c.renew(w)
+			}
+			c.advance(45_000)
+			c.mustState("j1", tc.want)
+		})
+	}
+}
--- a/internal/core/sched/journal_test.go
+++ b/internal/core/sched/journal_test.go
@@ -7,7 +7,6 @@
 
 // flush makes all pending batches durable.
 func (c *cell) flush() {
-	c.t.Helper()
 	if c.storeDown || len(c.pending) == 0 {
 		return
 	}
@@ -24,7 +23,6 @@
 
 // confirm tells callers what the journal now holds.
 func (c *cell) confirm() {
-	c.t.Helper()
 	for _, r := range c.journal[max(0, len(c.journal)-200):] {
 		if r.Accepted != nil {
 			c.checker.Confirmed(r.Accepted.Job)
--- a/internal/core/sched/policy_test.go
+++ b/internal/core/sched/policy_test.go
@@ -214,9 +214,13 @@
 	c := newCell(t, 8).begin()
 	failed := false
 	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
-		if r.Task == 2 && !failed {
+		switch {
+		case r.Job == "gang" && r.Task == 2 && !failed:
 			failed = true
 			return 2_000, domain.OutcomeFailed, r.Resources
+		case r.Job == "gang" && strings.HasSuffix(string(r.Attempt), ".1"):
+			// The first members wait for each other until they are stopped.
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
 		}
 		return 20_000, domain.OutcomeSucceeded, r.Resources
 	}
@@ -289,6 +293,11 @@
 			t.Errorf("the last event is %+v, want the count %q", last, part)
 		}
 	}
+	c.setAllotment("b", amount(1, 400))
+	c.advance(1_000)
+	if s, _ := c.m.Status("late"); !strings.Contains(s.Reason, "limit") {
+		t.Errorf("the reason at the limit is %q", s.Reason)
+	}
 	for i := range 50 {
 		c.setAllotment("a", amount(int64(i%2)*10, 400))
 		c.advance(2_000)
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -63,7 +63,7 @@
 	t := m.team(j.Team)
 	switch {
 	case !t.running.Add(need).Fits(t.bound()):
-		m.pass(r, j, policy.WaitTeamLimit, "the team is at its limit")
+		m.pass(r, j, policy.WaitTeamLimit, "")
 	case j.isGang():
 		m.considerGang(r, j, size, n)
 	default:
@@ -71,7 +71,7 @@
 	}
 }
 
-// pass leaves the job out of the rest of the round.
+// pass leaves the job out of the rest of the round. The detail is kept for explain.
 func (m *Machine) pass(r *round, j *job, reason policy.WaitReason, detail string) {
 	r.passes++
 	j.wait = detail
@@ -82,7 +82,7 @@
 func (m *Machine) considerTask(r *round, j *job, size domain.Resources) {
 	task, restart := m.nextTask(j)
 	if task < 0 {
-		m.pass(r, j, policy.WaitRestarts, "restarts after failures are at their rate")
+		m.pass(r, j, policy.WaitRestarts, "")
 		return
 	}
 	req := m.request(j, size)
--- a/internal/core/sched/safety_test.go
+++ b/internal/core/sched/safety_test.go
@@ -187,3 +187,69 @@
 		t.Fatalf("%+v stays reserved after the stray ended", s.Reserved)
 	}
 }
+
+// Guards against a cancelled task that runs on because a stop or its sender was lost.
+func TestStopsAreRepeated(t *testing.T) {
+	cases := []struct {
+		name  string
+		crash bool
+	}{{"stop lost", false}, {"owner crashed after the cancellation", true}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := running(t, false)
+			c.loseEnds = true
+			c.step(Cancel{Jobs: []domain.JobID{"service1"}})
+			c.advance(2_000)
+			c.mustState("service1", domain.JobRunning)
+			if tc.crash {
+				c.crash(false)
+			}
+			c.loseEnds = false
+			c.advance(3_000)
+			c.mustState("service1", domain.JobCancelled)
+		})
+	}
+}
+
+// Guards against a start that is sent to a worker which became unfit after the decision.
+func TestWorkerChangesBeforeTheStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(c *cell) Event
+		// back makes the worker fit again; sent tells that the same intent is then started.
+		back func(c *cell) Event
+		sent bool
+	}{
+		{"unreachable", func(c *cell) Event { return WorkerUnreachable{Worker: "w000", LastSent: fromMillis(c.now)} },
+			func(c *cell) Event {
+				return LeaseRenewed{Worker: "w000", Lease: c.workers[0].answer(), SentAt: fromMillis(c.now)}
+			}, true},
+		{"leaving", func(c *cell) Event {
+			vm := c.workers[0].vm
+			vm.Leaving = true
+			return WorkersListed{VMs: []domain.VM{vm}}
+		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now + 1_000)} }, false},
+		{"restarted", func(c *cell) Event {
+			c.workers[0].reboot()
+			lease, _ := c.workers[0].acquire(c.epoch, c.now)
+			return LeaseAcquired{Worker: "w000", Lease: lease, SentAt: fromMillis(c.now)}
+		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now)} }, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, 1).begin()
+			c.mustSubmit("j1", "a", domain.JobSpec{Kind: domain.JobBatch})
+			c.m.Step(Tick{Now: fromMillis(c.now)})
+			batch := c.m.Ready().Batch
+			c.m.Step(tc.change(c))
+			c.m.Step(Durable{Batch: batch})
+			if r := c.m.Ready(); len(r.Starts) != 0 {
+				t.Fatalf("starts %+v were sent to an unfit worker", r.Starts)
+			}
+			c.m.Step(tc.back(c))
+			if r := c.m.Ready(); (len(r.Starts) == 1 && r.Starts[0].Requests[0].Attempt == "j1.0.1") != tc.sent {
+				t.Fatalf("starts are %+v, the first attempt is to be sent: %v", r.Starts, tc.sent)
+			}
+		})
+	}
+}
--- a/internal/core/sched/snapshot.go
+++ b/internal/core/sched/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,6 +23,16 @@
 	Restarts bucket           `cbor:"7,keyasint"`
 }
 
+// snapshotDecoder takes lists longer than the library's default of 131,072, so
+// that no setting makes a snapshot that cannot be read back.
+var snapshotDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // Snapshot returns the durable state, which includes every record that Ready
 // handed out. It fails while records wait for Ready. The caller stores it
 // under the group of the last batch, after that group is durable.
@@ -52,7 +63,7 @@
 		return fmt.Errorf("a snapshot is restored into an empty machine only")
 	}
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := snapshotDecoder.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("decode snapshot: %w", err)
 	}
 	if s.Version == 0 || s.Version > SnapshotVersion {
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -90,7 +90,7 @@
 	moving int
 	// ceiling bounds learned reservations where one fitted no empty worker.
 	ceiling domain.Resources
-	// wait says why the job was not placed in the last round that considered it.
+	// wait lists the rejections where the last search found no room.
 	wait string
 }
 
--- a/internal/core/sched/status.go
+++ b/internal/core/sched/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"auburnpier/internal/core/placement"
+	"auburnpier/internal/core/policy"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 )
@@ -28,18 +29,28 @@
 // reason says why the job waits or how it ended.
 func (m *Machine) reason(j *job) string {
 	switch {
-	case j.State.Terminal() || j.Cancelled:
+	case j.State.Terminal() || j.Cancelled || j.waiting() == 0:
 		return j.Reason
-	case j.waiting() == 0:
-		return j.Reason
-	case j.wait != "":
-		return j.wait
 	case j.GangRestart:
 		return "the gang restarts once all members have ended"
 	case m.readyTasks(j) == 0:
 		return "a retry waits for its backoff"
+	case !m.team(j.Team).allotted:
+		return "the partition does not know the team's allotment yet"
+	}
+	why := m.queue.Why(j.ID)
+	if why == policy.WaitNoRoom && j.wait != "" {
+		return j.wait
 	}
-	return string(m.queue.Why(j.ID))
+	return waitTexts[why]
+}
+
+// waitTexts are the sentences for the queue's reasons.
+var waitTexts = map[policy.WaitReason]string{
+	policy.WaitTeamLimit: "the team is at its limit in this partition",
+	policy.WaitNoRoom:    "no worker has room for a task of this size",
+	policy.WaitBehind:    "jobs of a higher priority, of teams further below their share, or older ones go first",
+	policy.WaitRestarts:  "restarts after failures are at their rate",
 }
 
 // Explain returns the state of a job with its history and, last, why it waits now.
