--- a/internal/app/requestplane/basic_test.go
+++ b/internal/app/requestplane/basic_test.go
@@ -88,3 +88,16 @@
 		t.Errorf("timeout passed on is %q ms, want a little below 5000", ms)
 	}
 }
+
+// Guards against a spelling of the Authorization header that the key parser
+// accepts and that lets the key through to a backend server.
+func TestKeysStayInside(t *testing.T) {
+	for value, inside := range map[string]bool{
+		"Bearer ap_1_secret": true, "bearer ap_1_secret": true, "BEARER   ap_1_secret ": true,
+		"Basic dXNlcjpwYXNz": false, "Bearer other": false, "": false,
+	} {
+		if got := carriesKey(value); got != inside {
+			t.Errorf("carriesKey(%q) is %v, want %v", value, got, inside)
+		}
+	}
+}
--- a/internal/app/requestplane/headers.go
+++ b/internal/app/requestplane/headers.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,9 +41,13 @@
 	headerTrailer       = "Trailer"
 )
 
-// keyPrefix marks an Authorization value that carries a key of this system,
-// which backend servers must not see.
-const keyPrefix = "Bearer ap_"
+// carriesKey reports whether an Authorization value carries a key of this
+// system, which backend servers must not see. It accepts at least what the
+// key parser accepts: any case of the scheme and any space around the key.
+func carriesKey(value string) bool {
+	scheme, text, _ := strings.Cut(strings.TrimSpace(value), " ")
+	return strings.EqualFold(scheme, "Bearer") && strings.HasPrefix(strings.TrimSpace(text), "ap_")
+}
 
 // perHop reports whether a header concerns one connection only.
 func perHop(name string) bool {
@@ -92,7 +97,7 @@
 
 // toBackend completes headers for a backend server.
 func toBackend(h http.Header, r *http.Request, queue domain.QueueID, team domain.TeamID) {
-	if strings.HasPrefix(h.Get(headerAuthorization), keyPrefix) {
+	if slices.ContainsFunc(h[headerAuthorization], carriesKey) {
 		delete(h, headerAuthorization)
 	}
 	h[HeaderQueue] = []string{string(queue)}
