--- a/internal/app/allotment/reclaim_test.go
+++ b/internal/app/allotment/reclaim_test.go
@@ -108,7 +108,9 @@
 // be asked for bars.
 func TestReclaimOtherRegion(t *testing.T) {
 	inCell(t, 2, 10, func(t *testing.T, ctx context.Context, c *cell) {
+		c.nodes[1].mu.Lock()
 		c.nodes[1].region = "mora"
+		c.nodes[1].mu.Unlock()
 		err := NewReclaimer(c.nodes[1].bars, c.nodes[1], c.nodes[1].Ledger).Reclaim(ctx, domain.InstanceID(c.nodes[0].name), c.nodes[0].name)
 		if !errors.Is(err, ErrOtherRegion) {
 			t.Fatalf("got %v", err)
@@ -187,7 +189,6 @@
 		if cpu(b, "p1") != 0 {
 			t.Fatal("the transfer was written before the giver's report")
 		}
-		generation, _ = a.Allowances("p0")
 		a.Report("p0", old, taskUse(90, 100)) // planned on the old allowances
 		time.Sleep(4 * time.Second)
 		if cpu(b, "p1") != 0 {
