--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -31,6 +31,7 @@
 
 	// The fields below belong to the machine's goroutine.
 	workers    map[domain.WorkerID]*workerLoop
+	loops      sync.WaitGroup // goroutines of workers, forgotten ones included
 	lastBatch  uint64
 	durable    uint64
 	oldest     time.Time // when the oldest batch that is not durable was handed out
@@ -128,6 +129,9 @@
 func (p *Partition) start(parent context.Context, log *journal.Log, r journal.Recovery) {
 	ctx, cancel := context.WithCancelCause(parent)
 	p.stop = cancel
+	// The machine needs the time before any other event: an end that is
+	// recorded at time zero counts as long past and its job is forgotten.
+	p.tick()
 	if r.Previous == "" || r.Previous == p.o.Instance {
 		// No other process can still renew leases: the former owner was this
 		// instance's address, which this process holds now, or there was none.
@@ -139,6 +143,7 @@
 	group.Go(func() { p.runClock(ctx) })
 	go func() {
 		group.Wait()
+		p.loops.Wait()
 		close(p.done)
 	}()
 }
