Make the lowered-limit test independent of where a unit moves

One of the two runs failed in TestLoweredLimit: the unit that instance 0 returned had moved to another instance, which asked for more. That is allowed. The test now requires that exactly the free units can be taken over all instances, which is stricter than one unit at one instance.

--- a/internal/app/allotment/ledger_test.go
+++ b/internal/app/allotment/ledger_test.go
@@ -131,10 +131,13 @@
 		if sum := d.Items[team].Sum()[0]; sum > 30 || !d.Items[team].Owed.IsZero() {
 			t.Fatalf("document %+v", d.Items[team])
 		}
+		// The unit that is returned may move to another instance that asks for
+		// more, but it must be usable at exactly one of them.
 		c.nodes[0].Release(team)
 		time.Sleep(3 * time.Second)
-		if !c.nodes[0].Acquire(team) {
-			t.Fatal("no work starts below the lowered limit")
+		free := take(c.nodes[0], 2) + take(c.nodes[1], 2) + take(c.nodes[2], 2)
+		if want := 30 - got[0] - got[1] - got[2] + 1; free != want {
+			t.Fatalf("%d units start below the lowered limit, want %d", free, want)
 		}
 	})
 }
