--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -25,12 +25,17 @@
 	}
 	req := m.request(j, size)
 	for _, i := range tasks {
-		req.Avoid = append(req.Avoid, j.Tasks[i].FailedOn...)
+		req.Avoid = append(req.Avoid, m.avoided(&j.Tasks[i])...)
 	}
 	workers, err := m.index.PlaceGang(req, n, j.Spec.SpanZones)
 	if err == nil {
 		err = m.reserveGang(j, size, workers)
 	}
+	if j.lowerCeiling(size, err) {
+		r.misses++
+		m.requeue(j)
+		return
+	}
 	if err != nil {
 		r.misses++
 		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
