--- a/internal/app/requestplane/dispatch.go
+++ b/internal/app/requestplane/dispatch.go
@@ -19,6 +19,7 @@
 	clock    port.Clock
 	slots    Slots
 	teams    TeamLimits
+	peers    Peers // nil where there are no other instances
 	metrics  *metrics.Registry
 	maxBytes int64
 
@@ -37,6 +38,10 @@
 	pool    *pool
 	refused *refusal.Refusal
 	started time.Time
+	// mayForward tells that the request may be sent to another instance
+	// instead; peer is then the instance with a free slot.
+	mayForward bool
+	peer       *Peer
 }
 
 func newDispatcher(o *Options) *dispatcher {
@@ -44,6 +49,7 @@
 		clock:    o.Clock,
 		slots:    o.Slots,
 		teams:    o.Teams,
+		peers:    o.Peers,
 		metrics:  o.Metrics,
 		maxBytes: o.MaxWaitingBytes,
 		table:    route.NewTable(o.Location),
@@ -237,6 +243,32 @@
 		d.refuseWaiting(it, refuseDeadlineWaiting())
 	}
 	d.pump(now)
+	if d.peers != nil {
+		d.forwardWaiting()
+	}
+}
+
+// forwardWaiting hands waiting requests, in fair order, to instances that
+// reported free slots. An instance that holds no slot at all depends on it.
+func (d *dispatcher) forwardWaiting() {
+	exhausted := make(map[domain.QueueID]bool)
+	for d.fair.Len() > 0 {
+		it := d.fair.Next(func(it *route.Item) bool {
+			return it.Owner.(*ticket).mayForward && !exhausted[it.Queue]
+		})
+		if it == nil {
+			return
+		}
+		peer, ok := d.peers.Take(it.Queue)
+		if !ok {
+			exhausted[it.Queue] = true
+			continue
+		}
+		d.fair.Remove(it)
+		t := it.Owner.(*ticket)
+		t.peer = &peer
+		t.ready <- struct{}{}
+	}
 }
 
 // update replaces the list of servers. The connections to servers that are
--- a/internal/app/requestplane/dispatch_admin.go
+++ b/internal/app/requestplane/dispatch_admin.go
@@ -1,6 +1,7 @@
 package requestplane
 
 import (
+	"slices"
 	"time"
 
 	"auburnpier/internal/core/route"
@@ -45,6 +46,18 @@
 	return d.table.Free(queue, d.held, now)
 }
 
+// holds reports whether this instance holds any slot that serves the queue.
+func (d *dispatcher) holds(queue domain.QueueID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.table.Servers() {
+		if slices.Contains(s.Info.Queues, queue) && d.slots.Held(s.Info.ID) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // prune closes connections that were idle for too long, and those to servers
 // of which this instance holds no slot anymore.
 func (d *dispatcher) prune(now time.Time) {
--- a/internal/app/requestplane/overflow.go
+++ b/internal/app/requestplane/overflow.go
@@ -6,12 +6,17 @@
 	"time"
 
 	"auburnpier/internal/core/route"
+	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 )
 
 // forgetPeer is longer than a connection attempt, so that no request still uses the pool.
 const forgetPeer = time.Minute
 
+// maxForwards bounds how often one request is sent to other instances on
+// reports of free slots that proved outdated.
+const maxForwards = 50
+
 // peerPools holds the connections to the other instances by address.
 type peerPools struct {
 	mu        sync.Mutex
@@ -50,14 +55,30 @@
 	}
 }
 
+// mayForward reports whether the request may go to another instance. A
+// forwarded request goes no further. One that came back waits here, unless
+// this instance holds no slot for it at all.
+func (p *Plane) mayForward(q *request) bool {
+	if p.peers == nil || q.hop || !q.body.replayable() {
+		return false
+	}
+	return q.forwards == 0 || q.forwards < maxForwards && !p.disp.holds(q.queue)
+}
+
+// takePeer returns an instance with a free slot for the queue, or nil.
+func (p *Plane) takePeer(queue domain.QueueID) *Peer {
+	peer, ok := p.peers.Take(queue)
+	if !ok {
+		return nil
+	}
+	return &peer
+}
+
 // overflow forwards a request that finds no free slot here to an instance with
 // free slots. It reports false where the request should wait here instead. The
 // other instance resolves the key again, so the key is sent along.
-func (p *Plane) overflow(q *request) (done bool) {
-	peer, ok := p.peers.Take(q.queue)
-	if !ok {
-		return false
-	}
+func (p *Plane) overflow(q *request, peer Peer) (done bool) {
+	q.forwards++
 	p.forwarded.Inc(1)
 	header := forwardHeader(q.r)
 	header[HeaderRequestID] = []string{q.id}
--- a/internal/app/requestplane/request.go
+++ b/internal/app/requestplane/request.go
@@ -40,6 +40,7 @@
 	// mayHaveRun tells that an earlier attempt may have run.
 	mayHaveRun bool
 	attempts   int
+	forwards   int
 }
 
 // body is a request's body: held whole, or streamed once.
--- a/internal/app/requestplane/serve.go
+++ b/internal/app/requestplane/serve.go
@@ -19,23 +19,28 @@
 func (p *Plane) serve(q *request) {
 	p.disp.request(q.queue)
 	var avoid *route.Server
-	mayForward := p.peers != nil && !q.hop
 	for {
 		t := q.ticket(avoid)
 		granted, ref := p.disp.tryNow(t)
-		if ref == nil && !granted && mayForward {
-			mayForward = false
-			if done := p.overflow(q); done {
-				return
-			}
-		}
 		if ref == nil && !granted {
-			ref = p.wait(q, t)
+			t.mayForward = p.mayForward(q)
+			if t.mayForward && q.forwards == 0 {
+				t.peer = p.takePeer(q.queue)
+			}
+			if t.peer == nil {
+				ref = p.wait(q, t)
+			}
 		}
 		if ref != nil {
 			p.refuse(q, ref)
 			return
 		}
+		if t.peer != nil {
+			if done := p.overflow(q, *t.peer); done {
+				return
+			}
+			continue
+		}
 		avoid = t.server
 		x := p.run(q, t)
 		if x == nil {
--- a/internal/app/taskplane/manager.go
+++ b/internal/app/taskplane/manager.go
@@ -299,13 +299,6 @@
 	}
 }
 
-// PreferredInstance chooses one live instance of the region for a key, by the
-// same hashing as owners of partitions are chosen. It returns "" where none is live.
-func PreferredInstance(key string, region domain.RegionID, live []Member) domain.InstanceID {
-	id, _ := preferredOwner(domain.PartitionID(key), region, live)
-	return id
-}
-
 // preferredOwner chooses by rendezvous hashing over the live instances of the
 // region that do not drain, so that a change of one instance moves only its
 // partitions. It returns the number of the other instances too.
--- a/internal/daemon/allotments.go
+++ b/internal/daemon/allotments.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -141,10 +143,10 @@
 // review asks for the slots of the servers that this instance is chosen for,
 // and vouches for others once it has barred every revoked holder.
 func (a *allotments) review(ctx context.Context) {
-	live := peerView{peers: a.i.peers}.Live()
+	holders := a.preferredHolders()
 	for server, slots := range a.slotLimits.Load().Items {
 		wanted := int64(0)
-		if taskplane.PreferredInstance(server, a.i.settings.Location.Region, live) == a.i.settings.Instance {
+		if holders[server] == a.i.settings.Instance {
 			wanted = slots[0]
 		}
 		a.slots.Ask(server, wanted)
@@ -163,6 +165,19 @@
 	a.i.peers.SetVouches(true)
 }
 
+// preferredHolders divides the region's servers over its live instances that do not drain.
+func (a *allotments) preferredHolders() map[string]domain.InstanceID {
+	region := a.i.settings.Location.Region
+	var instances []domain.InstanceID
+	for _, m := range (peerView{peers: a.i.peers}).Live() {
+		if m.Region == region && !m.Draining {
+			instances = append(instances, m.ID)
+		}
+	}
+	servers := slices.Sorted(maps.Keys(a.slotLimits.Load().Items))
+	return taskplane.Divide(servers, instances)
+}
+
 // revoked reports whether a ledger shows the member as a revoked holder. A
 // member that has not joined yet is not revoked.
 func (a *allotments) revoked(m membership.Member) bool {
--- a/internal/daemon/overflow.go
+++ b/internal/daemon/overflow.go
@@ -10,8 +10,9 @@
 	"auburnpier/internal/domain"
 )
 
-// overflowTTL is how long a reported number of free slots is believed.
-const overflowTTL = time.Second
+// overflowTTL is how long a reported number of free slots is believed. An
+// instance hears of each other one about once a second.
+const overflowTTL = 3 * time.Second
 
 // overflow finds instances of the region with free slots. What they reported
 // is counted down by what was taken since.
