Fit the allotments to the request plane and assign slots

Cause: the request plane reads Held and Allowed under its own lock at each start and reports its use through Usage; it makes no Acquire calls.

Change: a round lowers the allowance first, then reads the use, then writes the transfer. Assigner chooses the holder of each server's slots by rendezvous hashing. A holder returns slots of servers that are no longer listed. A holder that uses all it has asks for more only if the plane looked at the allowance since; before, holders at their limit passed a free unit around once a second. confsync announces its statement before the first write of an edit and before the edit ends.

--- /dev/null
+++ b/internal/app/allotment/assign_test.go
@@ -0,0 +1,163 @@
+package allotment
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"auburnpier/internal/app/sharedwatch"
+	"auburnpier/internal/core/allot"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+)
+
+// slotNode is one instance that holds slots.
+type slotNode struct {
+	id       domain.InstanceID
+	ledger   *Ledger
+	assigner *Assigner
+	mu       sync.Mutex
+	inUse    map[string]UnitUse
+}
+
+func (n *slotNode) usage() map[string]UnitUse {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.inUse)
+}
+
+func (n *slotNode) setInUse(inUse map[string]UnitUse) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.inUse = inUse
+}
+
+func newSlotNode(ctx context.Context, s port.Store, i int) *slotNode {
+	n := &slotNode{id: domain.InstanceID(fmt.Sprintf("i%d", i))}
+	m := metrics.New()
+	w := sharedwatch.New(s, port.SystemClock{}, m, sharedwatch.Prefix)
+	n.assigner = NewAssigner(n.id)
+	n.ledger = New(Config{
+		Key: SlotsKey("lulea"), Region: "lulea", Store: s, Watch: w, Clock: port.SystemClock{}, Metrics: m,
+		Limits: n.assigner.Limits, Usage: n.usage,
+	})
+	n.assigner.Bind(n.ledger)
+	n.ledger.JoinInstance(string(n.id) + "/1")
+	go func() { _ = w.Run(ctx) }()
+	go func() { _ = n.ledger.Run(ctx) }()
+	return n
+}
+
+// Each server's slots must come to be held by one instance, must move to
+// another one when that instance leaves, but not while they are in use.
+func TestSlotsFollowInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		st := store.New()
+		servers := make(map[domain.BackendID]int64)
+		for i := range 50 {
+			servers[domain.BackendID(fmt.Sprintf("b%02d", i))] = 8
+		}
+		var nodes []*slotNode
+		var all []domain.InstanceID
+		for i := range 3 {
+			nodes = append(nodes, newSlotNode(ctx, st, i))
+			all = append(all, nodes[i].id)
+		}
+		update := func(live []domain.InstanceID) {
+			for _, n := range nodes {
+				n.assigner.Update(servers, live)
+			}
+		}
+		time.Sleep(time.Second)
+		update(all)
+		time.Sleep(5 * time.Second)
+		checkHolders(t, nodes, servers, all, nil)
+
+		// Instance 0 is to hand over, and one of its servers has 3 slots in use.
+		var busy domain.BackendID
+		for id := range servers {
+			if (ServerSlots{nodes[0].ledger}).Held(id) > 0 {
+				busy = id
+			}
+		}
+		nodes[0].setInUse(map[string]UnitUse{string(busy): {InUse: 3}})
+		update(all[1:])
+		time.Sleep(8 * time.Second)
+		checkHolders(t, nodes, servers, all[1:], map[domain.BackendID]int{busy: 3})
+		nodes[0].setInUse(nil)
+		time.Sleep(8 * time.Second)
+		checkHolders(t, nodes, servers, all[1:], nil)
+
+		delete(servers, busy)
+		update(all[1:])
+		time.Sleep(8 * time.Second)
+		for _, n := range nodes {
+			if held := (ServerSlots{n.ledger}).Held(busy); held > 0 {
+				t.Errorf("%s keeps %d slots of a server that is gone", n.id, held)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// checkHolders fails the test unless the chosen instance holds all slots of
+// each server, except those that instance 0 still has in use.
+func checkHolders(t *testing.T, nodes []*slotNode, servers map[domain.BackendID]int64, live []domain.InstanceID, kept map[domain.BackendID]int) {
+	t.Helper()
+	names := make([]string, 0, len(live))
+	for _, id := range live {
+		names = append(names, string(id))
+	}
+	for id, slots := range servers {
+		chosen := allot.Chosen(string(id), names)
+		sum := 0
+		for i, n := range nodes {
+			held := (ServerSlots{n.ledger}).Held(id)
+			sum += held
+			want := 0
+			if string(n.id) == chosen {
+				want = int(slots) - kept[id]
+			}
+			if i == 0 {
+				want += kept[id]
+			}
+			if held != want {
+				t.Errorf("%s holds %d slots of %s, want %d", n.id, held, id, want)
+			}
+		}
+		if sum != int(slots) {
+			t.Errorf("%d slots of %s are held", sum, id)
+		}
+	}
+}
+
+// Rendezvous hashing must spread servers evenly and move only those of the
+// instance that left.
+func TestChosen(t *testing.T) {
+	names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7"}
+	counts := make(map[string]int)
+	for i := range 4000 {
+		server := fmt.Sprintf("backend-%d", i)
+		was := allot.Chosen(server, names)
+		counts[was]++
+		if now := allot.Chosen(server, names[1:]); now != was && was != names[0] {
+			t.Fatalf("%s moved from %s to %s", server, was, now)
+		}
+	}
+	for name, n := range counts {
+		if n < 400 || n > 600 {
+			t.Errorf("%s holds %d of 4000", name, n)
+		}
+	}
+	if allot.Chosen("b", nil) != "" {
+		t.Error("chosen without instances")
+	}
+}
--- a/internal/app/allotment/cell_test.go
+++ b/internal/app/allotment/cell_test.go
@@ -40,9 +40,41 @@
 	name    string
 	bars    *Bars
 	watch   *sharedwatch.Watcher
+	plane   fakePlane
 	vouched time.Time
 }
 
+// fakePlane starts and ends requests of one team as the request plane does: it
+// reads the allowance under its own lock at each start.
+type fakePlane struct {
+	teams   TeamRequests
+	mu      sync.Mutex
+	running int64
+}
+
+// Acquire starts a request if the team has room here.
+func (p *fakePlane) Acquire() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running >= p.teams.Allowed(team) {
+		return false
+	}
+	p.running++
+	return true
+}
+
+func (p *fakePlane) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+}
+
+func (p *fakePlane) usage() map[string]UnitUse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return map[string]UnitUse{team: {InUse: p.running}}
+}
+
 func newCell(n int, limit int64, plant func(port.Store) port.Store) *cell {
 	c := &cell{base: store.New(), cut: make(map[[2]int]bool), dead: make(map[int]bool)}
 	c.setLimit(1, limit)
@@ -56,8 +88,9 @@
 		w := sharedwatch.New(s, port.SystemClock{}, metrics.New(), sharedwatch.Prefix)
 		nd.Ledger = New(Config{
 			Key: TeamsKey, Region: "lulea", Store: s, Watch: w, Clock: port.SystemClock{},
-			Metrics: metrics.New(), Limits: c.limit, ByPeak: true, Vouched: nd.lastVouch,
+			Metrics: metrics.New(), Limits: c.limit, ByPeak: true, Usage: nd.plane.usage, Vouched: nd.lastVouch,
 		})
+		nd.plane.teams = TeamRequests{nd.Ledger}
 		nd.JoinInstance(nd.name)
 		nd.bars = NewBars(nd.Ledger)
 		c.faults = append(c.faults, f)
@@ -74,6 +107,7 @@
 	for _, nd := range c.nodes {
 		nd.key = TasksKey
 		nd.byPeak = false
+		nd.usage = nil
 		nd.locals = make(map[string]*local)
 	}
 	return c
@@ -202,19 +236,17 @@
 	return d
 }
 
-// usable returns what all instances may use together at this moment.
-func (c *cell) usable() int64 {
-	var sum int64
-	for _, n := range c.nodes {
-		sum += n.Held(team)
-	}
-	return sum
+// amount returns what may run at the node, also while nothing may start.
+func (n *node) amount() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.instance().usage(team).allowance.Amount[0]
 }
 
 // take acquires up to n units at a node and returns how many it got.
 func take(n *node, units int) int {
 	for i := range units {
-		if !n.Acquire(team) {
+		if !n.plane.Acquire() {
 			return i
 		}
 	}
--- a/internal/app/allotment/history_test.go
+++ b/internal/app/allotment/history_test.go
@@ -205,13 +205,13 @@
 // instance may refuse while another one has units left.
 func (h *useRecorder) use(user int, n *node, hold time.Duration) {
 	called := h.sequence.Add(1)
-	if !n.Acquire(team) {
+	if !n.plane.Acquire() {
 		return
 	}
 	h.add(user, "acquire", called)
 	time.Sleep(hold)
 	called = h.sequence.Add(1)
-	n.Release(team)
+	n.plane.Release()
 	h.add(user, "release", called)
 }
 
--- a/internal/app/allotment/ledger.go
+++ b/internal/app/allotment/ledger.go
@@ -53,8 +53,13 @@
 	// Limits returns the limits in force. It is called with the ledger locked
 	// and must not call it.
 	Limits func() allot.Limits
-	// ByPeak derives the demand from the use, for users that call Acquire.
+	// ByPeak derives the demand from the recent use. It is set for the teams'
+	// requests.
 	ByPeak bool
+	// Usage returns the use of the instance's units. Every start that was
+	// decided before the call is counted. It is called without the ledger's
+	// lock and may call the ledger. It is nil for task resources.
+	Usage func() map[string]UnitUse
 	// Vouched returns the latest time at which a ping was sent that a peer of
 	// the region acknowledged without barring this instance. It may be nil.
 	Vouched func() time.Time
@@ -71,6 +76,7 @@
 	log     *zap.Logger
 	limits  func() allot.Limits
 	byPeak  bool
+	usage   func() map[string]UnitUse
 	vouched func() time.Time
 	poke    chan struct{}
 
@@ -94,7 +100,7 @@
 	}
 	l := &Ledger{
 		key: c.Key, region: string(c.Region), store: c.Store, clock: c.Clock, metrics: c.Metrics, log: c.Log,
-		limits: c.Limits, byPeak: c.ByPeak, vouched: c.Vouched,
+		limits: c.Limits, byPeak: c.ByPeak, usage: c.Usage, vouched: c.Vouched,
 		poke:   make(chan struct{}, 1),
 		doc:    allot.New(),
 		locals: make(map[string]*local),
@@ -112,8 +118,8 @@
 	l.locals[name] = &local{holder: name, base: name, items: make(map[string]*usage)}
 }
 
-// Run makes one round a second until ctx ends. An acquisition that found
-// nothing starts a round at once if the last write is a second ago.
+// Run makes one round a second until ctx ends. Work that is turned away because
+// the instance has nothing starts a round at once if the last write is a second ago.
 func (l *Ledger) Run(ctx context.Context) error {
 	pause := time.NewTimer(rand.N(round))
 	defer pause.Stop()
--- a/internal/app/allotment/ledger_test.go
+++ b/internal/app/allotment/ledger_test.go
@@ -6,7 +6,6 @@
 	"testing/synctest"
 	"time"
 
-	"auburnpier/internal/port"
 	"auburnpier/internal/standin/store"
 )
 
@@ -45,6 +44,7 @@
 			inCell(t, c.instances, c.limit, func(t *testing.T, _ context.Context, cell *cell) {
 				got := make([]int, c.instances)
 				var inUse int64
+				reached, began := time.Duration(0), time.Now()
 				for range 150 {
 					time.Sleep(100 * time.Millisecond)
 					inUse = 0
@@ -55,11 +55,14 @@
 					if inUse > c.limit {
 						t.Fatalf("%d in use, limit %d", inUse, c.limit)
 					}
+					if inUse >= c.least && reached == 0 {
+						reached = time.Since(began)
+					}
 				}
 				if inUse < c.least {
 					t.Errorf("%d in use after 15 s, want at least %d; %v", inUse, c.least, got)
 				}
-				t.Logf("stranded %.1f %% of the limit", 100*float64(c.limit-inUse)/float64(c.limit))
+				t.Logf("%d of %d in use after 15 s, %d reached after %s", inUse, c.limit, c.least, reached)
 			})
 		})
 	}
@@ -76,7 +79,7 @@
 		}
 		before := c.faults[1].Calls(store.CompareAndSwap)
 		for range got {
-			c.nodes[0].Release(team)
+			c.nodes[0].plane.Release()
 		}
 		began := time.Now()
 		moved := 0
@@ -109,7 +112,7 @@
 			n.mu.Lock()
 			n.refresh()
 			n.mu.Unlock()
-			if n.Acquire(team) {
+			if n.plane.Acquire() {
 				t.Fatal("work started above the lowered limit")
 			}
 		}
@@ -117,12 +120,12 @@
 		if d := stored(t, c); d.Items[team].Owed.IsZero() || d.Items[team].Limit[0] != 30 {
 			t.Fatalf("document %+v", d.Items[team])
 		}
-		if u := c.usable(); u > 30 {
-			t.Fatalf("the instances keep %d above the limit of 30", u)
+		if sum := c.nodes[0].amount() + c.nodes[1].amount() + c.nodes[2].amount(); sum > 30 {
+			t.Fatalf("%d may run with a limit of 30", sum)
 		}
 		for i, n := range c.nodes {
-			for int64(got[i]) > n.Held(team) {
-				n.Release(team)
+			for int64(got[i]) > n.amount() {
+				n.plane.Release()
 				got[i]--
 			}
 		}
@@ -133,7 +136,7 @@
 		}
 		// The unit that is returned may move to another instance that asks for
 		// more, but it must be usable at exactly one of them.
-		c.nodes[0].Release(team)
+		c.nodes[0].plane.Release()
 		time.Sleep(3 * time.Second)
 		free := take(c.nodes[0], 2) + take(c.nodes[1], 2) + take(c.nodes[2], 2)
 		if want := 30 - got[0] - got[1] - got[2] + 1; free != want {
@@ -184,7 +187,7 @@
 				if got := cell.nodes[0].Authority(); got != c.holds {
 					t.Fatalf("authority is %v", got)
 				}
-				if !c.holds && (cell.nodes[0].Acquire(team) || cell.nodes[0].Held(team) != 0) {
+				if !c.holds && (cell.nodes[0].plane.Acquire() || cell.nodes[0].Held(team) != 0) {
 					t.Fatal("an amount is used without authority")
 				}
 			})
@@ -192,25 +195,37 @@
 	}
 }
 
-// At rest the allotments must cost no store call of their own.
+// While the use does not change the allotments must cost no store call of
+// their own, also where the team uses all of its limit.
 func TestNoCallsAtRest(t *testing.T) {
-	inCell(t, 8, 400, func(t *testing.T, _ context.Context, c *cell) {
-		time.Sleep(20 * time.Second)
-		var writes, gets int64
-		count := func() (w, g int64) {
-			for _, f := range c.faults {
-				w += f.Calls(store.CompareAndSwap)
-				g += f.Calls(store.Get)
-			}
-			return w, g
-		}
-		writes, gets = count()
-		time.Sleep(time.Minute)
-		w, g := count()
-		if w != writes || g != gets {
-			t.Fatalf("%d writes and %d reads in 60 s at rest", w-writes, g-gets)
-		}
-	})
+	for name, units := range map[string]int{"idle": 0, "half used": 25, "all used": 50, "competing": 200} {
+		t.Run(name, func(t *testing.T) {
+			inCell(t, 8, 400, func(t *testing.T, _ context.Context, c *cell) {
+				got := make([]int, len(c.nodes))
+				for range 150 {
+					time.Sleep(100 * time.Millisecond)
+					for i, n := range c.nodes {
+						got[i] += take(n, units-got[i])
+					}
+				}
+				time.Sleep(15 * time.Second)
+				before := calls(c)
+				time.Sleep(time.Minute)
+				if n := calls(c) - before; n != 0 {
+					t.Fatalf("%d calls in 60 s at rest", n)
+				}
+			})
+		})
+	}
+}
+
+// calls counts the calls other than watches.
+func calls(c *cell) int64 {
+	var n int64
+	for _, f := range c.faults {
+		n += f.Calls(store.CompareAndSwap) + f.Calls(store.Get)
+	}
+	return n
 }
 
 // A graceful exit must return the whole amount.
@@ -220,10 +235,8 @@
 		if err := c.nodes[0].Leave(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if _, ok := stored(t, c).Holders[c.nodes[0].name]; ok || c.nodes[0].Acquire(team) {
+		if _, ok := stored(t, c).Holders[c.nodes[0].name]; ok || c.nodes[0].plane.Acquire() {
 			t.Fatal("an instance that left still holds amounts")
 		}
 	})
 }
-
-var _ port.Store = (*store.Faulty)(nil)
--- a/internal/app/allotment/local.go
+++ b/internal/app/allotment/local.go
@@ -11,8 +11,9 @@
 	inUse allot.Vector
 	// asked is the demand that the user stated, inUse included.
 	asked allot.Vector
-	// misses are refused acquisitions since the last round.
-	misses int64
+	// wanted tells that the plane looked at the allowance since the last round,
+	// which it does to start work.
+	wanted bool
 	// peak follows the use down slowly, so that a pause between requests does
 	// not give amounts away.
 	peak int64
@@ -40,11 +41,9 @@
 	holder string
 	epoch  uint64
 	// base names the instance. A revoked holder joins again under a new name.
-	base    string
-	rejoins int
-	joined  bool // whether the document has shown the holder
-	// reports tells that a planner reports its use, in place of Acquire calls.
-	reports    bool
+	base       string
+	rejoins    int
+	joined     bool // whether the document has shown the holder
 	generation uint64
 	items      map[string]*usage
 }
@@ -70,12 +69,12 @@
 }
 
 // own returns the holder for a plan. With exposed set, what the user may still
-// act on counts as used.
+// start counts as used.
 func (lo *local) own(l *Ledger, exposed bool) allot.Own {
 	own := allot.Own{Holder: lo.holder, Epoch: lo.epoch, Uses: make(map[string]allot.Use, len(lo.items))}
 	for item, u := range lo.items {
 		use := allot.Use{InUse: u.inUse, Demand: l.demand(u), Floor: l.floor(item)}
-		if exposed && lo.reports {
+		if exposed {
 			use.InUse = use.InUse.Max(u.exposed)
 		}
 		own.Uses[item] = use
@@ -107,12 +106,25 @@
 			if l.doc.Items[item].Contended() {
 				kept = u.peak / 2
 			}
-			u.peak = max(max(u.inUse[0], u.asked[0])+u.misses, kept)
-			u.misses = 0
+			u.peak = max(l.need(item, u), kept)
+			u.wanted = false
 		}
 	}
 }
 
+// need returns the units that the user could use now. Where it does not say
+// how much waits, a holder that uses all it has and tried to start more asks
+// for the double, and for no less than an even part, so that a newly busy
+// instance catches up.
+func (l *Ledger) need(item string, u *usage) int64 {
+	need := max(u.inUse[0], u.asked[0])
+	if !u.wanted || need > u.inUse[0] || u.inUse[0] < u.allowance.Amount[0] {
+		return need
+	}
+	even := l.doc.Items[item].Limit[0] / int64(max(len(l.doc.Holders), 1))
+	return max(2*u.inUse[0], even, 1)
+}
+
 // floor returns the amount that each holder of an item keeps at hand while the
 // item is not contended: a quarter of the limit over all holders together.
 func (l *Ledger) floor(item string) allot.Vector {
--- a/internal/app/allotment/reclaim.go
+++ b/internal/app/allotment/reclaim.go
@@ -193,7 +193,7 @@
 		return err
 	}
 	l.mu.Lock()
-	lo := &local{holder: name, epoch: uint64(epoch), reports: true, joined: true, items: make(map[string]*usage)}
+	lo := &local{holder: name, epoch: uint64(epoch), joined: true, items: make(map[string]*usage)}
 	l.locals[name] = lo
 	for item := range l.doc.Items {
 		u := lo.usage(item)
--- a/internal/app/allotment/round.go
+++ b/internal/app/allotment/round.go
@@ -13,6 +13,7 @@
 
 // round reads and writes the document if a change is due.
 func (l *Ledger) round(ctx context.Context) {
+	l.observe()
 	if !l.due() {
 		return
 	}
@@ -22,6 +23,8 @@
 		l.metrics.Retried(metrics.RetryStoreDown)
 		return
 	}
+	l.lower()
+	l.observe() // counts every start that was decided on the higher amounts
 	proposal, expected, ok := l.prepare()
 	if !ok {
 		return
@@ -29,6 +32,32 @@
 	l.write(ctx, proposal, expected)
 }
 
+// observe takes the use of the instance's units. The plane reads the allowances
+// at each start, so it can act on the present ones only.
+func (l *Ledger) observe() {
+	if l.usage == nil {
+		return
+	}
+	uses := l.usage()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lo := l.instance()
+	if lo == nil {
+		return
+	}
+	for item := range uses {
+		lo.usage(item)
+	}
+	for item, u := range lo.items {
+		use := uses[item]
+		u.inUse = allot.Units(use.InUse)
+		if l.byPeak {
+			u.asked = allot.Units(use.InUse + use.Waiting)
+		}
+		u.exposed = u.allowance.Amount
+	}
+}
+
 // due reports whether a plan on the document as it is known would change it.
 func (l *Ledger) due() bool {
 	l.mu.Lock()
@@ -79,10 +108,9 @@
 	return nil
 }
 
-// prepare lowers the amounts that are about to be given in memory and returns
-// the document to write. A user that plans ahead first has to acknowledge the
-// lower amount, so its transfer is written in a later round.
-func (l *Ledger) prepare() (allot.Document, int64, bool) {
+// lower lowers the amounts that are about to be given in memory. It comes
+// before the write, so that the giver and the receiver never both use them.
+func (l *Ledger) lower() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.rejoin()
@@ -93,6 +121,14 @@
 		}
 	}
 	l.refresh()
+}
+
+// prepare returns the document to write. What a user may still start on an
+// earlier allowance counts as used. A planner of partitions first has to report
+// that it has seen the lower amount, so its transfer is written in a later round.
+func (l *Ledger) prepare() (allot.Document, int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	proposal, changed := l.propose(true)
 	// A write of unknown outcome is overtaken by another one, if need be by one
 	// that changes nothing.
--- a/internal/app/allotment/use.go
+++ b/internal/app/allotment/use.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -50,40 +51,16 @@
 
 func (l *Ledger) names() []string { return slices.Sorted(maps.Keys(l.locals)) }
 
-// Acquire takes one unit of the item if the instance has one free, authority
-// holds and the item is not above a lowered limit.
-func (l *Ledger) Acquire(item string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	lo := l.instance()
-	if lo == nil {
-		return false
-	}
-	u := lo.usage(item)
-	free := !u.allowance.Frozen && u.inUse[0] < u.allowance.Amount[0]
-	if !free {
-		u.misses++
-		l.wake()
-		return false
-	}
-	if !l.authorized(lo) {
-		return false
-	}
-	u.inUse[0]++
-	return true
+// UnitUse is the use of requests of a team or of slots of a backend server.
+type UnitUse struct {
+	InUse int64
+	// Waiting is the work that waits for a unit, where it is known.
+	Waiting int64
 }
 
-// Release returns one unit taken by Acquire.
-func (l *Ledger) Release(item string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if lo := l.instance(); lo != nil && lo.usage(item).inUse[0] > 0 {
-		lo.usage(item).inUse[0]--
-	}
-}
-
-// Held returns the units of the item that the instance may use now, those in
-// use included. It is zero without authority.
+// Held returns the units of the item that the instance may have in use now. No
+// work starts above it, but work that runs may exceed it. It is zero without
+// authority and while the item is above a lowered limit.
 func (l *Ledger) Held(item string) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -91,12 +68,19 @@
 	if lo == nil || !l.authorized(lo) {
 		return 0
 	}
-	return lo.usage(item).allowance.Amount[0]
+	u := lo.usage(item)
+	if u.allowance.Frozen {
+		return 0
+	}
+	if u.allowance.Amount.IsZero() && l.byPeak && !u.wanted {
+		l.wake()
+	}
+	u.wanted = true
+	return u.allowance.Amount[0]
 }
 
-// Ask states the units that the instance can use, those in use included: the
-// requests that run and wait, or the slots of a backend server that the
-// instance was chosen for.
+// Ask states the units that the instance can use, those in use included, such
+// as the slots of a backend server that it was chosen for.
 func (l *Ledger) Ask(item string, units int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -106,21 +90,23 @@
 }
 
 // TeamRequests tells the request plane what the teams may have in flight here.
-type TeamRequests interface {
-	Authority() bool
-	Acquire(team string) bool
-	Release(team string)
-	Held(team string) int64
-	Ask(team string, units int64)
+type TeamRequests struct{ *Ledger }
+
+// Allowed returns the requests that the team may have in flight here. Requests
+// of open queues have no team and no limit.
+func (r TeamRequests) Allowed(team domain.TeamID) int64 {
+	if team == "" {
+		return math.MaxInt64
+	}
+	return r.Ledger.Held(string(team))
 }
 
-// Slots tells the request plane which slots of backend servers it may use.
-type Slots interface {
-	Authority() bool
-	Acquire(backend string) bool
-	Release(backend string)
-	Held(backend string) int64
-	Ask(backend string, units int64)
+// ServerSlots tells the request plane which slots of backend servers it may use.
+type ServerSlots struct{ *Ledger }
+
+// Held returns the slots of the server that the instance may use now.
+func (s ServerSlots) Held(server domain.BackendID) int {
+	return int(s.Ledger.Held(string(server)))
 }
 
 // TaskUse is what a partition has reserved for a team and what it could use.
@@ -149,11 +135,7 @@
 	Report(partition domain.PartitionID, generation uint64, uses map[domain.TeamID]TaskUse)
 }
 
-var (
-	_ TeamRequests  = (*Ledger)(nil)
-	_ Slots         = (*Ledger)(nil)
-	_ TeamResources = (*Ledger)(nil)
-)
+var _ TeamResources = (*Ledger)(nil)
 
 // Allowances implements TeamResources.
 func (l *Ledger) Allowances(partition domain.PartitionID) (uint64, map[domain.TeamID]TaskAllowance) {
--- a/internal/app/confsync/edit.go
+++ b/internal/app/confsync/edit.go
@@ -82,6 +82,8 @@
 
 func (w *editWrite) run(ctx context.Context) (confdoc.Applied, error) {
 	w.sync.flight.begin()
+	w.sync.announce()
+	defer w.sync.announce()
 	var entry *port.Entry // set where a conflict brought the current entry
 	for {
 		applied, current, err := w.attempt(ctx, entry)
--- a/internal/app/confsync/edit_test.go
+++ b/internal/app/confsync/edit_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"auburnpier/internal/app/sharedwatch"
 	"auburnpier/internal/core/confdoc"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 	"auburnpier/internal/standin/store"
 )
@@ -183,3 +186,38 @@
 		}
 	})
 }
+
+// Peers must be told of an edit before the store can accept it, and of its
+// version before they are told that it has ended. Otherwise an acknowledgement
+// in between would confirm the version before it.
+func TestAnnouncements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var said []Statement
+		base := store.New()
+		f := store.NewFaulty(base)
+		m := metrics.New()
+		w := sharedwatch.New(f, port.SystemClock{}, m, sharedwatch.Prefix)
+		s := New(Config{
+			Store: f, Watch: w, Clock: port.SystemClock{}, Metrics: m,
+			Announce: func(st Statement) {
+				if len(said) == 0 && f.Calls(store.CompareAndSwap) > 0 {
+					t.Error("the first announcement came after the write")
+				}
+				said = append(said, st)
+			},
+		})
+		apply(s, team("a", 0, 1))
+		s.HeardVersion("p", 7)
+		var got []string
+		for _, st := range said {
+			got = append(got, fmt.Sprintf("known %d applied %d edit %v", st.Version, st.Applied, st.EditInFlight))
+		}
+		want := []string{
+			"known 0 applied 0 edit true", "known 0 applied 0 edit true",
+			"known 1 applied 1 edit true", "known 1 applied 1 edit false", "known 7 applied 1 edit false",
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("got  %q\nwant %q", got, want)
+		}
+	})
+}
--- a/internal/app/confsync/flight.go
+++ b/internal/app/confsync/flight.go
@@ -92,6 +92,7 @@
 			return
 		}
 		s.flight.settle(id)
+		s.announce()
 		s.log.Info("an edit of unknown outcome is settled", zap.String("edit", id))
 	}
 }
--- a/internal/app/confsync/gossip.go
+++ b/internal/app/confsync/gossip.go
@@ -30,6 +30,17 @@
 	return st
 }
 
+// announce reports the present statement.
+func (s *Sync) announce() {
+	if s.report == nil {
+		return
+	}
+	s.announcing.Lock()
+	defer s.announcing.Unlock()
+	// The statement is made under the lock, so the last report is the newest.
+	s.report(s.Statement())
+}
+
 // HeardFrom takes the statement of a peer from an acknowledgement of a ping.
 // A relayed confirmation counts only for the version in force here.
 func (s *Sync) HeardFrom(p PeerStatement) {
@@ -44,7 +55,10 @@
 // HeardVersion takes the version from any datagram of a peer, and has the
 // document fetched if it is newer.
 func (s *Sync) HeardVersion(from domain.InstanceID, version uint64) {
-	s.freshness.hear(version)
+	if version > s.freshness.knownVersion() {
+		s.freshness.hear(version)
+		s.announce()
+	}
 	applied, ok := s.applied()
 	if s.peers == nil || ok && version <= applied {
 		return
--- a/internal/app/confsync/sync.go
+++ b/internal/app/confsync/sync.go
@@ -27,6 +27,12 @@
 // Config holds what a Sync needs. Peers may be nil: the store is then the only
 // source of confirmations.
 type Config struct {
+	// Announce is called with each change of the statement that others rely on:
+	// before the first write of an edit, before an edit ends, and when a higher
+	// version is heard of. Acknowledgements sent after it returned must carry
+	// the statement. It must not block or call the Sync. It may be nil.
+	Announce func(Statement)
+
 	Store   port.Store
 	Watch   *sharedwatch.Watcher
 	Peers   Peers
@@ -44,10 +50,12 @@
 	clock   port.Clock
 	metrics *metrics.Registry
 	log     *zap.Logger
+	report  func(Statement)
 
 	current   atomic.Pointer[Snapshot]
 	freshness freshness
 
+	announcing  sync.Mutex
 	install     sync.Mutex // orders the installation of versions
 	subscribers []chan *Snapshot
 
@@ -69,6 +77,7 @@
 	s := &Sync{
 		store: c.Store, watch: c.Watch, peers: c.Peers,
 		clock: c.Clock, metrics: c.Metrics, log: c.Log,
+		report:     c.Announce,
 		storeValid: true,
 		editTurn:   make(chan struct{}, 1),
 		newer:      make(chan domain.InstanceID, 1),
@@ -126,6 +135,7 @@
 	for _, ch := range s.subscribers {
 		replace(ch, next)
 	}
+	s.announce()
 }
 
 // replace puts the snapshot in the channel in place of one not yet received.
--- a/internal/core/allot/plan.go
+++ b/internal/core/allot/plan.go
@@ -48,6 +48,10 @@
 		}
 		changed = limits.Listed && next.setListed(limits, own) || changed
 		for _, name := range next.itemNames() {
+			if _, listed := limits.Items[name]; limits.Listed && !listed {
+				changed = next.returnUnlisted(name, own) || changed
+				continue
+			}
 			changed = next.planItem(name, own) || changed
 		}
 	}
@@ -122,6 +126,21 @@
 	return changed
 }
 
+// returnUnlisted returns what the holder does not use of an item that is not
+// listed any more, so that the item can go.
+func (d *Document) returnUnlisted(name string, own Own) bool {
+	it := d.Items[name]
+	inUse := own.Uses[name].InUse
+	if it.Held[own.Holder].AtMost(inUse) {
+		return false
+	}
+	it.Held[own.Holder] = it.Held[own.Holder].Min(inUse)
+	delete(it.Demand, own.Holder)
+	it.settle()
+	d.Items[name] = it
+	return true
+}
+
 // planItem plans one item for one holder.
 func (d *Document) planItem(name string, own Own) bool {
 	it := d.Items[name]
