sched: count claims of urgent jobs on preempted room

Cause: two urgent jobs could count on the room of the same victims, so the second waited for the 10 s hold to end, above the bound of 6.5 s. Change: each waiting urgent task claims room on a worker, and victims are chosen beyond the claims of all urgent jobs. Conclusion: two urgent jobs of two tasks on one worker start within 6.5 s with four victims.

--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -181,7 +181,7 @@
 		m.dropGangHold()
 	}
 	for _, job := range sortedKeys(m.preemptions) {
-		if slices.Contains(m.preemptions[job].workers, id) {
+		if p, ok := m.preemptions[job]; ok && slices.Contains(p.claims, id) {
 			m.dropPreemption(job)
 		}
 	}
@@ -193,7 +193,7 @@
 		m.dropGangHold()
 	}
 	for _, id := range sortedKeys(m.preemptions) {
-		if m.now >= m.preemptions[id].untilMS {
+		if p, ok := m.preemptions[id]; ok && m.now >= p.untilMS {
 			m.dropPreemption(id)
 		}
 	}
--- a/internal/core/sched/policy_test.go
+++ b/internal/core/sched/policy_test.go
@@ -167,29 +167,65 @@
 	}
 }
 
+// Guards against urgent jobs that count on the same room: each needs its own.
+func TestTwoUrgentJobs(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.advance(3_000)
+	for _, id := range []domain.JobID{"now1", "now2"} {
+		c.mustSubmit(id, "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Priority: domain.PriorityUrgent})
+	}
+	c.advance(6_500)
+	for _, id := range []domain.JobID{"now1", "now2"} {
+		if s, _ := c.m.Status(id); s.Running != 2 {
+			t.Errorf("%d of 2 tasks of %s run within 6.5 s: %s", s.Running, id, s.Reason)
+		}
+	}
+	if got := c.m.Stats().Preemptions; got != 4 {
+		t.Errorf("%d attempts were preempted, want 4", got)
+	}
+	c.advance(15_000)
+	if n := len(c.m.preemptions); n != 0 {
+		t.Errorf("%d preemptions are left", n)
+	}
+}
+
 // Guards against gangs that starve behind small tasks, and against backfill that delays them.
 func TestGangReservation(t *testing.T) {
-	c := newCell(t, 2).begin()
-	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
-		run := map[domain.JobID]int64{"fill": 60_000, "short": 5_000, "long": 90_000, "gang": 1 << 40}
-		return run[r.Job], domain.OutcomeSucceeded, r.Resources
-	}
-	batch := func(tasks int, runMS int64, cpus int64) domain.JobSpec {
-		return domain.JobSpec{Kind: domain.JobBatch, Tasks: tasks, Resources: amount(cpus, 1), RunTimeMS: runMS, Idempotent: true}
+	cases := []struct {
+		name string
+		// fillMS is the declared run time of what the gang waits for. Zero means unknown.
+		fillMS   int64
+		backfill domain.JobState
+	}{
+		{"known end", 60_000, domain.JobSucceeded},
+		{"unknown end", 0, domain.JobQueued},
 	}
-	c.mustSubmit("fill", "a", batch(2, 60_000, 4))
-	c.advance(1_000)
-	c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
-	c.advance(31_000)
-	c.mustSubmit("long", "c", batch(2, 90_000, 4))
-	c.mustSubmit("short", "c", batch(2, 5_000, 4))
-	c.advance(12_000)
-	c.mustState("short", domain.JobSucceeded)
-	c.mustState("long", domain.JobQueued)
-	c.advance(30_000)
-	c.mustState("gang", domain.JobRunning)
-	if s, _ := c.m.Status("gang"); s.Running != 2 {
-		t.Fatalf("%d of 2 members run", s.Running)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, 2).begin()
+			c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+				run := map[domain.JobID]int64{"fill": 60_000, "short": 5_000, "long": 90_000, "gang": 1 << 40}
+				return run[r.Job], domain.OutcomeSucceeded, r.Resources
+			}
+			batch := func(runMS int64) domain.JobSpec {
+				return domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(4, 1), RunTimeMS: runMS, Idempotent: true}
+			}
+			c.mustSubmit("fill", "a", batch(tc.fillMS))
+			c.advance(1_000)
+			c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
+			c.advance(31_000)
+			c.mustSubmit("long", "c", batch(90_000))
+			c.mustSubmit("short", "c", batch(5_000))
+			c.advance(12_000)
+			c.mustState("short", tc.backfill)
+			c.mustState("long", domain.JobQueued)
+			c.advance(30_000)
+			if s, _ := c.m.Status("gang"); s.Running != 2 {
+				t.Fatalf("%d of 2 members run: %s", s.Running, s.Reason)
+			}
+		})
 	}
 }
 
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -9,16 +9,18 @@
 	"auburnpier/internal/domain"
 )
 
-// maxPreemptionWorkers bounds the workers that one urgent job preempts on at a time.
-const maxPreemptionWorkers = 8
+// maxClaims bounds the tasks that one urgent job preempts for at a time.
+const maxClaims = 8
 
 // preemption is the room that an urgent job waits for.
 type preemption struct {
-	workers []domain.WorkerID
+	// claims names a worker for each task that waits for room there.
+	claims  []domain.WorkerID
+	size    domain.Resources
 	untilMS int64
 }
 
-// preempt makes room for one task of an urgent job that found none. Victims are
+// preempt makes room for the tasks of an urgent job that found none. Victims are
 // checkpointable batch attempts of other teams above their share.
 func (m *Machine) preempt(j *job, size domain.Resources, miss error) {
 	var none *placement.NoFitError
@@ -26,26 +28,56 @@
 		return
 	}
 	p := m.preemptions[j.ID]
-	want := min(j.waiting(), maxPreemptionWorkers)
-	if p != nil && len(p.workers) >= want {
-		return
-	}
 	if p == nil {
-		p = &preemption{untilMS: m.now + m.cfg.PreemptionHold.Milliseconds()}
+		p = &preemption{size: size, untilMS: m.now + m.cfg.PreemptionHold.Milliseconds()}
+		m.preemptions[j.ID] = p
 	}
-	for len(p.workers) < want {
-		w, victims := m.cheapestWorker(j, size, p.workers)
+	claimed := m.claimed()
+	for len(p.claims) < min(j.waiting(), maxClaims) {
+		w, victims := m.cheapestWorker(j, size, claimed)
 		if w == nil {
 			break
 		}
-		p.workers = append(p.workers, w.id)
+		p.claims = append(p.claims, w.id)
+		claimed[w.id] = claimed[w.id].Add(size)
 		m.preemptAll(victims)
 	}
-	if len(p.workers) == 0 {
+	m.holdClaims()
+}
+
+// claimed returns what urgent jobs wait for on each worker.
+func (m *Machine) claimed() map[domain.WorkerID]domain.Resources {
+	claimed := make(map[domain.WorkerID]domain.Resources)
+	for _, p := range m.preemptions {
+		for _, id := range p.claims {
+			claimed[id] = claimed[id].Add(p.size)
+		}
+	}
+	return claimed
+}
+
+// holdClaims keeps other work off the room that urgent jobs wait for. Where two
+// of them wait on a worker, the hold of the first covers both.
+func (m *Machine) holdClaims() {
+	for _, id := range sortedKeys(m.preemptions) {
+		if p := m.preemptions[id]; len(p.claims) == 0 {
+			delete(m.preemptions, id)
+		} else {
+			m.index.Hold(id, p.claims)
+		}
+	}
+}
+
+// claimUsed drops a claim of an urgent job of which a task was placed on the worker.
+func (m *Machine) claimUsed(j *job, id domain.WorkerID) {
+	p := m.preemptions[j.ID]
+	if p == nil {
 		return
 	}
-	m.preemptions[j.ID] = p
-	m.index.Hold(j.ID, p.workers)
+	at := max(slices.Index(p.claims, id), 0)
+	p.claims = slices.Delete(p.claims, at, at+1)
+	m.index.Unhold(j.ID)
+	m.holdClaims()
 }
 
 func (m *Machine) preemptAll(victims []*attempt) {
@@ -59,21 +91,21 @@
 }
 
 // cheapestWorker returns the worker that takes the task after the fewest victims end.
-func (m *Machine) cheapestWorker(j *job, size domain.Resources, except []domain.WorkerID) (*worker, []*attempt) {
+func (m *Machine) cheapestWorker(j *job, size domain.Resources, claimed map[domain.WorkerID]domain.Resources) (*worker, []*attempt) {
 	var best *worker
 	var bestVictims []*attempt
 	above := make(map[domain.TeamID]bool)
 	for _, w := range m.workerOrder {
-		if w.excluded != "" || !w.indexed || !inZones(w.location.Zone, j.Spec.Zones) || slices.Contains(except, w.id) {
+		if w.excluded != "" || !w.indexed || !inZones(w.location.Zone, j.Spec.Zones) {
 			continue
 		}
-		if best != nil && len(bestVictims) == 1 {
-			break
-		}
-		victims, ok := m.victims(w, j.Team, size, above)
+		victims, ok := m.victims(w, j.Team, size.Add(claimed[w.id]), above)
 		if ok && (best == nil || len(victims) < len(bestVictims)) {
 			best, bestVictims = w, victims
 		}
+		if best != nil && len(bestVictims) <= 1 {
+			break
+		}
 	}
 	return best, bestVictims
 }
@@ -157,5 +189,6 @@
 	}
 	delete(m.preemptions, id)
 	m.index.Unhold(id)
+	m.holdClaims()
 	m.dirty = true
 }
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -226,10 +226,8 @@
 	}
 	r.placed += len(tasks)
 	j.wait = ""
+	m.claimUsed(j, workers[0])
 	m.requeue(j)
-	if j.waiting() == 0 {
-		m.dropPreemption(j.ID)
-	}
 }
 
 // attemptID names the next attempt of a task. Intents are durable and counted, so no name is used twice.
--- a/internal/core/sched/safety_test.go
+++ b/internal/core/sched/safety_test.go
@@ -38,6 +38,7 @@
 			29_000, 36_000, domain.JobUnknown},
 		{"worker restarted, not idempotent", false, func(c *cell) { c.workers[0].reboot() },
 			0, 10_000, domain.JobUnknown},
+		{"worker forgot it", false, func(c *cell) { clear(c.workers[0].attempts) }, 4_000, 20_000, domain.JobUnknown},
 		{"owner replaced, worker still runs it", false, func(c *cell) { c.crash(true) },
 			60_000, 0, domain.JobRunning},
 		{"owner replaced, worker cut off", false, func(c *cell) { c.workers[0].cut = true; c.crash(false) },
