policy: bound what waiting time and aging take from shares

Cause: the weight of waiting time grew without bound with the age of a backlog, and jobs that had aged rose above other teams even where their own team was above its share. Both let a large team's backlog displace small teams.

Change: teams whose ratios lie in one band of width Waiting/Share are ordered by age; aged jobs rise above other teams only while their team runs less than its share. Options.WaitingScale is gone.

The rest comes from large tasks and gangs that find no room while small tasks of other teams take what frees up.

--- a/internal/core/policy/api.go
+++ b/internal/core/policy/api.go
@@ -13,7 +13,10 @@
 type Weights struct {
 	// Share weighs nearness of each team to its share.
 	Share float64 `json:"share"`
-	// Waiting weighs the time that a job has waited.
+	// Waiting weighs the time that a job has waited. Teams whose ratios of
+	// running to share differ by less than Waiting/Share are ordered by the
+	// age of their oldest job. Zero compares shares alone; a zero Share
+	// compares ages alone.
 	Waiting float64 `json:"waiting"`
 	// Packing weighs full workers against even spreading in placement scores.
 	Packing float64 `json:"packing"`
--- a/internal/core/policy/options.go
+++ b/internal/core/policy/options.go
@@ -10,18 +10,15 @@
 type Options struct {
 	Weights Weights
 	// AgingStep is the time after which a waiting job rises by one priority
-	// class. Aging never raises a job to the urgent class. Zero means DefaultAgingStep.
+	// class. Aging never raises a job to the urgent class, and it raises a job
+	// above other teams only while its team runs less than its share: the
+	// backlog of a team above its share would otherwise displace every other
+	// team. Zero means DefaultAgingStep.
 	AgingStep time.Duration
-	// WaitingScale is the waiting time that counts as much as being one whole
-	// share below the share, at equal weights. Zero means DefaultWaitingScale.
-	WaitingScale time.Duration
 }
 
-// Defaults of Options.
-const (
-	DefaultAgingStep    = 10 * time.Minute
-	DefaultWaitingScale = time.Minute
-)
+// DefaultAgingStep is used where Options.AgingStep is zero.
+const DefaultAgingStep = 10 * time.Minute
 
 // NewQueue returns an empty queue.
 func NewQueue(o Options) Queue {
@@ -32,9 +29,6 @@
 	if o.AgingStep <= 0 {
 		o.AgingStep = DefaultAgingStep
 	}
-	if o.WaitingScale <= 0 {
-		o.WaitingScale = DefaultWaitingScale
-	}
 	q := &queue{
 		options: o,
 		round:   1,
--- a/internal/core/policy/queue.go
+++ b/internal/core/policy/queue.go
@@ -21,7 +21,6 @@
 	shares float64
 	round  uint64
 	now    time.Time
-	origin time.Time
 	groups int // number of groups ever created
 	// dirtyGroups and dirtyTeams changed since the last call of Next.
 	dirtyGroups []*group
@@ -59,9 +58,6 @@
 }
 
 func (q *queue) Push(item Item) {
-	if q.origin.IsZero() {
-		q.origin = item.Enqueued
-	}
 	key := keyOf(item)
 	e := q.jobs[item.Job]
 	if e != nil && e.group.team.id == item.Team && e.group.key == key && e.item.Enqueued.Equal(item.Enqueued) {
--- a/internal/core/policy/queue_test.go
+++ b/internal/core/policy/queue_test.go
@@ -119,6 +119,22 @@
 			items: []Item{with(job("j1", "a", 0), service), job("j2", "a", 2*time.Minute), with(job("j3", "a", 0), urgent)},
 			want:  "j3 j2 j1 ",
 		},
+		{
+			name:   "aged backlog of a team above its share stays behind",
+			o:      Options{AgingStep: time.Minute, Weights: Weights{Share: 1}},
+			before: func(q *queue) { q.Charge("a", small.Scale(50)) },
+			items:  []Item{job("j1", "a", time.Hour), job("j2", "b", 0)},
+			want:   "j2 j1 ",
+		},
+		{
+			name:   "aging orders the jobs of a team above its share",
+			o:      Options{AgingStep: time.Minute, Weights: Weights{Share: 1}},
+			before: func(q *queue) { q.Charge("a", small.Scale(50)) },
+			items: []Item{
+				with(job("j1", "a", time.Hour), func(i *Item) { i.Priority = domain.PriorityLow }), job("j2", "a", 0),
+			},
+			want: "j1 j2 ",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/core/policy/refresh.go
+++ b/internal/core/policy/refresh.go
@@ -72,9 +72,7 @@
 	for _, t := range q.dirtyTeams {
 		t.dirty = false
 		t.ratio = q.ratio(t)
-		for c := range t.classes {
-			q.rerank(t, class(c))
-		}
+		q.rerankFrom(t, classUrgent)
 	}
 	q.dirtyTeams = q.dirtyTeams[:0]
 }
@@ -99,11 +97,14 @@
 	if g.listed && g.class != now {
 		q.unlist(g)
 	}
+	if !g.listed {
+		g.listed = true
+		g.team.listed[g.key.class]++
+	}
 	g.class = now
 	g.first = e
-	g.listed = true
 	g.team.classes[now].update(g)
-	q.rerank(g.team, now)
+	q.rerankFrom(g.team, now)
 	q.scheduleAging(g, e)
 }
 
@@ -112,8 +113,9 @@
 		return
 	}
 	g.listed = false
+	g.team.listed[g.key.class]--
 	g.team.classes[g.class].remove(g)
-	q.rerank(g.team, g.class)
+	q.rerankFrom(g.team, g.class)
 }
 
 func (q *queue) scheduleAging(g *group, e *entry) {
@@ -126,19 +128,40 @@
 	q.aging.update(g)
 }
 
+// rerankFrom reranks the team in every class that a change in class c concerns.
+func (q *queue) rerankFrom(t *team, c class) {
+	for ; c < classes; c++ {
+		q.rerank(t, c)
+	}
+}
+
 // rerank puts the team where it belongs among the teams of the class.
 func (q *queue) rerank(t *team, c class) {
-	g, ok := t.classes[c].top()
-	if !ok || !t.present {
+	g := t.candidate(c)
+	if g == nil || !t.present {
 		q.classes[c].remove(t)
+		t.offer[c] = nil
 		return
 	}
-	waitingSince := g.first.item.Enqueued.Sub(q.origin)
-	w := q.options.Weights
-	t.rank[c] = w.Share*t.ratio + w.Waiting*float64(waitingSince)/float64(q.options.WaitingScale)
+	t.offer[c] = g
+	t.rank[c] = q.rank(t.ratio)
 	q.classes[c].update(t)
 }
 
+// rank returns the order of a team in a class. Ratios in the same band of
+// width Waiting/Share have the same rank, so that age decides between them. The
+// band bounds the distance from share that waiting time can cause.
+func (q *queue) rank(ratio float64) float64 {
+	w := q.options.Weights
+	if w.Share <= 0 {
+		return 0
+	}
+	if w.Waiting <= 0 {
+		return ratio
+	}
+	return math.Floor(ratio * w.Share / w.Waiting)
+}
+
 // frontier keeps the smallest needs for which there was no room in a round.
 type frontier struct {
 	list []failure
--- a/internal/core/policy/round.go
+++ b/internal/core/policy/round.go
@@ -7,9 +7,6 @@
 )
 
 func (q *queue) Begin(now time.Time) {
-	if q.origin.IsZero() {
-		q.origin = now
-	}
 	q.now = now
 	q.round++
 	q.noRoom.reset()
@@ -37,7 +34,7 @@
 			if !ok {
 				break
 			}
-			g, _ := t.classes[c].top()
+			g := t.offer[c]
 			if q.offers(g) {
 				return g.first.item, true
 			}
--- a/internal/core/policy/team.go
+++ b/internal/core/policy/team.go
@@ -1,10 +1,6 @@
 package policy
 
-import (
-	"time"
-
-	"auburnpier/internal/domain"
-)
+import "auburnpier/internal/domain"
 
 // team is what the queue keeps of a team.
 type team struct {
@@ -19,9 +15,13 @@
 	// classes holds the listed groups, the one with the oldest job on top.
 	classes   [classes]heap[*group]
 	positions [classes]int
+	// listed is the number of listed groups by the class that they have without aging.
+	listed [classes]int
 	// ratio is the dominant share over the nominal share; one is at the share.
 	ratio float64
-	// rank orders teams in a class; lower is first.
+	// offer is the group that the team offers in a class, and rank orders
+	// teams in the class; lower is first.
+	offer [classes]*group
 	rank  [classes]float64
 	dirty bool
 }
@@ -42,20 +42,31 @@
 	if t.rank[c] != o.rank[c] {
 		return t.rank[c] < o.rank[c]
 	}
-	a, b := t.oldest(c), o.oldest(c)
+	a, b := t.offer[c].first.item.Enqueued, o.offer[c].first.item.Enqueued
 	if !a.Equal(b) {
 		return a.Before(b)
 	}
 	return t.id < o.id
 }
 
-// oldest returns when the oldest listed job of the class was enqueued.
-func (t *team) oldest(c class) time.Time {
-	g, ok := t.classes[c].top()
-	if !ok {
-		return time.Time{}
+// candidate returns the group that the team offers in the class, or nil. A team
+// below its share offers aged groups in the class to which they have risen. A
+// team above it takes part only in classes of which it has a group without
+// aging, and aging only decides which of its groups comes first.
+func (t *team) candidate(c class) *group {
+	if t.ratio < 1 {
+		g, _ := t.classes[c].top()
+		return g
+	}
+	if t.listed[c] == 0 {
+		return nil
+	}
+	for first := range c + 1 {
+		if g, ok := t.classes[first].top(); ok {
+			return g
+		}
 	}
-	return g.first.item.Enqueued
+	return nil
 }
 
 // room returns what the team may still start here.
