Return the slot of an answered forwarding, divide servers evenly

Cause: an instance without slots could forward only as many requests a second as one report of free slots shows. Change: an answered forwarding gives its slot back to the report it was taken from, a refused one does not. Servers are divided so that instances have the same number or one more. The two rendezvous functions are one package now; the ledgers read the use of the request plane instead of counting it a second time. The test of the withdrawn key now asks for the reason of the refusal: a request that waits for its deadline had counted as refused.

--- a/internal/app/allotment/assign.go
+++ b/internal/app/allotment/assign.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"auburnpier/internal/core/allot"
+	"auburnpier/internal/core/rendezvous"
 	"auburnpier/internal/domain"
 )
 
@@ -53,10 +54,19 @@
 			a.ledger.Ask(string(id), 0)
 		}
 	}
+	chosen := rendezvous.Divide(serverNames(servers), names)
 	for id, slots := range servers {
-		if allot.Chosen(string(id), names) != string(a.self) {
+		if chosen[string(id)] != string(a.self) {
 			slots = 0
 		}
 		a.ledger.Ask(string(id), slots)
 	}
 }
+
+func serverNames(servers map[domain.BackendID]int64) []string {
+	names := make([]string, 0, len(servers))
+	for id := range servers {
+		names = append(names, string(id))
+	}
+	return names
+}
--- a/internal/app/allotment/assign_test.go
+++ b/internal/app/allotment/assign_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"auburnpier/internal/app/sharedwatch"
-	"auburnpier/internal/core/allot"
+	"auburnpier/internal/core/rendezvous"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -116,8 +116,9 @@
 	for _, id := range live {
 		names = append(names, string(id))
 	}
+	holders := rendezvous.Divide(serverNames(servers), names)
 	for id, slots := range servers {
-		chosen := allot.Chosen(string(id), names)
+		chosen := holders[string(id)]
 		sum := 0
 		for i, n := range nodes {
 			held := (ServerSlots{n.ledger}).Held(id)
@@ -138,26 +139,3 @@
 		}
 	}
 }
-
-// Rendezvous hashing must spread servers evenly and move only those of the
-// instance that left.
-func TestChosen(t *testing.T) {
-	names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7"}
-	counts := make(map[string]int)
-	for i := range 4000 {
-		server := fmt.Sprintf("backend-%d", i)
-		was := allot.Chosen(server, names)
-		counts[was]++
-		if now := allot.Chosen(server, names[1:]); now != was && was != names[0] {
-			t.Fatalf("%s moved from %s to %s", server, was, now)
-		}
-	}
-	for name, n := range counts {
-		if n < 400 || n > 600 {
-			t.Errorf("%s holds %d of 4000", name, n)
-		}
-	}
-	if allot.Chosen("b", nil) != "" {
-		t.Error("chosen without instances")
-	}
-}
--- a/internal/app/requestplane/dispatch.go
+++ b/internal/app/requestplane/dispatch.go
@@ -80,25 +80,13 @@
 		return false, nil
 	}
 	server := d.table.Choose(t.item.Queue, d.held, t.item.Avoid, now)
-	if server == nil || !d.take(t.item.Team, server) {
+	if server == nil {
 		return false, nil
 	}
 	d.grant(t, server, now)
 	return true, nil
 }
 
-// take acquires a slot and a part of the team's limit, both or none.
-func (d *dispatcher) take(team domain.TeamID, s *route.Server) bool {
-	if !d.teams.Acquire(team) {
-		return false
-	}
-	if !d.slots.Acquire(s.Info.ID) {
-		d.teams.Release(team)
-		return false
-	}
-	return true
-}
-
 // wait queues the ticket until it has a slot, is refused or the context ends.
 // After an error of the context the ticket holds nothing.
 func (d *dispatcher) wait(ctx context.Context, t *ticket, bounds route.Bounds) (*refusal.Refusal, error) {
@@ -156,8 +144,6 @@
 
 func (d *dispatcher) endLocked(t *ticket, outcome route.Outcome, latency time.Duration, now time.Time) {
 	d.table.End(t.server)
-	d.slots.Release(t.server.Info.ID)
-	d.teams.Release(t.item.Team)
 	d.fair.Finish(t.item.Team, now.Sub(t.started))
 	if why := d.table.Report(t.server, t.item.Queue, outcome, latency, now); why != "" {
 		d.metrics.Counter("requestplane.ejected." + string(why)).Inc(1)
@@ -202,10 +188,6 @@
 		if chosenFor != it {
 			chosen = d.table.Choose(it.Queue, d.held, it.Avoid, now)
 		}
-		if !d.take(it.Team, chosen) {
-			// The amounts were lowered since they were asked for; the next tick tries again.
-			return
-		}
 		d.fair.Remove(it)
 		t := it.Owner.(*ticket)
 		d.grant(t, chosen, now)
--- a/internal/app/requestplane/overflow.go
+++ b/internal/app/requestplane/overflow.go
@@ -86,7 +86,7 @@
 	target := url.URL{Path: q.r.URL.Path, RawPath: q.r.URL.RawPath, RawQuery: q.r.URL.RawQuery}
 	x := p.start(q, p.peerPools.get(peer.Address, p.clock.Now()), &target, header)
 	if x.err == nil && !x.refused {
-		p.answer(q, x, func(route.Outcome) {}, func(route.Outcome) {})
+		p.answer(q, x, func(route.Outcome) { p.peers.Return(q.queue, peer.ID) }, func(route.Outcome) {})
 		return true
 	}
 	if x.refused && x.err == nil && x.drainRefused() {
--- a/internal/app/requestplane/overflow_test.go
+++ b/internal/app/requestplane/overflow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,18 @@
 	address string
 	left    int
 	taken   int
+	// returned counts the slots given back; reuse offers them again.
+	returned int
+	reuse    bool
+}
+
+func (p *fixedPeers) Return(domain.QueueID, domain.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returned++
+	if p.reuse {
+		p.left++
+	}
 }
 
 func (p *fixedPeers) Take(domain.QueueID) (Peer, bool) {
@@ -86,3 +99,35 @@
 		})
 	}
 }
+
+// Guards against an instance without slots that forwards only as many requests
+// as one report of free slots shows, and against a slot that a refusal returns.
+func TestOverflowReturnsSlots(t *testing.T) {
+	cases := []struct {
+		name     string
+		slots    int // slots of the other instance's server
+		answered bool
+		returned int
+	}{
+		{"answered", 8, true, 5},
+		{"refused", 0, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			other := newCell(t, cellOptions{servers: 1, row: domain.QueueRow{TimeoutMS: 100}})
+			other.slots.Set("b0", tc.slots)
+			peers := &fixedPeers{address: strings.TrimPrefix(other.front.URL, "http://"), left: 1, reuse: true}
+			here := newCell(t, cellOptions{servers: 1, peers: peers, row: domain.QueueRow{TimeoutMS: 300}})
+			here.slots.Set("b0", 0)
+			for n := range 5 {
+				got := here.do(ask{id: "id-" + strconv.Itoa(n), body: "payload"})
+				if (got.status == http.StatusOK) != tc.answered {
+					t.Fatalf("request %d: status %d, error %v", n, got.status, got.err)
+				}
+			}
+			if peers.returned != tc.returned {
+				t.Errorf("%d slots were returned, want %d", peers.returned, tc.returned)
+			}
+		})
+	}
+}
--- a/internal/app/requestplane/ports.go
+++ b/internal/app/requestplane/ports.go
@@ -40,21 +40,12 @@
 	Held(server domain.BackendID) int
 	// Authority reports whether the instance may use what it holds now.
 	Authority() bool
-	// Acquire takes one slot for a request. It returns false where none is
-	// free or the authority has ended since Held was asked.
-	Acquire(server domain.BackendID) bool
-	// Release returns a slot that Acquire took.
-	Release(server domain.BackendID)
 }
 
 // TeamLimits tells how many requests of a team this instance may have in
 // flight. The same rules as for Slots apply.
 type TeamLimits interface {
 	Allowed(team domain.TeamID) int64
-	// Acquire counts one request in flight, or returns false at the limit.
-	Acquire(team domain.TeamID) bool
-	// Release takes back what Acquire counted.
-	Release(team domain.TeamID)
 }
 
 // Peer is another instance with free slots.
@@ -69,6 +60,10 @@
 	// counts one slot off what it reported. The plane forwards at most one
 	// request for each successful Take.
 	Take(queue domain.QueueID) (Peer, bool)
+	// Return gives a slot that Take counted back, after the forwarded request
+	// was answered. A request that was refused there returns nothing, so that
+	// an outdated report is used up.
+	Return(queue domain.QueueID, peer domain.InstanceID)
 }
 
 // Defaults of Options.
--- a/internal/app/taskplane/manager.go
+++ b/internal/app/taskplane/manager.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sort"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/core/rendezvous"
 	"auburnpier/internal/core/sched"
 	"auburnpier/internal/domain"
 )
@@ -299,24 +299,16 @@
 	}
 }
 
-// preferredOwner chooses by rendezvous hashing over the live instances of the
-// region that do not drain, so that a change of one instance moves only its
-// partitions. It returns the number of the other instances too.
+// preferredOwner chooses over the live instances of the region that do not
+// drain. It returns the number of the other instances too.
 func preferredOwner(id domain.PartitionID, region domain.RegionID, live []Member) (domain.InstanceID, int) {
-	var best domain.InstanceID
-	var bestScore uint64
-	count := 0
+	var names []string
 	for _, member := range live {
-		if member.Region != region || member.Draining {
-			continue
-		}
-		count++
-		score := rendezvous(string(id), string(member.ID))
-		if best == "" || score > bestScore || (score == bestScore && member.ID < best) {
-			best, bestScore = member.ID, score
+		if member.Region == region && !member.Draining {
+			names = append(names, string(member.ID))
 		}
 	}
-	return best, max(0, count-1)
+	return domain.InstanceID(rendezvous.Choose(string(id), names)), max(0, len(names)-1)
 }
 
 func ownedByOther(id domain.PartitionID, self domain.InstanceID, live []Member) bool {
@@ -333,23 +325,6 @@
 	return false
 }
 
-func rendezvous(key, node string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(node))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(key))
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of an FNV sum, whose high bits change little with the last bytes.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 func workersOf(rows []domain.PartitionRow, id domain.PartitionID, vms []domain.VM) []domain.VM {
 	zones := make(map[domain.ZoneID]bool)
 	var region domain.RegionID
--- a/internal/app/taskplane/router.go
+++ b/internal/app/taskplane/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnpier/internal/core/rendezvous"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -123,17 +124,13 @@
 	if spec.IdempotencyKey == "" {
 		key = r.newID()
 	}
-	var best domain.PartitionID
-	var bestScore uint64
+	var names []string
 	for _, row := range rows {
-		if row.Region != region || !coversZones(row, spec.Zones) {
-			continue
-		}
-		score := rendezvous(key, string(row.ID))
-		if best == "" || score > bestScore {
-			best, bestScore = row.ID, score
+		if row.Region == region && coversZones(row, spec.Zones) {
+			names = append(names, string(row.ID))
 		}
 	}
+	best := domain.PartitionID(rendezvous.Choose(key, names))
 	if best == "" {
 		return "", refusal.New(http.StatusBadRequest, refusal.NeverFits,
 			fmt.Sprintf("no partition has region %q and zones %v", region, spec.Zones),
--- a/internal/app/taskplane/divide_test.go
+++ b/internal/core/rendezvous/rendezvous_test.go
@@ -1,10 +1,8 @@
-package taskplane
+package rendezvous
 
 import (
 	"fmt"
 	"testing"
-
-	"auburnpier/internal/domain"
 )
 
 // Guards against an instance without keys while others have several, and
@@ -22,9 +20,9 @@
 			for i := range c.keys {
 				keys = append(keys, fmt.Sprintf("backend-%02d", i))
 			}
-			var instances []domain.InstanceID
+			var instances []string
 			for i := range c.instances {
-				instances = append(instances, domain.InstanceID(fmt.Sprintf("entry-%d", i)))
+				instances = append(instances, fmt.Sprintf("entry-%d", i))
 			}
 			before := Divide(keys, instances)
 			after := Divide(keys, append(instances, "entry-new"))
@@ -43,19 +41,45 @@
 	}
 }
 
-func checkDivision(t *testing.T, chosen map[string]domain.InstanceID, keys, instances int) {
+func checkDivision(t *testing.T, chosen map[string]string, keys, instances int) {
 	t.Helper()
 	if len(chosen) != keys {
 		t.Fatalf("%d of %d keys have an instance", len(chosen), keys)
 	}
-	load := make(map[domain.InstanceID]int)
+	load := make(map[string]int)
 	for _, id := range chosen {
 		load[id]++
 	}
-	most := (keys + instances - 1) / instances
+	least, most := keys/instances, (keys+instances-1)/instances
+	if least > 0 && len(load) != instances {
+		t.Fatalf("%d of %d instances have keys", len(load), instances)
+	}
 	for id, n := range load {
-		if n > most {
-			t.Fatalf("%s has %d keys, at most %d are allowed", id, n, most)
+		if n < least || n > most {
+			t.Fatalf("%s has %d keys, %d to %d are allowed", id, n, least, most)
 		}
 	}
 }
+
+// Rendezvous hashing must spread keys evenly and move only those of the
+// instance that left.
+func TestChoose(t *testing.T) {
+	names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7"}
+	counts := make(map[string]int)
+	for i := range 4000 {
+		key := fmt.Sprintf("backend-%d", i)
+		was := Choose(key, names)
+		counts[was]++
+		if now := Choose(key, names[1:]); now != was && was != names[0] {
+			t.Fatalf("%s moved from %s to %s", key, was, now)
+		}
+	}
+	for name, n := range counts {
+		if n < 400 || n > 600 {
+			t.Errorf("%s holds %d of 4000", name, n)
+		}
+	}
+	if Choose("b", nil) != "" {
+		t.Error("chosen without instances")
+	}
+}
--- a/internal/daemon/allotments.go
+++ b/internal/daemon/allotments.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +14,6 @@
 
 	"auburnpier/internal/app/allotment"
 	"auburnpier/internal/app/peering"
-	"auburnpier/internal/app/taskplane"
 	"auburnpier/internal/core/allot"
 	"auburnpier/internal/core/membership"
 	"auburnpier/internal/domain"
@@ -24,8 +21,8 @@
 )
 
 const (
-	// askInterval is how often the wanted slots are reviewed.
-	askInterval = 500 * time.Millisecond
+	// barInterval is how often revoked holders are looked for.
+	barInterval = 500 * time.Millisecond
 	// reclaimInterval is how often holders are compared with the members.
 	reclaimInterval = 3 * time.Second
 )
@@ -44,7 +41,7 @@
 
 	requestLimits atomic.Pointer[allot.Limits]
 	taskLimits    atomic.Pointer[allot.Limits]
-	slotLimits    atomic.Pointer[allot.Limits]
+	assigner      *allotment.Assigner
 
 	mu         sync.Mutex
 	reclaiming map[string]bool
@@ -56,12 +53,10 @@
 		holder:     holderName(i.settings.Instance, uint64(i.started.UnixMilli())),
 		reclaiming: make(map[string]bool),
 	}
-	for _, limits := range []*atomic.Pointer[allot.Limits]{&a.requestLimits, &a.taskLimits, &a.slotLimits} {
-		limits.Store(&allot.Limits{})
-	}
-	a.teams = a.ledger(allotment.TeamsKey, &a.requestLimits, true)
-	a.slots = a.ledger(allotment.SlotsKey(i.settings.Location.Region), &a.slotLimits, false)
-	a.tasks = a.ledger(allotment.TasksKey, &a.taskLimits, false)
+	a.requestLimits.Store(&allot.Limits{})
+	a.taskLimits.Store(&allot.Limits{})
+	a.assigner = allotment.NewAssigner(i.settings.Instance)
+	a.newLedgers()
 	a.teams.JoinInstance(a.holder)
 	a.slots.JoinInstance(a.holder)
 	a.bars = allotment.NewBars(a.teams, a.slots)
@@ -69,13 +64,46 @@
 	return a
 }
 
-func (a *allotments) ledger(key string, limits *atomic.Pointer[allot.Limits], byPeak bool) *allotment.Ledger {
-	return allotment.New(allotment.Config{
+func (a *allotments) newLedgers() {
+	teams := a.ledgerConfig(allotment.TeamsKey)
+	teams.Limits = func() allot.Limits { return *a.requestLimits.Load() }
+	teams.ByPeak = true
+	teams.Usage = a.teamUsage
+	a.teams = allotment.New(teams)
+	slots := a.ledgerConfig(allotment.SlotsKey(a.i.settings.Location.Region))
+	slots.Limits = a.assigner.Limits
+	slots.Usage = a.slotUsage
+	a.slots = allotment.New(slots)
+	a.assigner.Bind(a.slots)
+	tasks := a.ledgerConfig(allotment.TasksKey)
+	tasks.Limits = func() allot.Limits { return *a.taskLimits.Load() }
+	a.tasks = allotment.New(tasks)
+}
+
+func (a *allotments) ledgerConfig(key string) allotment.Config {
+	return allotment.Config{
 		Key: key, Region: a.i.settings.Location.Region, Store: a.i.store, Watch: a.i.watch,
-		Clock: a.i.clock, Metrics: a.i.metrics, Log: a.i.log, ByPeak: byPeak,
-		Limits:  func() allot.Limits { return *limits.Load() },
+		Clock: a.i.clock, Metrics: a.i.metrics, Log: a.i.log,
 		Vouched: func() time.Time { return a.i.peers.RegionAck() },
-	})
+	}
+}
+
+// teamUsage returns the requests in flight of each team.
+func (a *allotments) teamUsage() map[string]allotment.UnitUse {
+	use := make(map[string]allotment.UnitUse)
+	for team, n := range a.i.plane.Usage().Teams {
+		use[string(team)] = allotment.UnitUse{InUse: n}
+	}
+	return use
+}
+
+// slotUsage returns the slots in use of each backend server.
+func (a *allotments) slotUsage() map[string]allotment.UnitUse {
+	use := make(map[string]allotment.UnitUse)
+	for server, n := range a.i.plane.Usage().Slots {
+		use[string(server)] = allotment.UnitUse{InUse: int64(n)}
+	}
+	return use
 }
 
 // holderName names one process, so that a restarted process is another holder.
@@ -106,15 +134,23 @@
 	a.taskLimits.Store(&tasks)
 }
 
-// setVMs takes the slots of the region's backend servers.
+// setVMs asks for the slots of the region's servers that this instance is
+// chosen for, over the live instances that do not drain.
 func (a *allotments) setVMs(vms []domain.VM) {
-	slots := allot.Limits{Listed: true, Items: make(map[string]allot.Vector)}
+	region := a.i.settings.Location.Region
+	servers := make(map[domain.BackendID]int64)
 	for _, vm := range vms {
-		if vm.Role == domain.RoleBackend && vm.Location.Region == a.i.settings.Location.Region {
-			slots.Items[vm.ID] = allot.Units(int64(vm.Slots))
+		if vm.Role == domain.RoleBackend && vm.Location.Region == region {
+			servers[domain.BackendID(vm.ID)] = int64(vm.Slots)
+		}
+	}
+	var live []domain.InstanceID
+	for _, m := range (peerView{peers: a.i.peers}).Live() {
+		if m.Region == region && !m.Draining {
+			live = append(live, m.ID)
 		}
 	}
-	a.slotLimits.Store(&slots)
+	a.assigner.Update(servers, live)
 }
 
 func (a *allotments) run(ctx context.Context) {
@@ -122,7 +158,7 @@
 	for _, l := range []*allotment.Ledger{a.teams, a.slots, a.tasks} {
 		group.Go(func() { _ = l.Run(ctx) })
 	}
-	group.Go(func() { every(ctx, askInterval, a.review) })
+	group.Go(func() { every(ctx, barInterval, a.review) })
 	group.Go(func() { every(ctx, reclaimInterval, a.reclaimDead) })
 	group.Wait()
 }
@@ -140,17 +176,8 @@
 	}
 }
 
-// review asks for the slots of the servers that this instance is chosen for,
-// and vouches for others once it has barred every revoked holder.
+// review vouches for other instances once every revoked holder is barred.
 func (a *allotments) review(ctx context.Context) {
-	holders := a.preferredHolders()
-	for server, slots := range a.slotLimits.Load().Items {
-		wanted := int64(0)
-		if holders[server] == a.i.settings.Instance {
-			wanted = slots[0]
-		}
-		a.slots.Ask(server, wanted)
-	}
 	if !a.bars.Vouches(a.holder) {
 		return
 	}
@@ -165,19 +192,6 @@
 	a.i.peers.SetVouches(true)
 }
 
-// preferredHolders divides the region's servers over its live instances that do not drain.
-func (a *allotments) preferredHolders() map[string]domain.InstanceID {
-	region := a.i.settings.Location.Region
-	var instances []domain.InstanceID
-	for _, m := range (peerView{peers: a.i.peers}).Live() {
-		if m.Region == region && !m.Draining {
-			instances = append(instances, m.ID)
-		}
-	}
-	servers := slices.Sorted(maps.Keys(a.slotLimits.Load().Items))
-	return taskplane.Divide(servers, instances)
-}
-
 // revoked reports whether a ledger shows the member as a revoked holder. A
 // member that has not joined yet is not revoked.
 func (a *allotments) revoked(m membership.Member) bool {
@@ -289,41 +303,6 @@
 	return errors.CombineErrors(a.teams.Leave(ctx), a.slots.Leave(ctx))
 }
 
-// slotUse shows the ledger of slots to the request plane.
-type slotUse struct {
-	ledger *allotment.Ledger
-}
-
-func (s slotUse) Held(server domain.BackendID) int     { return int(s.ledger.Held(string(server))) }
-func (s slotUse) Authority() bool                      { return s.ledger.Authority() }
-func (s slotUse) Acquire(server domain.BackendID) bool { return s.ledger.Acquire(string(server)) }
-func (s slotUse) Release(server domain.BackendID)      { s.ledger.Release(string(server)) }
-
-// unlimited is the allowance of callers without a key on open queues, whom no team limits.
-const unlimited = 1 << 40
-
-// teamUse shows the ledger of team requests to the request plane.
-type teamUse struct {
-	ledger *allotment.Ledger
-}
-
-func (t teamUse) Allowed(team domain.TeamID) int64 {
-	if team == "" {
-		return unlimited
-	}
-	return t.ledger.Held(string(team))
-}
-
-func (t teamUse) Acquire(team domain.TeamID) bool {
-	return team == "" || t.ledger.Acquire(string(team))
-}
-
-func (t teamUse) Release(team domain.TeamID) {
-	if team != "" {
-		t.ledger.Release(string(team))
-	}
-}
-
 var _ allotment.Peers = (*allotments)(nil)
 
 var _ peering.Authority = (*peering.Service)(nil)
--- a/internal/daemon/confpeers.go
+++ b/internal/daemon/confpeers.go
@@ -51,12 +51,22 @@
 	return answer.Document, nil
 }
 
-// exchangeConfig tells the membership what is in force here, and the
-// configuration what the membership heard.
+// announce puts a change of the statement into the acknowledgements that are
+// sent from now on. The version comes before the end of an edit.
+func (i *Instance) announce(statement confsync.Statement) {
+	if statement.EditInFlight {
+		i.peers.SetEditInFlight(true)
+	}
+	i.peers.SetConfigVersion(statement.Applied)
+	if !statement.EditInFlight {
+		i.peers.SetEditInFlight(false)
+	}
+}
+
+// exchangeConfig tells the membership when the store confirmed the version in
+// force, and the configuration what the membership heard.
 func (i *Instance) exchangeConfig() {
 	statement := i.config.Statement()
-	i.peers.SetEditInFlight(statement.EditInFlight)
-	i.peers.SetConfigVersion(statement.Applied)
 	if statement.StoreConfirmed {
 		i.peers.StoreConfirmed(statement.Applied, i.clock.Now().Add(-statement.StoreAge))
 	}
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -16,10 +16,12 @@
 	"go.uber.org/zap"
 
 	"auburnpier/internal/adapter/api"
+	"auburnpier/internal/adapter/storeguard"
 	"auburnpier/internal/adapter/storehttp"
 	"auburnpier/internal/adapter/tlsfiles"
 	"auburnpier/internal/adapter/vmlisthttp"
 	"auburnpier/internal/adapter/workerhttp"
+	"auburnpier/internal/app/allotment"
 	"auburnpier/internal/app/confsync"
 	"auburnpier/internal/app/peering"
 	"auburnpier/internal/app/requestplane"
@@ -71,14 +73,17 @@
 		started:  time.Now(),
 		drain:    make(chan struct{}),
 	}
-	i.store = storehttp.NewClient(s.Store.Address)
+	i.store = storeguard.New(storehttp.NewClient(s.Store.Address), i.metrics, storeguard.Config{
+		Deadline: settings.Milliseconds(s.Store.TimeoutMS),
+	})
 	i.watch = sharedwatch.New(i.store, i.clock, i.metrics, sharedwatch.Prefix)
 	if err := i.newPeers(); err != nil {
 		return nil, err
 	}
 	i.config = confsync.New(confsync.Config{
 		Store: i.store, Watch: i.watch, Clock: i.clock, Metrics: i.metrics, Log: log,
-		Peers: configPeers{peers: i.peers, applied: i.appliedVersion},
+		Peers:    configPeers{peers: i.peers, applied: i.appliedVersion},
+		Announce: i.announce,
 	})
 	i.amounts = newAllotments(i)
 	i.newTaskPlane()
@@ -171,8 +176,8 @@
 	i.plane = requestplane.New(requestplane.Options{
 		Location:        domain.Location{Region: s.Location.Region, Zone: s.Location.Zone},
 		Admission:       admission{config: i.config},
-		Slots:           slotUse{i.amounts.slots},
-		Teams:           teamUse{i.amounts.teams},
+		Slots:           allotment.ServerSlots{Ledger: i.amounts.slots},
+		Teams:           allotment.TeamRequests{Ledger: i.amounts.teams},
 		Peers:           newOverflow(i.peers, i.clock.Now),
 		Clock:           i.clock,
 		Metrics:         i.metrics,
--- a/internal/daemon/overflow.go
+++ b/internal/daemon/overflow.go
@@ -67,6 +67,18 @@
 	return requestplane.Peer{ID: best.ID, Address: best.RequestAddress}, true
 }
 
+// Return implements requestplane.Peers. Without it, an instance that holds no
+// slots could forward only as many requests a second as one report shows slots.
+func (o *overflow) Return(queue domain.QueueID, peer domain.InstanceID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	key := takenKey{peer, queue}
+	if taken := o.taken[key]; taken.n > 0 {
+		taken.n--
+		o.taken[key] = taken
+	}
+}
+
 // left returns the reported free slots less those taken since the report.
 func (o *overflow) left(m membership.Member, queue domain.QueueID) uint32 {
 	for _, s := range m.Slots {
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -243,11 +243,21 @@
 	for _, i := range c.all() {
 		c.eventually(8*time.Second-time.Since(start), "the key stops working at "+string(i.id), func() error {
 			_, err := c.request(i, c.team, "counting", "late")
-			if err == nil {
-				return errors.New("it still works")
-			}
-			return nil
+			return refusedForKey(err)
 		})
 	}
 	t.Logf("refused everywhere after %d ms", time.Since(start).Milliseconds())
 }
+
+// refusedForKey returns nil where the request was refused because the key was
+// withdrawn, or because the instance cannot know whether it was.
+func refusedForKey(err error) error {
+	var refused *apiclient.RefusedError
+	if !errors.As(err, &refused) {
+		return errors.Newf("it was not refused: %v", err)
+	}
+	if refused.Reason != refusal.KeyUnknown && refused.Reason != refusal.ConfigurationStale {
+		return errors.Newf("it was refused as %s", refused.Reason)
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,7 +122,7 @@
 // Default returns the settings that a file changes.
 func Default() Settings {
 	return Settings{
-		Store:  Store{Adapter: "http", TimeoutMS: 2000},
+		Store:  Store{Adapter: "http", TimeoutMS: 1500},
 		VMList: VMList{PollMS: 1000, LagMS: 30000},
 		Policy: Policy{ShareWeight: 1, WaitingWeight: 1, PackingWeight: 1},
 		Requests: Requests{
