sched: keep late gang members in their zone, end probations without canaries

A member that starts late could also join its gang in another availability zone. Conclusion: a gang does not wait on workers that nobody tests.

--- a/internal/core/sched/basic_test.go
+++ b/internal/core/sched/basic_test.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"auburnpier/internal/domain"
 )
@@ -34,5 +36,41 @@
 	c.mustState("batch", domain.JobSucceeded)
 	c.mustState("gang", domain.JobSucceeded)
 	c.mustState("service", domain.JobRunning)
+	zones := make(map[domain.ZoneID]int)
+	for _, a := range c.m.Inspect().Attempts {
+		zones[c.find(a.Worker).vm.Location.Zone]++
+	}
+	if zones["z0"] != 2 || zones["z1"] != 2 {
+		t.Errorf("replicas in each zone: %v, want 2", zones)
+	}
+	if w, _ := c.m.Worker("w000"); w.Capacity != (domain.Resources{CPUMilli: 8_000, MemoryMB: 38_000}) {
+		t.Errorf("the capacity is %+v, want 5 %% of the memory kept free", w.Capacity)
+	}
+	c.mustEqualRecovered()
+}
+
+// Guards against ended jobs that are kept for ever, or dropped while callers may ask for them.
+func TestEndedJobsAreDropped(t *testing.T) {
+	c := newCell(t, 2)
+	c.cfg.KeepEnded, c.cfg.MaxEnded = time.Minute, 5
+	c.begin()
+	spec := domain.JobSpec{Name: "n", Kind: domain.JobBatch, IdempotencyKey: "k"}
+	for i := range 8 {
+		spec.IdempotencyKey = fmt.Sprintf("k%d", i)
+		c.mustSubmit(domain.JobID(fmt.Sprintf("j%d", i)), "a", spec)
+		c.advance(1_000)
+	}
+	c.advance(20_000)
+	if got := c.m.Stats().JobsEnded; got != 5 {
+		t.Fatalf("%d ended jobs are kept, want 5", got)
+	}
+	c.mustState("j7", domain.JobSucceeded)
 	c.mustEqualRecovered()
+	c.advance(60_000)
+	if got := c.m.Stats().JobsEnded; got != 0 {
+		t.Fatalf("%d ended jobs are kept after a minute, want none", got)
+	}
+	if r := c.submit("again", "a", spec); r.Err != nil || r.Existing {
+		t.Fatalf("the key of a dropped job gives %+v", r)
+	}
 }
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -28,6 +28,9 @@
 	for _, i := range tasks {
 		req.Avoid = append(req.Avoid, m.avoided(&j.Tasks[i])...)
 	}
+	if zone, ok := m.gangZone(j); ok {
+		req.Zones = []domain.ZoneID{zone}
+	}
 	workers, err := m.index.PlaceGang(req, n, j.Spec.SpanZones)
 	if err == nil {
 		err = m.reserveGang(j, size, workers)
@@ -49,6 +52,20 @@
 	m.intend(r, j, size, workers, tasks, restart)
 }
 
+// gangZone returns the availability zone that a late member has to join: a start
+// of a gang that is not idempotent was refused while the other members run.
+func (m *Machine) gangZone(j *job) (domain.ZoneID, bool) {
+	if j.Spec.SpanZones || j.active() == 0 {
+		return "", false
+	}
+	for i := range j.Tasks {
+		if a, ok := m.attempts[j.Tasks[i].Attempt]; ok {
+			return m.worker(a.Worker).location.Zone, true
+		}
+	}
+	return "", false
+}
+
 // waitingMembers returns the waiting tasks and whether one of them restarts after a failure.
 func waitingMembers(j *job) (tasks []int, restart bool) {
 	for i := range j.Tasks {
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -112,7 +112,7 @@
 	if j.isService() {
 		req.Spread = j.ID
 	}
-	if j.avoidsCanaries() {
+	if m.avoidsCanaries(j) {
 		req.Avoid = append(req.Avoid, m.canaries...)
 	}
 	if run := m.roundedRunMS(j); run > 0 {
@@ -122,8 +122,11 @@
 }
 
 // avoidsCanaries reports whether the job is kept off workers on probation: a
-// canary may fail, which these jobs cannot repair by a retry of one task.
-func (j *job) avoidsCanaries() bool { return j.isGang() || !j.Spec.Idempotent }
+// canary may fail, which these jobs cannot repair by a retry of one task. After
+// AvoidFor they take such workers too, because no other job may come to end the probation.
+func (m *Machine) avoidsCanaries(j *job) bool {
+	return (j.isGang() || !j.Spec.Idempotent) && m.now-j.WaitingSinceMS < m.cfg.AvoidFor.Milliseconds()
+}
 
 // constraint names what restricts the workers of a job's next task, so that the
 // queue skips jobs of the same restrictions after one of them found no room.
@@ -135,7 +138,7 @@
 	if j.urgent() {
 		b.WriteString("urgent ")
 	}
-	if j.avoidsCanaries() {
+	if m.avoidsCanaries(j) {
 		b.WriteString("settled ")
 	}
 	if j.isGang() && j.Spec.SpanZones {
