sched: preempt no further than the victims' share, and for equal jobs at once

Cause: the answer about a team was asked once for each search, so up to eight victims could take a team below its share; and a queue that was told of no room did not offer equal urgent jobs, which then preempted one after the other. Change: each victim's team must be above its share without what ends already; jobs that wait for victims are passed for a reason of their own. A search in vain is made at most every 500 ms for each job.

--- /dev/null
+++ b/internal/core/sched/gang_test.go
@@ -0,0 +1,200 @@
+package sched
+
+import (
+	"strings"
+	"testing"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Guards against urgent work that waits behind preemptible work, or preempts what it must not.
+func TestPreemption(t *testing.T) {
+	cases := []struct {
+		name string
+		team domain.TeamID
+		spec domain.JobSpec
+		want bool
+	}{
+		{"checkpointable batch above its share", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: true}, true},
+		{"not checkpointable", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true}, false},
+		{"not idempotent", "a", domain.JobSpec{Kind: domain.JobBatch, Checkpointable: true}, false},
+		{"same team", "b", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: true}, false},
+		{"service", "a", domain.JobSpec{Kind: domain.JobService, Idempotent: true, Checkpointable: true}, false},
+		{"urgent too", "a", domain.JobSpec{Kind: domain.JobBatch, Idempotent: true, Checkpointable: true, Priority: domain.PriorityUrgent}, false},
+	}
+	for _, tc := range cases {
+		for _, kind := range []domain.JobKind{domain.JobBatch, domain.JobGang} {
+			t.Run(tc.name+" for "+string(kind), func(t *testing.T) {
+				c := newCell(t, 4).begin()
+				c.endless(reservedUsage)
+				tc.spec.Tasks = 32
+				c.mustSubmit("full", tc.team, tc.spec)
+				c.advance(3_000)
+				c.mustSubmit("now", "b", domain.JobSpec{Kind: kind, Tasks: 3, Priority: domain.PriorityUrgent, SpanZones: true})
+				c.mustSubmit("thief", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 5})
+				c.advance(6_500)
+				s, _ := c.m.Status("now")
+				if (s.Running == 3) != tc.want {
+					t.Fatalf("%d of 3 urgent tasks run within 6.5 s, preemption wanted: %v; %s", s.Running, tc.want, s.Reason)
+				}
+				if got := c.m.Stats().Preemptions; tc.want && got != 3 {
+					t.Fatalf("%d attempts were preempted, want 3", got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against preemption that goes on once the victims' team is at its share:
+// a third of 8 cores, so it keeps 2 of its 8 tasks.
+func TestPreemptionStopsAtTheShare(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.advance(3_000)
+	c.mustSubmit("now", "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Priority: domain.PriorityUrgent})
+	c.advance(60_000)
+	if s, _ := c.m.Status("now"); s.Running != 6 || c.m.Stats().Preemptions != 6 {
+		t.Fatalf("%d urgent tasks run after %d preemptions, want 6", s.Running, c.m.Stats().Preemptions)
+	}
+}
+
+// Guards against urgent jobs that count on the same room, and against equal
+// urgent jobs that preempt one after the other.
+func TestSeveralUrgentJobs(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.workers[0].endDelayMS = 1_500
+	c.endless(reservedUsage)
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.advance(3_000)
+	for _, id := range []domain.JobID{"now1", "now2", "now3"} {
+		c.mustSubmit(id, "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Priority: domain.PriorityUrgent})
+	}
+	c.advance(6_500)
+	for _, id := range []domain.JobID{"now1", "now2", "now3"} {
+		if s, _ := c.m.Status(id); s.Running != 2 {
+			t.Errorf("%d of 2 tasks of %s run within 6.5 s: %s", s.Running, id, s.Reason)
+		}
+	}
+	if got := c.m.Stats().Preemptions; got != 6 {
+		t.Errorf("%d attempts were preempted, want 6", got)
+	}
+	c.advance(15_000)
+	if n := len(c.m.preemptions); n != 0 {
+		t.Errorf("%d preemptions are left", n)
+	}
+}
+
+// Guards against gangs that starve behind small tasks, and against backfill that delays them.
+func TestGangReservation(t *testing.T) {
+	cases := []struct {
+		name string
+		// fillMS is the declared run time of what the gang waits for. Zero means unknown.
+		fillMS   int64
+		backfill domain.JobState
+	}{
+		{"known end", 60_000, domain.JobSucceeded},
+		{"unknown end", 0, domain.JobQueued},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, 2).begin()
+			c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+				run := map[domain.JobID]int64{"fill": 60_000, "short": 5_000, "long": 90_000, "gang": 1 << 40}
+				return run[r.Job], domain.OutcomeSucceeded, r.Resources
+			}
+			batch := func(runMS int64) domain.JobSpec {
+				return domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(4, 1), RunTimeMS: runMS, Idempotent: true}
+			}
+			c.mustSubmit("fill", "a", batch(tc.fillMS))
+			c.advance(1_000)
+			c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
+			c.advance(31_000)
+			c.mustSubmit("long", "c", batch(90_000))
+			c.mustSubmit("short", "c", batch(5_000))
+			c.advance(12_000)
+			c.mustState("short", tc.backfill)
+			c.mustState("long", domain.JobQueued)
+			c.advance(30_000)
+			if s, _ := c.m.Status("gang"); s.Running != 2 {
+				t.Fatalf("%d of 2 members run: %s", s.Running, s.Reason)
+			}
+		})
+	}
+}
+
+// Guards against room that is held in vain for a gang which replicas keep out.
+func TestGangBehindServices(t *testing.T) {
+	c := newCell(t, 2).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 2, Idempotent: true, Resources: amount(4, 4)})
+	c.advance(2_000)
+	c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
+	c.advance(40_000)
+	c.mustSubmit("batch", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(4, 4)})
+	c.advance(5_000)
+	c.mustState("gang", domain.JobQueued)
+	if s, _ := c.m.Status("batch"); s.Running != 2 {
+		t.Fatalf("%d of 2 tasks run beside the replicas: %s", s.Running, s.Reason)
+	}
+}
+
+// Guards against a gang of which some members go on while others start again.
+func TestGangMemberFails(t *testing.T) {
+	c := newCell(t, 8).begin()
+	failed := false
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		switch {
+		case r.Job == "gang" && r.Task == 2 && !failed:
+			failed = true
+			return 2_000, domain.OutcomeFailed, r.Resources
+		case r.Job == "gang" && strings.HasSuffix(string(r.Attempt), ".1"):
+			// The first members wait for each other until they are stopped.
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
+		}
+		return 20_000, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("gang", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 4, Idempotent: true, SpanZones: true})
+	c.mustSubmit("once", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 4, SpanZones: true})
+	c.advance(60_000)
+	c.mustState("gang", domain.JobSucceeded)
+	c.mustState("once", domain.JobSucceeded)
+	if c.started != 12 {
+		t.Fatalf("%d starts, want 4 of the gang twice and 4 of the other", c.started)
+	}
+}
+
+// Guards against a member that joins its gang late in another availability zone.
+func TestLateGangMember(t *testing.T) {
+	c := newCell(t, 8).begin()
+	c.endless(reservedUsage)
+	setLeaving := func(leaving bool) {
+		for _, w := range c.workers[:4] {
+			w.vm.Leaving = leaving
+		}
+		c.list()
+	}
+	setLeaving(true)
+	c.mustSubmit("gang", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 4, Resources: amount(8, 8)})
+	c.step(Tick{Now: fromMillis(c.now)})
+	// The other zone has the lower worker IDs, which win among equals.
+	setLeaving(false)
+	home := c.find(c.m.Inspect().Attempts[0].Worker)
+	// The worker of one member refuses the start, the others take theirs.
+	home.lease = ""
+	c.flush()
+	if got := c.started; got != 3 {
+		t.Fatalf("%d members started at first, want 3", got)
+	}
+	c.advance(5_000)
+	v := c.m.Inspect()
+	if len(v.Attempts) != 4 {
+		t.Fatalf("%d of 4 members run", len(v.Attempts))
+	}
+	for _, a := range v.Attempts {
+		if zone := c.find(a.Worker).vm.Location.Zone; zone != home.vm.Location.Zone {
+			t.Errorf("%s runs in %s, the gang in %s", a.ID, zone, home.vm.Location.Zone)
+		}
+	}
+}
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -12,6 +12,10 @@
 // maxClaims bounds the tasks that one urgent job preempts for at a time.
 const maxClaims = 8
 
+// preemptionPauseMS is the least time between two searches for victims by one
+// job: a search in vain looks at every attempt.
+const preemptionPauseMS = 500
+
 // preemption is the room that an urgent job waits for.
 type preemption struct {
 	// claims names a worker for each task that waits for room there.
@@ -24,27 +28,48 @@
 // checkpointable batch attempts of other teams above their share.
 func (m *Machine) preempt(j *job, size domain.Resources, miss error) {
 	var none *placement.NoFitError
-	if !j.urgent() || !errors.As(miss, &none) || none.Never {
+	if !j.urgent() || !errors.As(miss, &none) || none.Never || m.now < j.preemptAfterMS {
 		return
 	}
+	j.preemptAfterMS = m.now + preemptionPauseMS
 	p := m.preemptions[j.ID]
 	if p == nil {
 		p = &preemption{size: size, untilMS: m.now + m.cfg.PreemptionHold.Milliseconds()}
 		m.preemptions[j.ID] = p
 	}
 	claimed := m.claimed()
+	taken := m.ending()
 	for len(p.claims) < min(j.waiting(), maxClaims) {
-		w, victims := m.cheapestWorker(j, size, claimed)
+		w, victims := m.cheapestWorker(j, size, claimed, taken)
 		if w == nil {
 			break
 		}
 		p.claims = append(p.claims, w.id)
 		claimed[w.id] = claimed[w.id].Add(size)
-		m.preemptAll(victims)
+		m.preemptAll(victims, taken)
 	}
 	m.holdClaims()
 }
 
+// ending returns what each team has running that was already asked to end.
+func (m *Machine) ending() map[domain.TeamID]domain.Resources {
+	sum := make(map[domain.TeamID]domain.Resources)
+	for _, a := range m.stopping {
+		if m.attempts[a.ID] == a {
+			sum[a.j.Team] = sum[a.j.Team].Add(a.Reservation)
+		}
+	}
+	return sum
+}
+
+// aboveShare reports whether the team stays above its share without what ends already.
+func (m *Machine) aboveShare(id domain.TeamID, ending domain.Resources) bool {
+	m.queue.Refund(id, ending)
+	above := m.queue.Preemptible(id)
+	m.queue.Charge(id, ending)
+	return above
+}
+
 // claimed returns what urgent jobs wait for on each worker.
 func (m *Machine) claimed() map[domain.WorkerID]domain.Resources {
 	claimed := make(map[domain.WorkerID]domain.Resources)
@@ -80,26 +105,28 @@
 	m.holdClaims()
 }
 
-func (m *Machine) preemptAll(victims []*attempt) {
+// preemptAll ends the victims and adds them to what was taken from their teams.
+func (m *Machine) preemptAll(victims []*attempt, taken map[domain.TeamID]domain.Resources) {
 	for _, a := range victims {
 		if a.cause != CauseNone {
 			continue
 		}
 		m.stats.Preemptions++
+		taken[a.j.Team] = taken[a.j.Team].Add(a.Reservation)
 		m.requestEnd(a, CausePreempted)
 	}
 }
 
 // cheapestWorker returns the worker that takes the task after the fewest victims end.
-func (m *Machine) cheapestWorker(j *job, size domain.Resources, claimed map[domain.WorkerID]domain.Resources) (*worker, []*attempt) {
+func (m *Machine) cheapestWorker(j *job, size domain.Resources, claimed map[domain.WorkerID]domain.Resources,
+	taken map[domain.TeamID]domain.Resources) (*worker, []*attempt) {
 	var best *worker
 	var bestVictims []*attempt
-	above := make(map[domain.TeamID]bool)
 	for _, w := range m.workerOrder {
 		if w.excluded != "" || !w.indexed || !inZones(w.location.Zone, j.Spec.Zones) {
 			continue
 		}
-		victims, ok := m.victims(w, j.Team, size.Add(claimed[w.id]), above)
+		victims, ok := m.victims(w, j.Team, size.Add(claimed[w.id]), taken)
 		if ok && (best == nil || len(victims) < len(bestVictims)) {
 			best, bestVictims = w, victims
 		}
@@ -114,43 +141,58 @@
 	return len(zones) == 0 || slices.Contains(zones, zone)
 }
 
-// victims returns the newest preemptible attempts of the worker whose end makes room for size.
-func (m *Machine) victims(w *worker, forTeam domain.TeamID, size domain.Resources, above map[domain.TeamID]bool) ([]*attempt, bool) {
+// victims returns the newest preemptible attempts of the worker whose end makes
+// room for size. Each belongs to a team that is above its share without those before it.
+func (m *Machine) victims(w *worker, forTeam domain.TeamID, size domain.Resources,
+	taken map[domain.TeamID]domain.Resources) ([]*attempt, bool) {
 	free, ok := m.index.Free(w.id)
 	if !ok || !size.Fits(w.capacity) {
 		return nil, false
 	}
-	var list []*attempt
+	list, free, most := candidates(w, forTeam, free)
+	if !size.Fits(most) {
+		return nil, false
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return -compareAttempts(a, b) })
+	var chosen []*attempt
+	here := make(map[domain.TeamID]domain.Resources)
+	for _, a := range list {
+		if size.Fits(free) {
+			break
+		}
+		team := a.j.Team
+		if !m.aboveShare(team, taken[team].Add(here[team])) {
+			continue
+		}
+		here[team] = here[team].Add(a.Reservation)
+		free = free.Add(a.Reservation)
+		chosen = append(chosen, a)
+	}
+	return chosen, size.Fits(free)
+}
+
+// candidates returns the attempts that may be victims, the room once what ends
+// already has ended, and the room without all candidates.
+func candidates(w *worker, forTeam domain.TeamID, free domain.Resources) (list []*attempt, room, most domain.Resources) {
+	most = free
 	for _, a := range w.attempts {
 		switch {
 		case a.cause != CauseNone:
-			// It ends already; its room is on the way.
 			free = free.Add(a.Reservation)
-		case m.preemptible(a, forTeam, above):
+		case preemptible(a, forTeam):
 			list = append(list, a)
+		default:
+			continue
 		}
+		most = most.Add(a.Reservation)
 	}
-	slices.SortFunc(list, func(a, b *attempt) int { return -compareAttempts(a, b) })
-	n := 0
-	for ; n < len(list) && !size.Fits(free); n++ {
-		free = free.Add(list[n].Reservation)
-	}
-	return list[:n], size.Fits(free)
+	return list, free, most
 }
 
-// preemptible reports whether urgent work of a team may end the attempt. The
-// answers about teams are kept in above for the search.
-func (m *Machine) preemptible(a *attempt, forTeam domain.TeamID, above map[domain.TeamID]bool) bool {
+// preemptible reports whether urgent work of the team may end the attempt where its own team is above its share.
+func preemptible(a *attempt, forTeam domain.TeamID) bool {
 	j := a.j
-	if j.Team == forTeam || j.urgent() || j.Spec.Kind != domain.JobBatch || !j.movable() {
-		return false
-	}
-	answer, asked := above[j.Team]
-	if !asked {
-		answer = m.queue.Preemptible(j.Team)
-		above[j.Team] = answer
-	}
-	return answer
+	return j.Team != forTeam && !j.urgent() && j.Spec.Kind == domain.JobBatch && j.movable()
 }
 
 // preemptForGang makes room for an urgent gang on the workers that it holds.
@@ -158,13 +200,13 @@
 	type choice struct {
 		victims []*attempt
 	}
-	above := make(map[domain.TeamID]bool)
+	taken := m.ending()
 	var choices []choice
 	for _, id := range m.gangHold.workers {
 		w := m.worker(id)
 		// A worker may take several members; each further one needs more victims.
 		for k := int64(1); ; k++ {
-			victims, ok := m.victims(w, j.Team, size.Scale(k), above)
+			victims, ok := m.victims(w, j.Team, size.Scale(k), taken)
 			if !ok {
 				break
 			}
@@ -179,7 +221,7 @@
 	}
 	slices.SortStableFunc(choices, func(a, b choice) int { return cmp.Compare(len(a.victims), len(b.victims)) })
 	for _, c := range choices[:n] {
-		m.preemptAll(c.victims)
+		m.preemptAll(c.victims, taken)
 	}
 }
 
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -98,14 +98,25 @@
 	}
 	if err != nil {
 		r.misses++
-		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
 		m.preempt(j, size, err)
+		m.pass(r, j, m.missReason(j), waitDetail(err))
 		return
 	}
 	m.popTask(j, restart)
 	m.intend(r, j, size, []domain.WorkerID{id}, []int{task}, restart)
 }
 
+// waitPreempting is passed for an urgent job that waits for victims to end. Unlike
+// policy.WaitNoRoom it lets the queue offer equal jobs, which need victims of their own.
+const waitPreempting policy.WaitReason = "preempting"
+
+func (m *Machine) missReason(j *job) policy.WaitReason {
+	if m.preemptions[j.ID] != nil {
+		return waitPreempting
+	}
+	return policy.WaitNoRoom
+}
+
 // request describes one task of the job to the index.
 func (m *Machine) request(j *job, size domain.Resources) placement.Request {
 	req := placement.Request{Size: size, Zones: j.Spec.Zones, Holder: j.ID, IgnoreReservations: j.urgent()}
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -88,6 +88,8 @@
 	touched bool
 	// moving counts attempts that are stopped to leave their worker.
 	moving int
+	// preemptAfterMS is when the job may search for victims again.
+	preemptAfterMS int64
 	// ceiling bounds learned reservations where one fitted no empty worker.
 	ceiling domain.Resources
 	// wait lists the rejections where the last search found no room.
--- a/internal/core/sched/status.go
+++ b/internal/core/sched/status.go
@@ -50,6 +50,7 @@
 	policy.WaitTeamLimit: "the team is at its limit in this partition",
 	policy.WaitNoRoom:    "no worker has room for a task of this size",
 	policy.WaitBehind:    "jobs of a higher priority, of teams further below their share, or older ones go first",
+	waitPreempting:       "other tasks are checkpointed to make room for it",
 	policy.WaitRestarts:  "restarts after failures are at their rate",
 }
 
