sched: raise memory in place for tasks that must not run twice

Cause: a task that is not idempotent was stopped, and so failed, as soon as it exceeded its memory, even on an idle worker. A throttle whose call was lost was never sent again. Change: its reservation is raised by a durable record where the worker and the team have room; it is stopped where they have not. Throttles are repeated after 10 s while the usage stays above the reservation. Conclusion: declared sizes that are too small cost such a task nothing on a worker with room.

--- a/internal/core/sched/apply.go
+++ b/internal/core/sched/apply.go
@@ -32,6 +32,8 @@
 		return m.applyEnded(r.AtMS, r.Ended)
 	case r.Cancelled != nil:
 		return m.applyCancelled(r.AtMS, r.Cancelled)
+	case r.Raised != nil:
+		return m.applyRaised(r.AtMS, r.Raised)
 	case r.JobsDropped != nil:
 		return m.applyJobsDropped(r.JobsDropped)
 	case r.WorkerGone != nil:
@@ -306,6 +308,18 @@
 	return nil
 }
 
+func (m *Machine) applyRaised(at int64, r *RaisedRecord) error {
+	a, ok := m.attempts[r.Attempt]
+	if !ok {
+		return fmt.Errorf("larger reservation of the unknown attempt %s", r.Attempt)
+	}
+	m.refund(a.j.Team, a.Reservation)
+	a.Reservation = r.Reservation
+	m.charge(a.j.Team, a.Reservation)
+	m.note(a.j, at, a.Task, "reservation raised", a.Worker, shape(a.Reservation))
+	return nil
+}
+
 // note appends to a job's bounded history. The acceptance is kept; the oldest other entry goes first.
 func (m *Machine) note(j *job, at int64, task int, kind string, w domain.WorkerID, detail string) {
 	if len(j.Events) >= m.cfg.MaxEvents && len(j.Events) > 1 {
--- a/internal/core/sched/health_test.go
+++ b/internal/core/sched/health_test.go
@@ -224,6 +224,31 @@
 	}
 }
 
+// Guards against a task that must not run twice and is stopped although its worker has room for it.
+func TestMemoryRaisedInPlace(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		c := newCell(t, 1).begin()
+		c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+			if r.Job == "full" {
+				return 60_000, domain.OutcomeSucceeded, r.Resources
+			}
+			return 30_000, domain.OutcomeSucceeded, domain.Resources{CPUMilli: 500, MemoryMB: 5_000}
+		}
+		c.mustSubmit("j1", "a", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(1, 2)})
+		if full {
+			c.mustSubmit("full", "b", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(1, 36)})
+		}
+		c.advance(10_000)
+		if v := c.m.Inspect(); !full && v.Attempts[0].Reservation.MemoryMB != 6_251 {
+			t.Errorf("the attempt reserves %+v, want a quarter more than its usage", v.Attempts[0].Reservation)
+		}
+		c.mustEqualRecovered()
+		c.crash(true)
+		c.advance(40_000)
+		c.mustState("j1", map[bool]domain.JobState{false: domain.JobSucceeded, true: domain.JobFailed}[full])
+	}
+}
+
 // Guards against a rack failure that uses up the attempts of tasks, and against losses that never count.
 func TestLossesCount(t *testing.T) {
 	cases := []struct {
--- a/internal/core/sched/record.go
+++ b/internal/core/sched/record.go
@@ -23,6 +23,7 @@
 	JobsDropped  *JobsDroppedRecord  `cbor:"7,keyasint,omitempty"`
 	WorkerGone   *WorkerGoneRecord   `cbor:"8,keyasint,omitempty"`
 	CanaryPassed *CanaryPassedRecord `cbor:"9,keyasint,omitempty"`
+	Raised       *RaisedRecord       `cbor:"10,keyasint,omitempty"`
 }
 
 // AcceptedRecord accepts a job.
@@ -122,6 +123,12 @@
 	Worker domain.WorkerID `cbor:"1,keyasint"`
 }
 
+// RaisedRecord raises the reservation of a running attempt.
+type RaisedRecord struct {
+	Attempt     domain.AttemptID `cbor:"1,keyasint"`
+	Reservation domain.Resources `cbor:"2,keyasint"`
+}
+
 // EncodeRecord returns the CBOR form of a record.
 func EncodeRecord(r Record) ([]byte, error) {
 	return cbor.Marshal(r)
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -166,7 +166,8 @@
 	unlisted  int
 	startedMS int64
 	peak      domain.Resources
-	throttled bool
+	// throttledMS is when the attempt was throttled last.
+	throttledMS int64
 	// cause is set once the attempt is to end; stopMS is when it is stopped
 	// if it was not checkpointed until then, and resendMS when the call is repeated.
 	cause    Cause
