Hold room for large tasks and gangs of teams below their share

Cause: teams whose waiting jobs were large or gangs stayed far below their share, because small tasks of other teams took all that freed up.

Change: - placement: HoldRoom keeps room for members on workers instead of whole workers; GangCandidates lists a worker for each member and chooses those on which the least has to free up; held room that is not kept stays open. - policy: MayHold says for which job without room workers should be held. Shares are compared with the level of the teams that contend, since teams without waiting jobs leave part of theirs unused. Default delay 90 s. - benchmark: holds with backfill by declared run times, up to 8 tasks of a job at once, bounded by 12 % of the fleet after 90 s (counting) and 8 % after 4 minutes (ordering). Larger task sizes at the target, so that 19,000 running tasks fill the fleet; waits of small teams are reported.

--- a/internal/bench/decisions/bench_test.go
+++ b/internal/bench/decisions/bench_test.go
@@ -46,9 +46,10 @@
 	}
 }
 
-// BenchmarkTarget feeds the peak of the target for two minutes.
+// BenchmarkTarget feeds the peak of the target for four minutes, of which the
+// fleet needs two to fill up.
 func BenchmarkTarget(b *testing.B) {
-	const duration = 2 * time.Minute
+	const duration = 4 * time.Minute
 	for _, workers := range []int{50, 400, 1500} {
 		for _, c := range contenders {
 			b.Run(fmt.Sprintf("workers=%d/%s", workers, c.name), func(b *testing.B) {
@@ -99,7 +100,7 @@
 		"wait-all-mean-s":  average(r.JobWaits["all"]),
 		"wait-task-mean-s": average(r.TaskWaits["all"]),
 	}
-	for _, class := range []string{"urgent", "service", "batch", "gang", "all"} {
+	for _, class := range []string{"urgent", "service", "batch", "gang", "all", smallTeams} {
 		m["wait-"+class+"-p50-s"] = Percentile(r.JobWaits[class], 0.5)
 		m["wait-"+class+"-p99-s"] = Percentile(r.JobWaits[class], 0.99)
 	}
--- a/internal/bench/decisions/feed.go
+++ b/internal/bench/decisions/feed.go
@@ -51,6 +51,7 @@
 	serial  int
 	started map[domain.JobID]int
 	total   domain.Resources
+	shares  float64
 	running []domain.Resources // by team
 	waiting []domain.Resources // by team
 	report  *Report
@@ -72,6 +73,9 @@
 		waiting: make([]domain.Resources, len(w.Teams)),
 		report:  newReport(),
 	}
+	for _, t := range w.Teams {
+		f.shares += t.Share
+	}
 	if until <= 0 {
 		until = drainBound
 	}
@@ -124,7 +128,7 @@
 	if n+1 < len(j.Run) {
 		return false
 	}
-	f.report.jobWait(j, f.now-j.Arrival)
+	f.report.jobWait(j, f.now-j.Arrival, f.w.Teams[j.Team].Share <= smallShare*f.shares)
 	delete(f.started, j.ID)
 	return true
 }
--- a/internal/bench/decisions/profiles.go
+++ b/internal/bench/decisions/profiles.go
@@ -70,6 +70,7 @@
 		duration: 3 * time.Hour, tick: 500 * time.Millisecond,
 		period: time.Hour, onFor: 9 * time.Minute,
 		median: time.Minute, spread: 0.8, tasks: 12, service: 0.3, settled: 3 * time.Minute,
+		maxHeld: 0.12, delay: 90 * time.Second,
 	}
 	return p.generate(seed)
 }
@@ -88,6 +89,7 @@
 		duration: 3 * time.Hour, tick: 500 * time.Millisecond,
 		period: time.Hour, onFor: 9 * time.Minute,
 		median: 30 * time.Second, spread: 0.8, tasks: 6, service: 0.3, settled: 2 * time.Minute,
+		maxHeld: 0.08, delay: 4 * time.Minute,
 	}
 	return p.generate(seed)
 }
@@ -103,9 +105,9 @@
 	list := make([]demand, 0, teams)
 	for i := range teams {
 		share := 1 / float64(i+4) / sum
-		load := share * 0.9
+		load := share * 1.0
 		if i%2 == 0 {
-			load = share * 1.4
+			load = share * 1.6
 		}
 		list = append(list, demand{share: share, limit: min(1, share*3), base: load, burst: load})
 	}
@@ -114,8 +116,8 @@
 
 // targetSizes are the task sizes of the target.
 var targetSizes = []sizeChoice{
-	{size(0.5, 2, 0), 30}, {size(1, 4, 0), 30}, {size(2, 4, 0), 20}, {size(4, 16, 0), 12},
-	{size(2, 24, 0), 6}, {size(8, 32, 0), 5}, {size(4, 16, 1), 1}, {size(16, 48, 0), 1},
+	{size(1, 4, 0), 30}, {size(2, 8, 0), 30}, {size(3, 8, 0), 20}, {size(6, 24, 0), 12},
+	{size(3, 32, 0), 6}, {size(12, 48, 0), 5}, {size(4, 16, 1), 1}, {size(16, 48, 0), 1},
 }
 
 // Target is the fleet in two years at its peak, scaled to a number of workers;
@@ -139,6 +141,7 @@
 		duration: duration, tick: 100 * time.Millisecond,
 		period: time.Hour, onFor: time.Hour,
 		median: 24 * time.Second, spread: 0.8, tasks: 20, service: 0.2, settled: time.Minute,
+		maxHeld: 0.05, delay: 15 * time.Second,
 	}
 	return p.generate(seed)
 }
--- a/internal/bench/decisions/report.go
+++ b/internal/bench/decisions/report.go
@@ -48,9 +48,18 @@
 	return &Report{JobWaits: make(map[string][]float64), TaskWaits: make(map[string][]float64), fullSince: -1}
 }
 
-func (r *Report) jobWait(j *Job, wait time.Duration) {
+// smallTeams is the key of the waits of teams with a small share.
+const smallTeams = "small-teams"
+
+// smallShare is the fraction of all shares up to which a team is small.
+const smallShare = 0.2
+
+func (r *Report) jobWait(j *Job, wait time.Duration, small bool) {
 	r.JobWaits[j.Class()] = append(r.JobWaits[j.Class()], wait.Seconds())
 	r.JobWaits["all"] = append(r.JobWaits["all"], wait.Seconds())
+	if small {
+		r.JobWaits[smallTeams] = append(r.JobWaits[smallTeams], wait.Seconds())
+	}
 }
 
 func (r *Report) taskWait(j *Job, wait time.Duration) {
--- a/internal/bench/decisions/scheduler.go
+++ b/internal/bench/decisions/scheduler.go
@@ -20,9 +20,6 @@
 
 func (d *Decisions) end() { d.Nanos = append(d.Nanos, float64(time.Since(d.from))) }
 
-// reservationDelay is how long a gang waits until workers are held for it.
-const reservationDelay = 30 * time.Second
-
 // scheduler drives the queue and the index as the partition state machine does.
 type scheduler struct {
 	Decisions
@@ -30,24 +27,27 @@
 	queue policy.Queue
 	index placement.Index
 	jobs  map[domain.JobID]*pending
-	// held is the gang that holds workers, or empty.
-	held domain.JobID
-	now  time.Time
+	holds
+	now time.Time
 }
 
 // pending is a job with waiting tasks.
 type pending struct {
 	job  *Job
 	item policy.Item
+	// holds is the room that the index holds for the job.
+	holds domain.Resources
+	since time.Time
 }
 
 // newScheduler returns a scheduler over the fleet and the teams of w.
 func newScheduler(w *Workload) *scheduler {
 	s := &scheduler{
 		w:     w,
-		queue: policy.NewQueue(policy.Options{Weights: w.Weights}),
+		queue: policy.NewQueue(policy.Options{Weights: w.Weights, ReservationDelay: w.ReservationDelay}),
 		index: newFilledIndex(w),
 		jobs:  make(map[domain.JobID]*pending),
+		holds: newHolds(w),
 	}
 	s.queue.SetTotal(w.Total())
 	s.queue.SetTeams(w.Teams)
@@ -65,7 +65,7 @@
 func (s *scheduler) Submit(j *Job) {
 	p := &pending{job: j, item: policy.Item{
 		Job: j.ID, Team: s.w.Teams[j.Team].ID, Kind: j.Kind, Priority: j.Priority,
-		Size: j.Size, Tasks: len(j.Run), Enqueued: Epoch.Add(j.Arrival),
+		Size: j.Size, Tasks: len(j.Run), Enqueued: Epoch.Add(j.Arrival), Constraint: constraintOf(j),
 	}}
 	s.jobs[j.ID] = p
 	s.queue.Push(p.item)
@@ -73,6 +73,7 @@
 
 func (s *scheduler) End(j *Job, worker domain.WorkerID) {
 	s.index.Release(worker, j.ID, j.Size)
+	s.ended(worker, j.ID)
 	s.queue.Refund(s.w.Teams[j.Team].ID, j.Size)
 }
 
@@ -100,13 +101,14 @@
 		s.decideGang(p, start)
 		return
 	}
-	r := placement.Request{Size: p.item.Size, End: s.now.Add(p.job.Declared)}
+	r := placement.Request{Size: p.item.Size, Holder: p.item.Job, End: s.now.Add(p.job.Declared)}
 	if p.item.Kind == domain.JobService {
 		r.Spread = p.item.Job
 		r.End = time.Time{}
 	}
 	worker, err := s.index.Place(r)
 	if err != nil {
+		s.hold(p, r, min(p.item.Tasks, maxHeldTasks))
 		s.queue.Pass(p.item.Job, policy.WaitNoRoom)
 		s.end()
 		return
@@ -114,7 +116,9 @@
 	s.index.Reserve(worker, p.item.Job, p.item.Size)
 	s.queue.Charge(p.item.Team, p.item.Size)
 	p.item.Tasks--
+	s.useHold(p)
 	s.settle(p)
+	s.started(worker, p.job, s.now)
 	s.end()
 	start(p.job, worker)
 }
@@ -123,20 +127,18 @@
 	r := placement.Request{Size: p.item.Size, Holder: p.item.Job}
 	workers, err := s.index.PlaceGang(r, p.item.Tasks, false)
 	if err != nil {
-		s.hold(p, r)
+		s.hold(p, r, p.item.Tasks)
 		s.queue.Pass(p.item.Job, policy.WaitNoRoom)
 		s.end()
 		return
 	}
 	for _, worker := range workers {
 		s.index.Reserve(worker, p.item.Job, p.item.Size)
+		s.started(worker, p.job, s.now)
 	}
 	s.queue.Charge(p.item.Team, p.item.Size.Scale(int64(p.item.Tasks)))
-	if s.held == p.item.Job {
-		s.index.Unhold(s.held)
-		s.held = ""
-	}
 	p.item.Tasks = 0
+	s.unhold(p)
 	s.settle(p)
 	s.end()
 	for _, worker := range workers {
@@ -152,18 +154,3 @@
 	s.queue.Remove(p.item.Job)
 	delete(s.jobs, p.item.Job)
 }
-
-// hold reserves workers for a gang that waited long, one gang at a time.
-func (s *scheduler) hold(p *pending, r placement.Request) {
-	if s.held != "" || s.now.Sub(p.item.Enqueued) < reservationDelay {
-		return
-	}
-	workers, ok := s.index.GangCandidates(r, p.item.Tasks, false)
-	if !ok {
-		return
-	}
-	s.held = p.item.Job
-	s.index.Hold(s.held, workers)
-	p.item.Constraint = "holds workers"
-	s.queue.Push(p.item)
-}
--- a/internal/bench/decisions/workload.go
+++ b/internal/bench/decisions/workload.go
@@ -53,6 +53,12 @@
 	Weights policy.Weights
 	// Tick is the time between rounds.
 	Tick time.Duration
+	// MaxHeld is the fraction of the fleet that is held at most for jobs without
+	// room, and ReservationDelay how long such a job waits before. Held room is
+	// idle until enough of it is free: more of it brings teams with large jobs
+	// nearer to their shares and makes all other jobs wait longer.
+	MaxHeld          float64
+	ReservationDelay time.Duration
 	// Settled is how long the fleet has to be full until shares are compared.
 	Settled time.Duration
 }
@@ -97,6 +103,8 @@
 	tasks    float64       // mean number of tasks of a batch job
 	service  float64       // fraction of the base load that services hold
 	settled  time.Duration
+	maxHeld  float64
+	delay    time.Duration // until room is held
 }
 
 const (
@@ -114,7 +122,7 @@
 
 // generate draws the jobs of the profile from the seed.
 func (p *profile) generate(seed uint64) *Workload {
-	w := &Workload{Nodes: p.nodes, Weights: p.weights, Tick: p.tick, Settled: p.settled}
+	w := &Workload{Nodes: p.nodes, Weights: p.weights, Tick: p.tick, Settled: p.settled, MaxHeld: p.maxHeld, ReservationDelay: p.delay}
 	total := w.Total()
 	for i, d := range p.teams {
 		w.Teams = append(w.Teams, policy.Team{
--- a/internal/core/placement/api.go
+++ b/internal/core/placement/api.go
@@ -102,13 +102,17 @@
 	// Unhold. Only requests that pass the hold (see Request) are placed there. A worker that
 	// another gang holds stays with that gang.
 	Hold(job domain.JobID, workers []domain.WorkerID)
+	// HoldRoom is Hold for a part of the workers: it keeps room for one member of size on each
+	// listed worker, as often as the worker is listed. What is free beyond that stays open to all.
+	HoldRoom(job domain.JobID, size domain.Resources, workers []domain.WorkerID)
 	// ExpectStart sets when the gang that holds workers is expected to start. Requests with an
 	// End up to then may backfill there. A zero time, as after Hold, allows no backfill.
 	ExpectStart(job domain.JobID, at time.Time)
 	// Unhold ends the reservation of the gang of job.
 	Unhold(job domain.JobID)
-	// GangCandidates returns the workers that would hold n members if they were
-	// empty, the emptiest first, or false where there are too few.
+	// GangCandidates returns a worker for each of n members that would hold them if it were empty,
+	// or false where there are too few. A worker is listed as often as it has members. The choice
+	// is the one for which the least has to free up.
 	GangCandidates(r Request, n int, span bool) ([]domain.WorkerID, bool)
 	// Free returns the room of a worker and whether it is known.
 	Free(id domain.WorkerID) (domain.Resources, bool)
--- a/internal/core/placement/gang.go
+++ b/internal/core/placement/gang.go
@@ -1,12 +1,6 @@
 package placement
 
-import (
-	"cmp"
-	"math/bits"
-	"slices"
-
-	"auburnpier/internal/domain"
-)
+import "math/bits"
 
 func (x *index) PlaceGang(r Request, n int, span bool) ([]workerID, error) {
 	q := x.newQuery(&r)
@@ -48,6 +42,10 @@
 			row := bits.TrailingZeros32(rows)
 			for cols := from(g.cols[row], q.col); cols != 0 && sum < n; cols &= cols - 1 {
 				for _, slot := range g.cells[row][bits.TrailingZeros32(cols)] {
+					if h := x.bySlot[slot].hold; h != nil && h.passes(q.Request) {
+						// Counted above with the room that the hold keeps.
+						continue
+					}
 					sum += x.workerRoom(slot, q, n-sum)
 				}
 			}
@@ -61,7 +59,7 @@
 	if rejectedBy(slot, w, q) != "" {
 		return 0
 	}
-	return copies(q.Size, w.free, n)
+	return copies(q.Size, q.roomOn(w), n)
 }
 
 // placeMembers chooses a worker for each of n members. The caller made sure
@@ -80,75 +78,3 @@
 	}
 	return workers
 }
-
-// candidate is a worker that a gang may reserve.
-type candidate struct {
-	slot    int32
-	members int
-	// busy is the dominant fraction that must still free up.
-	busy float64
-}
-
-func (x *index) GangCandidates(r Request, n int, span bool) ([]workerID, bool) {
-	q := x.newQuery(&r)
-	if span {
-		list, _, ok := x.emptiest(&q, nil, n)
-		return x.ids(list), ok
-	}
-	var best []candidate
-	lowest, found := 0.0, false
-	for _, z := range x.zones {
-		list, busy, ok := x.emptiest(&q, z, n)
-		if ok && (!found || busy < lowest) {
-			best, lowest, found = list, busy, true
-		}
-	}
-	return x.ids(best), found
-}
-
-// emptiest returns the emptiest workers that hold n members when they are
-// empty, with the sum of what must free up on them.
-func (x *index) emptiest(q *query, only *zone, n int) ([]candidate, float64, bool) {
-	var all []candidate
-	for slot := range x.bySlot {
-		if c, ok := x.candidate(int32(slot), q, only, n); ok {
-			all = append(all, c)
-		}
-	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.busy, b.busy), cmp.Compare(x.bySlot[a.slot].id, x.bySlot[b.slot].id))
-	})
-	busy, members := 0.0, 0
-	for i, c := range all {
-		busy += c.busy
-		members += c.members
-		if members >= n {
-			return all[:i+1], busy, true
-		}
-	}
-	return nil, 0, false
-}
-
-func (x *index) candidate(slot int32, q *query, only *zone, n int) (candidate, bool) {
-	w := &x.bySlot[slot]
-	if !w.live || w.excluded != "" || only != nil && w.zone != only || !q.allows(w.zone.id) {
-		return candidate{}, false
-	}
-	if w.hold != nil && !q.IgnoreReservations && w.hold.job != q.Holder || slices.Contains(q.avoid, slot) {
-		return candidate{}, false
-	}
-	members := copies(q.Size, w.capacity, n)
-	if members == 0 {
-		return candidate{}, false
-	}
-	used := w.capacity.Sub(w.free)
-	return candidate{slot: slot, members: members, busy: used.DominantShare(w.capacity)}, true
-}
-
-func (x *index) ids(list []candidate) []workerID {
-	ids := make([]domain.WorkerID, 0, len(list))
-	for _, c := range list {
-		ids = append(ids, x.bySlot[c.slot].id)
-	}
-	return ids
-}
--- a/internal/core/placement/hold.go
+++ b/internal/core/placement/hold.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"auburnpier/internal/domain"
 )
 
 // hold is the reservation of workers for a gang.
@@ -30,21 +32,50 @@
 }
 
 func (x *index) Hold(job jobID, workers []workerID) {
+	h := x.holdOf(job)
+	for _, id := range workers {
+		if slot, ok := x.holdWorker(h, id); ok {
+			w := &x.bySlot[slot]
+			w.kept = w.capacity
+			x.reindex(slot)
+		}
+	}
+}
+
+func (x *index) HoldRoom(job jobID, size domain.Resources, workers []workerID) {
+	h := x.holdOf(job)
+	for _, id := range workers {
+		if slot, ok := x.holdWorker(h, id); ok {
+			w := &x.bySlot[slot]
+			w.kept = w.kept.Add(size).Min(w.capacity)
+			x.reindex(slot)
+		}
+	}
+}
+
+func (x *index) holdOf(job jobID) *hold {
 	h := x.holds[job]
 	if h == nil {
 		h = &hold{job: job}
 		x.holds[job] = h
 	}
-	for _, id := range workers {
-		slot, known := x.slots[id]
-		if !known || x.bySlot[slot].hold != nil {
-			continue
-		}
+	return h
+}
+
+// holdWorker returns the slot of the worker, or false where it is unknown or another gang holds it.
+func (x *index) holdWorker(h *hold, id workerID) (int32, bool) {
+	slot, known := x.slots[id]
+	if !known {
+		return noSlot, false
+	}
+	w := &x.bySlot[slot]
+	if w.hold == nil {
 		x.detach(slot)
-		x.bySlot[slot].hold = h
+		w.hold = h
 		x.attach(slot)
 		h.slots = append(h.slots, slot)
 	}
+	return slot, w.hold == h
 }
 
 func (x *index) ExpectStart(job jobID, at time.Time) {
@@ -59,8 +90,9 @@
 		return
 	}
 	for _, slot := range h.slots {
+		w := &x.bySlot[slot]
 		x.detach(slot)
-		x.bySlot[slot].hold = nil
+		w.hold, w.kept = nil, domain.Resources{}
 		x.attach(slot)
 	}
 	delete(x.holds, job)
--- a/internal/core/placement/index.go
+++ b/internal/core/placement/index.go
@@ -25,6 +25,8 @@
 	free     domain.Resources
 	excluded RejectReason
 	hold     *hold
+	// kept is what the hold keeps for the gang.
+	kept domain.Resources
 	// row and col are the grid cell of the worker while indexed is set.
 	row, col int8
 	indexed  bool
@@ -32,8 +34,8 @@
 }
 
 // index implements Index. Workers that can be chosen stand in the grids of
-// their zone, by free capacity. Held workers stand in a list of their zone,
-// and excluded ones only in its counts.
+// their zone, by the room that no gang holds. Held workers also stand in a list
+// of their zone, and excluded ones only in its counts.
 type index struct {
 	bySlot    []node
 	freeSlots []int32
@@ -151,16 +153,27 @@
 	switch {
 	case w.excluded != "":
 		z.countExcluded(w.excluded, 1)
-	case w.hold != nil:
-		z.addHeld(slot)
 	default:
-		w.row = int8(bucketOf(w.free.CPUMilli, cpuUnitMilli))
-		w.col = int8(bucketOf(w.free.MemoryMB, memoryUnitMB))
+		if w.hold != nil {
+			z.addHeld(slot)
+		}
+		w.row, w.col = w.cell()
 		w.indexed = true
 		z.gridOf(w).add(int(w.row), int(w.col), slot)
 	}
 }
 
+// open returns the room that is not kept for a gang. Components may be negative.
+func (w *node) open() domain.Resources {
+	return w.free.Sub(w.kept)
+}
+
+// cell returns the grid cell in which the worker belongs.
+func (w *node) cell() (row, col int8) {
+	open := w.open()
+	return int8(bucketOf(open.CPUMilli, cpuUnitMilli)), int8(bucketOf(open.MemoryMB, memoryUnitMB))
+}
+
 // detach undoes attach.
 func (x *index) detach(slot int32) {
 	w := &x.bySlot[slot]
@@ -169,9 +182,10 @@
 	switch {
 	case w.excluded != "":
 		z.countExcluded(w.excluded, -1)
-	case w.hold != nil:
-		z.dropHeld(slot)
 	default:
+		if w.hold != nil {
+			z.dropHeld(slot)
+		}
 		z.gridOf(w).remove(int(w.row), int(w.col), slot)
 		w.indexed = false
 	}
@@ -181,11 +195,16 @@
 func (x *index) setFree(slot int32, free domain.Resources) {
 	w := &x.bySlot[slot]
 	w.free = free
+	x.reindex(slot)
+}
+
+// reindex moves the worker to the grid cell of its open room.
+func (x *index) reindex(slot int32) {
+	w := &x.bySlot[slot]
 	if !w.indexed {
 		return
 	}
-	row := int8(bucketOf(free.CPUMilli, cpuUnitMilli))
-	col := int8(bucketOf(free.MemoryMB, memoryUnitMB))
+	row, col := w.cell()
 	if row == w.row && col == w.col {
 		return
 	}
--- a/internal/core/placement/index_test.go
+++ b/internal/core/placement/index_test.go
@@ -76,6 +76,16 @@
 			x.Hold("g", []domain.WorkerID{"z1-w0"})
 			x.ExpectStart("g", time.Unix(100, 0))
 		}, Request{Size: res(1, 4, 0), End: time.Unix(101, 0)}, "z1-w1"},
+		{"room beyond the hold is open", 1, func(x *index) {
+			x.HoldRoom("g", res(4, 16, 0), []domain.WorkerID{"z1-w0"})
+		}, Request{Size: res(4, 16, 0)}, "z1-w0"},
+		{"held room is kept", 1, func(x *index) {
+			x.HoldRoom("g", res(3, 4, 0), []domain.WorkerID{"z1-w0", "z1-w0"})
+		}, Request{Size: res(3, 4, 0)}, "z1-w1"},
+		{"holder uses up what it holds", 1, func(x *index) {
+			x.HoldRoom("g", res(4, 16, 0), []domain.WorkerID{"z1-w0"})
+			x.Reserve("z1-w0", "g", res(4, 16, 0))
+		}, Request{Size: res(4, 16, 0)}, "z1-w0"},
 		{"hold ended", 1, func(x *index) {
 			x.Hold("g", []domain.WorkerID{"z1-w0"})
 			x.Unhold("g")
@@ -169,7 +179,7 @@
 	x.Reserve("z2-w0", "j", res(8, 32, 0))
 	candidates, ok := x.GangCandidates(Request{Size: res(8, 32, 0)}, 4, false)
 	if !ok || len(candidates) != 4 || candidates[3] != "z1-w0" {
-		t.Fatalf("candidates are %v, want those of z1 with the busiest last", candidates)
+		t.Fatalf("candidates are %v, want those of z1 with the one that lacks most last", candidates)
 	}
 	if _, ok := x.GangCandidates(Request{Size: res(8, 32, 0)}, 9, true); ok {
 		t.Fatal("nine candidates of eight workers")
--- a/internal/core/placement/nofit.go
+++ b/internal/core/placement/nofit.go
@@ -76,14 +76,6 @@
 	for _, e := range z.excluded {
 		t.add(e.Reason, e.Workers)
 	}
-	for _, slot := range z.held {
-		w := &x.bySlot[slot]
-		if !w.hold.passes(q.Request) {
-			t.add(RejectReserved, 1)
-			continue
-		}
-		t.add(rejectedBy(slot, w, q), 1)
-	}
 	if q.Size.Accelerators > 0 {
 		t.add(RejectAccelerators, z.plain.size)
 		x.tallyEach(&z.accelerated, q, t)
@@ -91,6 +83,24 @@
 	}
 	x.tallyGrid(&z.plain, q, t)
 	x.tallyGrid(&z.accelerated, q, t)
+	for _, slot := range z.held {
+		// The grid counts held workers by what they keep open.
+		w := &x.bySlot[slot]
+		t.add(gridReason(slot, w, q), -1)
+		t.add(rejectedBy(slot, w, q), 1)
+	}
+}
+
+// gridReason returns the reason under which tallyGrid counts the worker.
+func gridReason(slot int32, w *node, q *query) RejectReason {
+	switch row, col := int(w.row), int(w.col); {
+	case row < q.row:
+		return RejectCPU
+	case row > q.row && col < q.col:
+		return RejectMemory
+	default:
+		return rejectedBy(slot, w, q)
+	}
 }
 
 // tallyGrid counts whole rows and cells below the requested size and looks at
--- a/internal/core/placement/reserve.go
+++ b/internal/core/placement/reserve.go
@@ -114,8 +114,12 @@
 		j = &jobCounts{}
 		x.jobs[job] = j
 	}
-	j.change(slot, &x.bySlot[slot], 1)
+	w := &x.bySlot[slot]
+	j.change(slot, w, 1)
 	x.reserved = x.reserved.Add(size)
+	if w.hold != nil && w.hold.job == job {
+		w.kept = w.kept.Sub(size).Max(domain.Resources{})
+	}
 	x.setFree(slot, x.bySlot[slot].free.Sub(size))
 }
 
--- a/internal/core/policy/api.go
+++ b/internal/core/policy/api.go
@@ -89,6 +89,12 @@
 	Pass(job domain.JobID, reason WaitReason)
 	// Why returns why the job was passed over in the last round, or WaitBehind.
 	Why(job domain.JobID) WaitReason
+	// MayHold reports whether workers should be held for the job, which found no room: it has
+	// waited for the reservation delay, and its team runs less than its share, counting held,
+	// what is held for its jobs already. What teams without waiting jobs leave unused adds to the
+	// shares of the others here. A job of a team above its share waits longer. Large
+	// tasks starve as gangs do where small tasks of other teams take all that frees up.
+	MayHold(job domain.JobID, held domain.Resources) bool
 	// Preemptible reports whether the team runs above its share, so that
 	// urgent work of other teams may preempt it.
 	Preemptible(team domain.TeamID) bool
--- a/internal/core/policy/options.go
+++ b/internal/core/policy/options.go
@@ -15,10 +15,20 @@
 	// backlog of a team above its share would otherwise displace every other
 	// team. Zero means DefaultAgingStep.
 	AgingStep time.Duration
+	// ReservationDelay is how long a job waits until workers are held for it.
+	// Zero means DefaultReservationDelay.
+	ReservationDelay time.Duration
 }
 
-// DefaultAgingStep is used where Options.AgingStep is zero.
-const DefaultAgingStep = 10 * time.Minute
+// Defaults of Options.
+const (
+	DefaultAgingStep        = 10 * time.Minute
+	DefaultReservationDelay = 90 * time.Second
+)
+
+// aboveShareDelays is how many reservation delays a job waits whose team runs
+// its share or more. Such a team has other jobs that find room.
+const aboveShareDelays = 10
 
 // NewQueue returns an empty queue.
 func NewQueue(o Options) Queue {
@@ -29,9 +39,13 @@
 	if o.AgingStep <= 0 {
 		o.AgingStep = DefaultAgingStep
 	}
+	if o.ReservationDelay <= 0 {
+		o.ReservationDelay = DefaultReservationDelay
+	}
 	q := &queue{
 		options: o,
 		round:   1,
+		level:   1,
 		teams:   make(map[domain.TeamID]*team),
 		jobs:    make(map[domain.JobID]*entry),
 	}
--- a/internal/core/policy/queue.go
+++ b/internal/core/policy/queue.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"auburnpier/internal/domain"
@@ -13,6 +15,8 @@
 type queue struct {
 	options Options
 	teams   map[domain.TeamID]*team
+	// ordered holds the teams by ID, so that sums over them are reproducible.
+	ordered []*team
 	jobs    map[domain.JobID]*entry
 	classes [classes]heap[*team]
 	// aging holds the groups that rise by a class later.
@@ -20,8 +24,13 @@
 	total  domain.Resources
 	shares float64
 	round  uint64
-	now    time.Time
-	groups int // number of groups ever created
+	// level is the ratio that the contending teams would all have if what they
+	// run were divided among them by their shares, and at least one.
+	level float64
+	// leveled is the round for which level holds.
+	leveled uint64
+	now     time.Time
+	groups  int // number of groups ever created
 	// dirtyGroups and dirtyTeams changed since the last call of Next.
 	dirtyGroups []*group
 	dirtyTeams  []*team
@@ -114,7 +123,19 @@
 	if t == nil {
 		return false
 	}
-	return q.ratio(t) > 1
+	return q.ratio(t, domain.Resources{}) > 1
+}
+
+func (q *queue) MayHold(job domain.JobID, held domain.Resources) bool {
+	e := q.jobs[job]
+	if e == nil {
+		return false
+	}
+	delay := q.options.ReservationDelay
+	if q.ratio(e.group.team, held) >= q.level {
+		delay *= aboveShareDelays
+	}
+	return q.now.Sub(e.item.Enqueued) >= delay
 }
 
 func (q *queue) team(id domain.TeamID) *team {
@@ -122,6 +143,10 @@
 	if t == nil {
 		t = newTeam(id)
 		q.teams[id] = t
+		at, _ := slices.BinarySearchFunc(q.ordered, id, func(t *team, id domain.TeamID) int {
+			return strings.Compare(string(t.id), string(id))
+		})
+		q.ordered = slices.Insert(q.ordered, at, t)
 	}
 	return t
 }
--- a/internal/core/policy/queue_test.go
+++ b/internal/core/policy/queue_test.go
@@ -213,3 +213,40 @@
 		t.Fatalf("%d jobs and %d groups are left", q.Len(), len(q.teams["a"].groups))
 	}
 }
+
+// Guards against room that is held too early, or for a team that runs more
+// than its part of what the contending teams run.
+func TestMayHold(t *testing.T) {
+	cases := []struct {
+		name   string
+		age    time.Duration
+		before func(*queue)
+		held   domain.Resources
+		want   bool
+	}{
+		{"too early", 5 * time.Second, nil, domain.Resources{}, false},
+		{"below its share", 10 * time.Second, nil, domain.Resources{}, true},
+		{"held room counts", 10 * time.Second, nil, small.Scale(40), false},
+		{"above its share", 10 * time.Second, func(q *queue) { q.Charge("a", small.Scale(40)) }, domain.Resources{}, false},
+		{"above its share, long", 100 * time.Second, func(q *queue) { q.Charge("a", small.Scale(40)) }, domain.Resources{}, true},
+		{"above its share, behind the other contender", 10 * time.Second, func(q *queue) {
+			q.Charge("a", small.Scale(40))
+			q.Charge("b", small.Scale(50))
+		}, domain.Resources{}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := newTestQueue(Options{ReservationDelay: 10 * time.Second}, nil)
+			q.Push(job("j1", "a", c.age))
+			q.Push(job("j2", "b", 0))
+			if c.before != nil {
+				c.before(q)
+			}
+			q.Begin(start)
+			q.Next()
+			if got := q.MayHold("j1", c.held); got != c.want {
+				t.Fatalf("may hold is %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/policy/refresh.go
+++ b/internal/core/policy/refresh.go
@@ -6,11 +6,11 @@
 	"auburnpier/internal/domain"
 )
 
-// ratio returns the dominant share of the team over the fleet, as a multiple
-// of its nominal share. A team without a share that runs something is
+// ratio returns the dominant share of what the team runs over the fleet and of
+// more, as a multiple of its nominal share. A team without a share that runs something is
 // infinitely above it.
-func (q *queue) ratio(t *team) float64 {
-	dominant := t.running.Add(t.outside).DominantShare(q.total)
+func (q *queue) ratio(t *team, more domain.Resources) float64 {
+	dominant := t.running.Add(t.outside).Add(more).DominantShare(q.total)
 	if dominant <= 0 {
 		return 0
 	}
@@ -71,7 +71,8 @@
 	q.dirtyGroups = q.dirtyGroups[:0]
 	for _, t := range q.dirtyTeams {
 		t.dirty = false
-		t.ratio = q.ratio(t)
+		t.ratio = q.ratio(t, domain.Resources{})
+		t.below = t.ratio < q.level
 		q.rerankFrom(t, classUrgent)
 	}
 	q.dirtyTeams = q.dirtyTeams[:0]
@@ -128,6 +129,30 @@
 	q.aging.update(g)
 }
 
+// findLevel sets the level for the round. Where many teams leave their share
+// unused, the others are above theirs, and the level tells which of them are
+// behind the rest.
+func (q *queue) findLevel() {
+	q.leveled = q.round
+	running, shares := 0.0, 0.0
+	for _, t := range q.ordered {
+		if t.contends() && t.share > 0 {
+			running += t.ratio * t.share
+			shares += t.share
+		}
+	}
+	q.level = 1
+	if shares > 0 {
+		q.level = max(1, running/shares)
+	}
+	for _, t := range q.ordered {
+		if below := t.ratio < q.level; below != t.below {
+			t.below = below
+			q.rerankFrom(t, classUrgent)
+		}
+	}
+}
+
 // rerankFrom reranks the team in every class that a change in class c concerns.
 func (q *queue) rerankFrom(t *team, c class) {
 	for ; c < classes; c++ {
--- a/internal/core/policy/round.go
+++ b/internal/core/policy/round.go
@@ -28,6 +28,9 @@
 
 func (q *queue) Next() (Item, bool) {
 	q.refresh()
+	if q.leveled != q.round {
+		q.findLevel()
+	}
 	for c := range q.classes {
 		for {
 			t, ok := q.classes[c].top()
--- a/internal/core/policy/team.go
+++ b/internal/core/policy/team.go
@@ -19,6 +19,8 @@
 	listed [classes]int
 	// ratio is the dominant share over the nominal share; one is at the share.
 	ratio float64
+	// below tells that ratio is below the level of the queue.
+	below bool
 	// offer is the group that the team offers in a class, and rank orders
 	// teams in the class; lower is first.
 	offer [classes]*group
@@ -49,12 +51,17 @@
 	return t.id < o.id
 }
 
+// contends reports whether the team has a group that its limit leaves room for.
+func (t *team) contends() bool {
+	return t.present && t.listed != [classes]int{}
+}
+
 // candidate returns the group that the team offers in the class, or nil. A team
 // below its share offers aged groups in the class to which they have risen. A
 // team above it takes part only in classes of which it has a group without
 // aging, and aging only decides which of its groups comes first.
 func (t *team) candidate(c class) *group {
-	if t.ratio < 1 {
+	if t.below {
 		g, _ := t.classes[c].top()
 		return g
 	}
