--- a/internal/app/allotment/ledger_test.go
+++ b/internal/app/allotment/ledger_test.go
@@ -104,7 +104,12 @@
 		for range 50 {
 			time.Sleep(100 * time.Millisecond)
 			for i, n := range c.nodes {
-				got[i] += take(n, 30-got[i])
+				got[i] += take(n, 25-got[i])
+			}
+		}
+		for i, n := range c.nodes {
+			if n.Held(team) <= int64(got[i]) {
+				t.Fatal("no room is left for the check that follows")
 			}
 		}
 		c.setLimit(2, 30)
--- a/internal/app/allotment/reclaim_test.go
+++ b/internal/app/allotment/reclaim_test.go
@@ -62,6 +62,9 @@
 				fill(cell.nodes[0], 30)
 				holder := cell.nodes[0].name
 				c.fault(cell)
+				// The polls that began before the fault end. They would show the
+				// holder its revocation.
+				time.Sleep(2100 * time.Millisecond)
 				r := NewReclaimer(cell.nodes[1].bars, cell.nodes[1], cell.nodes[1].Ledger)
 				done := make(chan error, 1)
 				call, cancel := context.WithTimeout(ctx, 30*time.Second)
@@ -132,6 +135,13 @@
 		if !c.nodes[1].bars.Vouches(c.nodes[0].name) {
 			t.Fatal("does not vouch for a live holder")
 		}
+		c.nodes[1].bars.Bar("i9/1")
+		c.nodes[1].mu.Lock()
+		c.nodes[1].doc, _ = c.nodes[1].doc.Join("i9/1", "lulea")
+		c.nodes[1].mu.Unlock()
+		if c.nodes[1].bars.Vouches("i9/1") {
+			t.Fatal("vouches for a holder that it barred")
+		}
 		name := c.nodes[0].name
 		if err := c.nodes[0].revoke(ctx, name); err != nil {
 			t.Fatal(err)
--- a/internal/app/confsync/freshness_test.go
+++ b/internal/app/confsync/freshness_test.go
@@ -132,7 +132,7 @@
 		// The poll that waits now began before the fault and is answered.
 		time.Sleep(pollLength)
 		confirmed, _ := i.freshness.times()
-		time.Sleep(time.Until(confirmed.Add(MaxAge)))
+		time.Sleep(time.Until(confirmed.Add(8 * time.Second)))
 		if !i.Fresh() {
 			t.Fatal("not fresh at the bound")
 		}
--- a/internal/app/confsync/sync_test.go
+++ b/internal/app/confsync/sync_test.go
@@ -108,3 +108,48 @@
 		synctest.Wait()
 	})
 }
+
+// A lower version must not be put in force, wherever it comes from, and a
+// store that shows one must not confirm it.
+func TestNeverReverts(t *testing.T) {
+	low, _, err := confdoc.Apply(confdoc.Clone(emptyDoc), team("a", 0, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	high, _, err := confdoc.Apply(low, team("a", 1, 2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lowBytes, err := confdoc.Encode(low)
+	if err != nil {
+		t.Fatal(err)
+	}
+	event := func(ev port.Event) func(*instance) {
+		return func(i *instance) {
+			i.onUpdate(sharedwatch.Update{Begun: time.Now(), Events: []port.Event{ev}, Revision: 99})
+		}
+	}
+	cases := []struct {
+		name   string
+		source func(i *instance)
+	}{
+		{"watch shows a lower version", event(port.Event{Entry: port.Entry{Key: ConfigKey, Value: lowBytes, Revision: 99}})},
+		{"watch shows a deletion", event(port.Event{Entry: port.Entry{Key: ConfigKey, Revision: 99}, Deleted: true})},
+		{"watch shows an unreadable document", event(port.Event{Entry: port.Entry{Key: ConfigKey, Value: []byte("{"), Revision: 99}})},
+		{"store shows no document", func(i *instance) { i.onUpdate(sharedwatch.Update{Begun: time.Now(), Revision: 99}) }},
+		{"peer sends a lower version", func(i *instance) { i.adopt(low) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newInstance(store.New(), nil)
+			i.adopt(high)
+			c.source(i)
+			if v := i.Current().Version(); v != 2 {
+				t.Errorf("version %d is in force", v)
+			}
+			if i.Fresh() {
+				t.Error("the version was confirmed")
+			}
+		})
+	}
+}
--- a/internal/app/sharedwatch/watch_test.go
+++ b/internal/app/sharedwatch/watch_test.go
@@ -168,6 +168,7 @@
 		go func() { _ = w.Run(ctx) }()
 		time.Sleep(time.Second)
 		f.Inject(store.Fault{Action: store.Refuse})
+		time.Sleep(pollWait) // the poll that began before the fault ends
 		if err := base.Delete(ctx, "shared/a", revision); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/core/allot/allot_test.go
+++ b/internal/core/allot/allot_test.go
@@ -85,6 +85,7 @@
 		{"limit lowered, all used", doc(10, map[string]int64{"a": 6, "b": 4}), limit(1, 5), "a", uses(6, 6), map[string]int64{"a": 6, "b": 4}, 5, false},
 		{"limit raised", doc(10, map[string]int64{"a": 6, "b": 4}), limit(1, 12), "a", uses(6, 9), map[string]int64{"a": 8, "b": 4}, 0, false},
 		{"older configuration", Document{Config: 3, Items: doc(10, map[string]int64{"a": 6}).Items, Holders: map[string]Holder{"a": {}}}, limit(2, 5), "a", uses(6, 6), map[string]int64{"a": 6}, 0, true},
+		{"older configuration without the team", Document{Config: 3, Items: doc(10, map[string]int64{"a": 6}).Items, Holders: map[string]Holder{"a": {}}}, Limits{Config: 2}, "a", uses(6, 6), map[string]int64{"a": 6}, 0, true},
 		{"team deleted", doc(10, map[string]int64{"a": 6}), Limits{Config: 1, Items: map[string]Vector{}}, "a", uses(2, 2), map[string]int64{"a": 2}, 2, false},
 	}
 	for _, c := range cases {
