--- a/internal/app/allotment/ledger.go
+++ b/internal/app/allotment/ledger.go
@@ -167,10 +167,8 @@
 func (l *Ledger) onUpdate(u sharedwatch.Update) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, ev := range u.Events {
-		if ev.Entry.Key == l.key && !ev.Deleted {
-			l.take(ev.Entry)
-		}
+	if ev, ok := u.Last(l.key); ok && !ev.Deleted {
+		l.take(ev.Entry)
 	}
 	if u.Revision >= l.revision {
 		l.shown(u.Begun)
--- a/internal/app/confsync/sync.go
+++ b/internal/app/confsync/sync.go
@@ -159,10 +159,8 @@
 
 // onUpdate takes the configuration from an answer of the watch.
 func (s *Sync) onUpdate(u sharedwatch.Update) {
-	for _, ev := range u.Events {
-		if ev.Entry.Key == ConfigKey {
-			s.take(ev)
-		}
+	if ev, ok := u.Last(ConfigKey); ok {
+		s.take(ev)
 	}
 	if !s.storeValid {
 		return
--- a/internal/app/sharedwatch/watch.go
+++ b/internal/app/sharedwatch/watch.go
@@ -48,6 +48,17 @@
 	Revision int64
 }
 
+// Last returns the last change of the key. Documents are written whole, so the
+// changes before it need not be decoded.
+func (u Update) Last(key string) (port.Event, bool) {
+	for i := len(u.Events) - 1; i >= 0; i-- {
+		if u.Events[i].Entry.Key == key {
+			return u.Events[i], true
+		}
+	}
+	return port.Event{}, false
+}
+
 // Subscriber receives updates in order, from one goroutine. It must not block.
 type Subscriber func(Update)
 
