--- a/internal/app/allotment/ledger_test.go
+++ b/internal/app/allotment/ledger_test.go
@@ -62,6 +62,9 @@
 				if inUse < c.least {
 					t.Errorf("%d in use after 15 s, want at least %d; %v", inUse, c.least, got)
 				}
+				if reached == 0 || reached > 6*time.Second {
+					t.Errorf("%d in use only after %s", c.least, reached)
+				}
 				t.Logf("%d of %d in use after 15 s, %d reached after %s", inUse, c.limit, c.least, reached)
 			})
 		})
@@ -90,7 +93,7 @@
 		took := time.Since(began)
 		writes := c.faults[1].Calls(store.CompareAndSwap) - before
 		t.Logf("90 %% of the limit moved in %s with %d writes of the receiver", took, writes)
-		if took > 20*time.Second || float64(writes) > took.Seconds()+1 {
+		if took > 8*time.Second || float64(writes) > took.Seconds()+1 {
 			t.Errorf("moved %d in %s with %d writes", moved, took, writes)
 		}
 	})
