--- a/internal/app/allotment/cell_test.go
+++ b/internal/app/allotment/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -188,18 +189,38 @@
 	var list []domain.InstanceID
 	for _, o := range n.cell.nodes {
 		if o != n {
-			list = append(list, domain.InstanceID(o.name))
+			list = append(list, o.id())
 		}
 	}
 	return list, nil
 }
 
+func (n *node) id() domain.InstanceID { return domain.InstanceID(fmt.Sprintf("i%d", n.index)) }
+
+// Live implements Peers.
+func (n *node) Live() []domain.InstanceID {
+	n.cell.mu.Lock()
+	defer n.cell.mu.Unlock()
+	list := []domain.InstanceID{n.id()}
+	for _, o := range n.cell.nodes {
+		if o != n && n.cell.reaches(n.index, o.index) {
+			list = append(list, o.id())
+		}
+	}
+	return list
+}
+
+// Unreachable implements Peers.
+func (n *node) Unreachable(id domain.InstanceID, _ uint64) bool {
+	return !slices.Contains(n.Live(), id)
+}
+
 // ProvenDead implements Peers.
 func (n *node) ProvenDead(id domain.InstanceID) bool {
 	n.cell.mu.Lock()
 	defer n.cell.mu.Unlock()
 	for _, o := range n.cell.nodes {
-		if o.name == string(id) {
+		if o.id() == id {
 			return n.cell.dead[o.index]
 		}
 	}
@@ -209,7 +230,7 @@
 // Bar implements Peers.
 func (n *node) Bar(_ context.Context, at domain.InstanceID, holder string) error {
 	for _, o := range n.cell.nodes {
-		if o.name != string(at) {
+		if o.id() != at {
 			continue
 		}
 		n.cell.mu.Lock()
