--- a/internal/app/allotment/reclaim.go
+++ b/internal/app/allotment/reclaim.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,11 +27,6 @@
 	// must read the registry from the store after it was called: an instance
 	// that registered later reads the revocation before it vouches for anyone.
 	Others(ctx context.Context) ([]domain.InstanceID, error)
-	// Live returns the live instances of the region, this one included.
-	Live() []domain.InstanceID
-	// Unreachable reports whether the process is dead, was replaced by a later
-	// incarnation, or was not heard of for so long that it should be reclaimed.
-	Unreachable(id domain.InstanceID, incarnation uint64) bool
 	// ProvenDead reports whether a proof of death of the instance is known.
 	ProvenDead(id domain.InstanceID) bool
 	// Bar asks the instance to bar the holder. It returns nil once the
@@ -88,95 +81,14 @@
 
 // Reclaimer takes back what unreachable holders of the region have.
 type Reclaimer struct {
-	self    domain.InstanceID
 	ledgers []*Ledger
 	bars    *Bars
 	peers   Peers
 }
 
-// NewReclaimer returns a reclaimer at the instance for the ledgers of the bars.
-func NewReclaimer(self domain.InstanceID, bars *Bars, peers Peers) *Reclaimer {
-	return &Reclaimer{self: self, ledgers: bars.ledgers, bars: bars, peers: peers}
-}
-
-// Run reclaims the unreachable and the revoked holders of the region until ctx
-// ends. Each holder is left to one live instance; a holder that another
-// instance revoked before it went is finished by the next one.
-func (r *Reclaimer) Run(ctx context.Context) {
-	var group sync.WaitGroup
-	defer group.Wait()
-	running := make(map[string]bool)
-	ended := make(chan string)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case holder := <-ended:
-			delete(running, holder)
-			continue
-		case <-time.After(attemptPause):
-		}
-		for _, holder := range r.due() {
-			if running[holder] {
-				continue
-			}
-			running[holder] = true
-			group.Go(func() {
-				r.attempt(ctx, holder)
-				select {
-				case ended <- holder:
-				case <-ctx.Done():
-				}
-			})
-		}
-	}
-}
-
-// attemptTime bounds one reclaim, so that it is looked at again which instance
-// is to do it.
-const attemptTime = 30 * time.Second
-
-func (r *Reclaimer) attempt(ctx context.Context, holder string) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTime)
-	defer cancel()
-	id, _, ok := ParseHolder(holder)
-	if ok {
-		_ = r.Reclaim(ctx, id, holder) // what is left is due again
-	}
-}
-
-// due returns the holders that this instance is to reclaim.
-func (r *Reclaimer) due() []string {
-	var live []string
-	for _, id := range r.peers.Live() {
-		live = append(live, string(id))
-	}
-	found := make(map[string]bool)
-	for _, l := range r.ledgers {
-		for holder, revoked := range l.others() {
-			id, incarnation, ok := ParseHolder(holder)
-			lost := ok && (revoked || r.peers.Unreachable(id, incarnation))
-			if lost && allot.Chosen(holder, live) == string(r.self) {
-				found[holder] = true
-			}
-		}
-	}
-	return slices.Sorted(maps.Keys(found))
-}
-
-// others returns the holders of this region other than this instance, with
-// whether they are revoked.
-func (l *Ledger) others() map[string]bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	own := l.instance()
-	list := make(map[string]bool)
-	for holder, h := range l.doc.Holders {
-		if h.Region == l.region && h.Epoch == 0 && (own == nil || holder != own.holder) {
-			list[holder] = h.Revoked
-		}
-	}
-	return list
+// NewReclaimer returns a reclaimer for the ledgers of the region.
+func NewReclaimer(bars *Bars, peers Peers, ledgers ...*Ledger) *Reclaimer {
+	return &Reclaimer{ledgers: ledgers, bars: bars, peers: peers}
 }
 
 // Reclaim takes back what the holder, a process of the instance, has in each
