--- a/internal/adapter/peergnet/socket.go
+++ b/internal/adapter/peergnet/socket.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +61,8 @@
 	handler  *handler
 	stopped  chan error
 	conn     *net.UDPConn
+	closing  sync.Once
+	closeErr error
 }
 
 // Listen opens the socket. gnet sets SO_REUSEPORT on it, so the caller first
@@ -131,8 +134,14 @@
 	return nil
 }
 
-// Close stops the event loop and closes the socket.
+// Close stops the event loop and closes the socket. Later calls return the
+// result of the first.
 func (s *Socket) Close() error {
+	s.closing.Do(func() { s.closeErr = s.close() })
+	return s.closeErr
+}
+
+func (s *Socket) close() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = s.handler.engine.Stop(ctx) }()
--- a/internal/app/peering/vmproof.go
+++ b/internal/app/peering/vmproof.go
@@ -75,7 +75,8 @@
 // one of its addresses.
 func listed(vms []domain.VM, r membership.Record) bool {
 	for _, vm := range vms {
-		if vm.ID == string(r.ID) || vm.Address == r.Address || vm.Address == r.RequestAddress {
+		sameAddress := vm.Address != "" && (vm.Address == r.Address || vm.Address == r.RequestAddress)
+		if vm.ID == string(r.ID) || sameAddress {
 			return true
 		}
 	}
