--- a/internal/app/requestplane/dispatch.go
+++ b/internal/app/requestplane/dispatch.go
@@ -19,6 +19,7 @@
 	clock    port.Clock
 	slots    Slots
 	teams    TeamLimits
+	peers    Peers // nil where there are no other instances
 	metrics  *metrics.Registry
 	maxBytes int64
 
@@ -37,6 +38,10 @@
 	pool    *pool
 	refused *refusal.Refusal
 	started time.Time
+	// mayForward tells that the request may be sent to another instance
+	// instead; peer is then the instance with a free slot.
+	mayForward bool
+	peer       *Peer
 }
 
 func newDispatcher(o *Options) *dispatcher {
@@ -44,6 +49,7 @@
 		clock:    o.Clock,
 		slots:    o.Slots,
 		teams:    o.Teams,
+		peers:    o.Peers,
 		metrics:  o.Metrics,
 		maxBytes: o.MaxWaitingBytes,
 		table:    route.NewTable(o.Location),
@@ -74,13 +80,25 @@
 		return false, nil
 	}
 	server := d.table.Choose(t.item.Queue, d.held, t.item.Avoid, now)
-	if server == nil {
+	if server == nil || !d.take(t.item.Team, server) {
 		return false, nil
 	}
 	d.grant(t, server, now)
 	return true, nil
 }
 
+// take acquires a slot and a part of the team's limit, both or none.
+func (d *dispatcher) take(team domain.TeamID, s *route.Server) bool {
+	if !d.teams.Acquire(team) {
+		return false
+	}
+	if !d.slots.Acquire(s.Info.ID) {
+		d.teams.Release(team)
+		return false
+	}
+	return true
+}
+
 // wait queues the ticket until it has a slot, is refused or the context ends.
 // After an error of the context the ticket holds nothing.
 func (d *dispatcher) wait(ctx context.Context, t *ticket, bounds route.Bounds) (*refusal.Refusal, error) {
@@ -138,6 +156,8 @@
 
 func (d *dispatcher) endLocked(t *ticket, outcome route.Outcome, latency time.Duration, now time.Time) {
 	d.table.End(t.server)
+	d.slots.Release(t.server.Info.ID)
+	d.teams.Release(t.item.Team)
 	d.fair.Finish(t.item.Team, now.Sub(t.started))
 	if why := d.table.Report(t.server, t.item.Queue, outcome, latency, now); why != "" {
 		d.metrics.Counter("requestplane.ejected." + string(why)).Inc(1)
@@ -182,6 +202,10 @@
 		if chosenFor != it {
 			chosen = d.table.Choose(it.Queue, d.held, it.Avoid, now)
 		}
+		if !d.take(it.Team, chosen) {
+			// The amounts were lowered since they were asked for; the next tick tries again.
+			return
+		}
 		d.fair.Remove(it)
 		t := it.Owner.(*ticket)
 		d.grant(t, chosen, now)
@@ -219,6 +243,32 @@
 		d.refuseWaiting(it, refuseDeadlineWaiting())
 	}
 	d.pump(now)
+	if d.peers != nil {
+		d.forwardWaiting()
+	}
+}
+
+// forwardWaiting hands waiting requests, in fair order, to instances that
+// reported free slots. An instance that holds no slot at all depends on it.
+func (d *dispatcher) forwardWaiting() {
+	exhausted := make(map[domain.QueueID]bool)
+	for d.fair.Len() > 0 {
+		it := d.fair.Next(func(it *route.Item) bool {
+			return it.Owner.(*ticket).mayForward && !exhausted[it.Queue]
+		})
+		if it == nil {
+			return
+		}
+		peer, ok := d.peers.Take(it.Queue)
+		if !ok {
+			exhausted[it.Queue] = true
+			continue
+		}
+		d.fair.Remove(it)
+		t := it.Owner.(*ticket)
+		t.peer = &peer
+		t.ready <- struct{}{}
+	}
 }
 
 // update replaces the list of servers. The connections to servers that are
--- a/internal/app/taskplane/manager.go
+++ b/internal/app/taskplane/manager.go
@@ -53,8 +53,6 @@
 type Inputs struct {
 	Partitions []domain.PartitionRow
 	Teams      []sched.TeamRow
-	// Allotments returns the parts of the teams' limits that the partition holds.
-	Allotments func(domain.PartitionID) []sched.Allotment
 }
 
 // Manager owns the partitions of this instance: it takes over those without a
--- a/internal/core/sched/policy_test.go
+++ b/internal/core/sched/policy_test.go
@@ -167,29 +167,81 @@
 	}
 }
 
+// Guards against urgent jobs that count on the same room: each needs its own.
+func TestTwoUrgentJobs(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.advance(3_000)
+	for _, id := range []domain.JobID{"now1", "now2"} {
+		c.mustSubmit(id, "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Priority: domain.PriorityUrgent})
+	}
+	c.advance(6_500)
+	for _, id := range []domain.JobID{"now1", "now2"} {
+		if s, _ := c.m.Status(id); s.Running != 2 {
+			t.Errorf("%d of 2 tasks of %s run within 6.5 s: %s", s.Running, id, s.Reason)
+		}
+	}
+	if got := c.m.Stats().Preemptions; got != 4 {
+		t.Errorf("%d attempts were preempted, want 4", got)
+	}
+	c.advance(15_000)
+	if n := len(c.m.preemptions); n != 0 {
+		t.Errorf("%d preemptions are left", n)
+	}
+}
+
 // Guards against gangs that starve behind small tasks, and against backfill that delays them.
 func TestGangReservation(t *testing.T) {
-	c := newCell(t, 2).begin()
-	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
-		run := map[domain.JobID]int64{"fill": 60_000, "short": 5_000, "long": 90_000, "gang": 1 << 40}
-		return run[r.Job], domain.OutcomeSucceeded, r.Resources
+	cases := []struct {
+		name string
+		// fillMS is the declared run time of what the gang waits for. Zero means unknown.
+		fillMS   int64
+		backfill domain.JobState
+	}{
+		{"known end", 60_000, domain.JobSucceeded},
+		{"unknown end", 0, domain.JobQueued},
 	}
-	batch := func(tasks int, runMS int64, cpus int64) domain.JobSpec {
-		return domain.JobSpec{Kind: domain.JobBatch, Tasks: tasks, Resources: amount(cpus, 1), RunTimeMS: runMS, Idempotent: true}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCell(t, 2).begin()
+			c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+				run := map[domain.JobID]int64{"fill": 60_000, "short": 5_000, "long": 90_000, "gang": 1 << 40}
+				return run[r.Job], domain.OutcomeSucceeded, r.Resources
+			}
+			batch := func(runMS int64) domain.JobSpec {
+				return domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(4, 1), RunTimeMS: runMS, Idempotent: true}
+			}
+			c.mustSubmit("fill", "a", batch(tc.fillMS))
+			c.advance(1_000)
+			c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
+			c.advance(31_000)
+			c.mustSubmit("long", "c", batch(90_000))
+			c.mustSubmit("short", "c", batch(5_000))
+			c.advance(12_000)
+			c.mustState("short", tc.backfill)
+			c.mustState("long", domain.JobQueued)
+			c.advance(30_000)
+			if s, _ := c.m.Status("gang"); s.Running != 2 {
+				t.Fatalf("%d of 2 members run: %s", s.Running, s.Reason)
+			}
+		})
 	}
-	c.mustSubmit("fill", "a", batch(2, 60_000, 4))
-	c.advance(1_000)
+}
+
+// Guards against room that is held in vain for a gang which replicas keep out.
+func TestGangBehindServices(t *testing.T) {
+	c := newCell(t, 2).begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("service1", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 2, Idempotent: true, Resources: amount(4, 4)})
+	c.advance(2_000)
 	c.mustSubmit("gang", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true})
-	c.advance(31_000)
-	c.mustSubmit("long", "c", batch(2, 90_000, 4))
-	c.mustSubmit("short", "c", batch(2, 5_000, 4))
-	c.advance(12_000)
-	c.mustState("short", domain.JobSucceeded)
-	c.mustState("long", domain.JobQueued)
-	c.advance(30_000)
-	c.mustState("gang", domain.JobRunning)
-	if s, _ := c.m.Status("gang"); s.Running != 2 {
-		t.Fatalf("%d of 2 members run", s.Running)
+	c.advance(40_000)
+	c.mustSubmit("batch", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(4, 4)})
+	c.advance(5_000)
+	c.mustState("gang", domain.JobQueued)
+	if s, _ := c.m.Status("batch"); s.Running != 2 {
+		t.Fatalf("%d of 2 tasks run beside the replicas: %s", s.Running, s.Reason)
 	}
 }
 
@@ -198,9 +250,13 @@
 	c := newCell(t, 8).begin()
 	failed := false
 	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
-		if r.Task == 2 && !failed {
+		switch {
+		case r.Job == "gang" && r.Task == 2 && !failed:
 			failed = true
 			return 2_000, domain.OutcomeFailed, r.Resources
+		case r.Job == "gang" && strings.HasSuffix(string(r.Attempt), ".1"):
+			// The first members wait for each other until they are stopped.
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
 		}
 		return 20_000, domain.OutcomeSucceeded, r.Resources
 	}
@@ -273,6 +329,11 @@
 			t.Errorf("the last event is %+v, want the count %q", last, part)
 		}
 	}
+	c.setAllotment("b", amount(1, 400))
+	c.advance(1_000)
+	if s, _ := c.m.Status("late"); !strings.Contains(s.Reason, "limit") {
+		t.Errorf("the reason at the limit is %q", s.Reason)
+	}
 	for i := range 50 {
 		c.setAllotment("a", amount(int64(i%2)*10, 400))
 		c.advance(2_000)
