--- a/internal/core/membership/fault_test.go
+++ b/internal/core/membership/fault_test.go
@@ -304,3 +304,44 @@
 		t.Error("the planted short suspicion was not found")
 	}
 }
+
+// accusationsAfterPause returns the accusations that an instance makes in the
+// seconds after a pause, while all others live.
+func accusationsAfterPause(t *testing.T, pause time.Duration, seed uint64, plant func(*network)) int {
+	w := formed(t, 8, 2, seed, plant)
+	w.run(10*time.Second + time.Duration(seed)*130*time.Millisecond)
+	paused := w.hosts[2]
+	// Its last pings before the pause stay without an answer.
+	w.cut = func(_, b *host) bool { return b == paused }
+	w.run(900 * time.Millisecond)
+	w.pause(paused)
+	w.run(pause)
+	w.cut = nil
+	accusations := 0
+	w.onSend = func(at *host, d Datagram) {
+		for _, u := range d.Message.Updates {
+			if at == paused && u.Accuser == paused.id {
+				accusations++
+			}
+		}
+	}
+	w.resume(paused)
+	w.run(5 * time.Second)
+	return accusations
+}
+
+// Guards against a resumed instance that takes its own pause for the silence of others.
+func TestResumedInstanceAccusesNobody(t *testing.T) {
+	planted := 0
+	for _, pause := range []time.Duration{1500 * time.Millisecond, 5 * time.Second, 30 * time.Second} {
+		for seed := range uint64(10) {
+			if got := accusationsAfterPause(t, pause, seed, nil); got > 0 {
+				t.Errorf("seed %d: %d accusations after a pause of %s", seed, got, pause)
+			}
+			planted += accusationsAfterPause(t, pause, seed, tweaked(func(c *Config) { c.PauseGap, c.IsolationHold = time.Hour, 0 }))
+		}
+	}
+	if planted == 0 {
+		t.Error("the planted blindness for pauses was not found")
+	}
+}
