Pass on what another instance refuses for good

Cause: a request with a withdrawn key was forwarded by an instance that did not know of the withdrawal yet. The other instance refused it as key_unknown, which was taken as a lack of room, and the request waited here for its deadline of 10 s. Change: refusals with a status of 4xx other than 429 are passed on.

--- a/internal/app/requestplane/overflow.go
+++ b/internal/app/requestplane/overflow.go
@@ -1,6 +1,7 @@
 package requestplane
 
 import (
+	"net/http"
 	"net/url"
 	"sync"
 	"time"
@@ -85,7 +86,7 @@
 	header[HeaderHop] = []string{"1"}
 	target := url.URL{Path: q.r.URL.Path, RawPath: q.r.URL.RawPath, RawQuery: q.r.URL.RawQuery}
 	x := p.start(q, p.peerPools.get(peer.Address, p.clock.Now()), &target, header)
-	if x.err == nil && !x.refused {
+	if x.err == nil && (!x.refused || final(x.resp.StatusCode)) {
 		p.answer(q, x, func(route.Outcome) { p.peers.Return(q.queue, peer.ID) }, func(route.Outcome) {})
 		return true
 	}
@@ -97,6 +98,14 @@
 	return p.afterOverflow(q, x)
 }
 
+// final reports whether a refusal by the other instance concerns the request
+// itself, such as a key that it knows to be withdrawn. Waiting here would end
+// at the deadline. A lack of room or of readiness there is no reason to refuse.
+func final(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
+		status != http.StatusTooManyRequests
+}
+
 // afterOverflow decides what follows a forwarding without an answer. A request
 // that provably did not run waits here, which takes nothing of the retry
 // budget since no backend server was tried.
--- a/internal/app/requestplane/overflow_test.go
+++ b/internal/app/requestplane/overflow_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"auburnpier/internal/domain"
+	"auburnpier/internal/refusal"
 	"auburnpier/internal/standin/backend"
 )
 
@@ -43,6 +44,13 @@
 	return Peer{ID: "other", Address: p.address}, true
 }
 
+// refuseKey stands for an instance that already knows that a key was withdrawn.
+type refuseKey struct{}
+
+func (refuseKey) Admit(*http.Request, domain.QueueID) (Caller, error) {
+	return Caller{}, refusal.New(http.StatusUnauthorized, refusal.KeyUnknown, "the key was withdrawn", "present another key")
+}
+
 // Guards against an overflow that loses, repeats or loops a request, and
 // against a request that fails because the other instance is unusable.
 func TestOverflow(t *testing.T) {
@@ -73,6 +81,11 @@
 			c.front.Close()
 			return c
 		}, "no", http.StatusOK, 1, 0, 1},
+		{"key refused there", func(t *testing.T, back *fixedPeers) *cell {
+			c := newCell(t, cellOptions{servers: 1, peers: back})
+			c.plane.admission = refuseKey{}
+			return c
+		}, "no", http.StatusUnauthorized, 0, 0, 1},
 		{"outcome unknown there", func(t *testing.T, back *fixedPeers) *cell {
 			c := newCell(t, cellOptions{servers: 1, peers: back})
 			c.servers[0].SetFault(backend.Fault{Kind: backend.CloseAfter})
