--- a/internal/adapter/api/server.go
+++ b/internal/adapter/api/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -95,8 +96,10 @@
 	Cell   Cell
 	// Requests serves /v1/queues/. It resolves the key itself.
 	Requests http.Handler
-	Metrics  *metrics.Registry
-	Log      *zap.Logger
+	// ReadTimeout bounds the time in which a JSON body arrives. Zero means no bound.
+	ReadTimeout time.Duration
+	Metrics     *metrics.Registry
+	Log         *zap.Logger
 }
 
 // Server is the HTTP interface for callers and operators.
@@ -168,6 +171,10 @@
 			s.refuse(w, err)
 			return
 		}
+		if s.o.ReadTimeout > 0 {
+			// The server clears the deadline before it reads the next request.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.o.ReadTimeout))
+		}
 		h(w, r, id)
 	}
 }
@@ -191,6 +198,21 @@
 	return s.o.Config.Resolve(key)
 }
 
+// LimitBody refuses requests whose body is longer than limit bytes, before
+// anything is read of it where its length is declared.
+func LimitBody(h http.Handler, limit int64, m *metrics.Registry) http.Handler {
+	bounded := http.MaxBytesHandler(h, limit)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength <= limit {
+			bounded.ServeHTTP(w, r)
+			return
+		}
+		m.Refused(refusal.BodyTooLarge)
+		refusal.Write(w, refusal.Body{Refusal: refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
+			fmt.Sprintf("the body has %d bytes, allowed are %d", r.ContentLength, limit), "send a smaller body")})
+	})
+}
+
 // KeyFromHeader returns the key of the Authorization header or a typed refusal
 // that does not repeat it.
 func KeyFromHeader(h http.Header) (teamkey.Key, error) {
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -21,6 +21,20 @@
 	List     KeysListCommand     `cmd:"" help:"Show the granted keys without their secrets." default:"1"`
 	Grant    KeysGrantCommand    `cmd:"" help:"Make a key for a team and print it once."`
 	Withdraw KeysWithdrawCommand `cmd:"" help:"Withdraw a key; it stops working everywhere within seconds."`
+	New      KeysNewCommand      `cmd:"" help:"Print a new key without granting it, for bootstrap.key_file."`
+}
+
+// KeysNewCommand prints a new key.
+type KeysNewCommand struct{}
+
+// Run implements the command.
+func (c *KeysNewCommand) Run(g *Globals) error {
+	key, err := teamkey.Generate(rand.Reader)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(g.out, key.Reveal())
+	return nil
 }
 
 // KeysListCommand shows the keys.
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"auburnpier/internal/adapter/api"
 	"auburnpier/internal/adapter/storeguard"
@@ -204,7 +205,9 @@
 		return errors.Wrapf(err, "listen on listen.api %s; choose a free port of this VM", s.Listen.API)
 	}
 	handler := api.NewServer(api.Options{
-		Jobs: i.router, Config: i.config, Cell: i, Requests: i.plane, Metrics: i.metrics, Log: i.log,
+		Jobs: i.router, Config: i.config, Cell: i, Metrics: i.metrics, Log: i.log,
+		Requests:    api.LimitBody(i.plane, s.Requests.MaxBodyBytes, i.metrics),
+		ReadTimeout: settings.Milliseconds(s.Requests.ReadTimeoutMS),
 	})
 	i.server = &http.Server{
 		Handler:           handler,
@@ -212,7 +215,7 @@
 		ReadHeaderTimeout: settings.Milliseconds(s.Requests.ReadTimeoutMS),
 		IdleTimeout:       2 * settings.Milliseconds(s.Requests.ReadTimeoutMS),
 	}
-	i.listener = listener
+	i.listener = netutil.LimitListener(listener, int(s.Requests.MaxConnections))
 	if !s.TLS.API.Enabled() {
 		return nil
 	}
@@ -224,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	i.listener = tls.NewListener(listener, config)
+	i.listener = tls.NewListener(i.listener, config)
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,13 +98,18 @@
 
 // Requests bounds what callers may send.
 type Requests struct {
-	MaxBodyBytes     int64 `json:"max_body_bytes"`
-	MaxHeaderBytes   int64 `json:"max_header_bytes"`
-	ReadTimeoutMS    int64 `json:"read_timeout_ms"`
-	MaxConnections   int64 `json:"max_connections"`
-	MaxWaitingBytes  int64 `json:"max_waiting_bytes"`
-	SlotHoldBoundMS  int64 `json:"slot_hold_bound_ms"`
-	DefaultTimeoutMS int64 `json:"default_timeout_ms"`
+	// MaxBodyBytes bounds the body of a request on a queue, which is streamed.
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// MaxHeaderBytes bounds the header of any request.
+	MaxHeaderBytes int64 `json:"max_header_bytes"`
+	// ReadTimeoutMS bounds the time in which a header or a JSON body arrives.
+	ReadTimeoutMS int64 `json:"read_timeout_ms"`
+	// MaxConnections bounds the open connections of callers.
+	MaxConnections int64 `json:"max_connections"`
+	// MaxWaitingBytes bounds the memory that waiting requests hold.
+	MaxWaitingBytes int64 `json:"max_waiting_bytes"`
+	// SlotHoldBoundMS frees the slot of a cancelled request whose server never ends it.
+	SlotHoldBoundMS int64 `json:"slot_hold_bound_ms"`
 }
 
 // Shutdown bounds a graceful exit.
@@ -126,13 +131,12 @@
 		VMList: VMList{PollMS: 1000, LagMS: 30000},
 		Policy: Policy{ShareWeight: 1, WaitingWeight: 1, PackingWeight: 1},
 		Requests: Requests{
-			MaxBodyBytes:     64 << 20,
-			MaxHeaderBytes:   32 << 10,
-			ReadTimeoutMS:    30000,
-			MaxConnections:   4096,
-			MaxWaitingBytes:  64 << 20,
-			SlotHoldBoundMS:  30000,
-			DefaultTimeoutMS: 30000,
+			MaxBodyBytes:    64 << 20,
+			MaxHeaderBytes:  32 << 10,
+			ReadTimeoutMS:   30000,
+			MaxConnections:  4096,
+			MaxWaitingBytes: 64 << 20,
+			SlotHoldBoundMS: 30000,
 		},
 		Shutdown: Shutdown{BalancerDelayMS: 3000, BoundMS: 30000},
 		Log:      Log{Level: "info"},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -79,3 +79,12 @@
 		}
 	})
 }
+
+// Guards against examples that the program does not accept.
+func TestExamplesAreValid(t *testing.T) {
+	for _, file := range []string{"norrstrom.jsonc", "velo-atelier.jsonc"} {
+		if _, err := Load("../../examples/" + file); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -61,7 +61,6 @@
 	v.between("requests.max_connections", s.Requests.MaxConnections, 1, 100_000)
 	v.between("requests.max_waiting_bytes", s.Requests.MaxWaitingBytes, 1<<10, 1<<30)
 	v.between("requests.slot_hold_bound_ms", s.Requests.SlotHoldBoundMS, 100, 600_000)
-	v.between("requests.default_timeout_ms", s.Requests.DefaultTimeoutMS, 10, 3_600_000)
 }
 
 func (v *validator) add(path, given, allowed, remedy string) {
