Mend what a first user of the demo met

The demo prints a team's key besides the operator's, whose team may run nothing. A request of a team whose limit is 0 is refused at once instead of waiting for its deadline. Faults of a table are listed once. Services are idempotent by nature. One type describes wrong fields in settings, tables and job specifications.

--- a/internal/app/confsync/refusals.go
+++ b/internal/app/confsync/refusals.go
@@ -1,6 +1,7 @@
 package confsync
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -20,7 +21,9 @@
 	var unknown *OutcomeUnknownError
 	switch {
 	case errors.As(err, &invalid):
-		return refusal.New(http.StatusUnprocessableEntity, refusal.InvalidTable, err.Error(), "correct every fault and send the edit again")
+		return refusal.New(http.StatusUnprocessableEntity, refusal.InvalidTable,
+			fmt.Sprintf("the table has wrong fields (%d), each is listed with the answer", len(invalid.Faults)),
+			"correct every one and send the edit again")
 	case errors.As(err, &tooLarge):
 		return refusal.New(http.StatusUnprocessableEntity, refusal.InvalidTable, err.Error(), "make the table smaller")
 	case errors.As(err, &conflict):
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -122,7 +122,7 @@
 		fmt.Fprintf(w, "  try again after %s\n", refused.RetryAfter)
 	}
 	for _, f := range refused.Faults {
-		fmt.Fprintf(w, "  %s\n", f)
+		fmt.Fprintf(w, "  %s\n", f.Error())
 	}
 }
 
--- a/internal/core/confdoc/confdoc_test.go
+++ b/internal/core/confdoc/confdoc_test.go
@@ -184,7 +184,7 @@
 		if f.Given == "" || f.Allowed == "" || f.Remedy == "" {
 			t.Errorf("fault %+v is incomplete", f)
 		}
-		if strings.Contains(f.String(), "ap_x_secret") {
+		if strings.Contains(f.Error(), "ap_x_secret") {
 			t.Errorf("fault shows the secret: %v", f)
 		}
 	}
--- a/internal/core/confdoc/errors.go
+++ b/internal/core/confdoc/errors.go
@@ -5,23 +5,11 @@
 	"strings"
 
 	"auburnpier/internal/domain"
+	"auburnpier/internal/fault"
 )
 
 // Fault is one thing that is wrong with a table.
-type Fault struct {
-	// Path names the field, such as "teams/marine/share".
-	Path string `json:"path"`
-	// Given is the value found.
-	Given string `json:"given"`
-	// Allowed describes the values that are accepted.
-	Allowed string `json:"allowed"`
-	// Remedy says how to mend the table.
-	Remedy string `json:"remedy"`
-}
-
-func (f Fault) String() string {
-	return fmt.Sprintf("%s is %s, allowed: %s; %s", f.Path, f.Given, f.Allowed, f.Remedy)
-}
+type Fault = fault.Fault
 
 // InvalidError lists every fault of a refused table or edit.
 type InvalidError struct{ Faults []Fault }
@@ -29,9 +17,9 @@
 func (e *InvalidError) Error() string {
 	lines := make([]string, 0, len(e.Faults))
 	for _, f := range e.Faults {
-		lines = append(lines, f.String())
+		lines = append(lines, f.Error())
 	}
-	return fmt.Sprintf("the table has %d faults: %s", len(e.Faults), strings.Join(lines, "\n"))
+	return fmt.Sprintf("the table has wrong fields (%d): %s", len(e.Faults), strings.Join(lines, "\n"))
 }
 
 // ConflictError tells that the row changed after the operator saw it. Exactly
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -39,5 +39,11 @@
 	if err != nil {
 		return requestplane.Caller{}, err
 	}
-	return requestplane.Caller{Team: id.Team, Share: current.Doc.Teams[id.Team].Share, Row: row}, nil
+	team := current.Doc.Teams[id.Team]
+	if team.LimitRequests == 0 {
+		// Such a request would only wait for its deadline.
+		return requestplane.Caller{}, refusal.New(http.StatusForbidden, refusal.TeamLimit,
+			"the team may have no request in flight", "ask the operators for a limit above 0")
+	}
+	return requestplane.Caller{Team: id.Team, Share: team.Share, Row: row}, nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -23,6 +23,9 @@
 	"auburnpier/internal/standin/platform"
 )
 
+// operatorKeyName is the file with the operator's key in the demo's folder.
+const operatorKeyName = "operator.key"
+
 // readyTimeout bounds the start of the instance.
 const readyTimeout = 10 * time.Second
 
@@ -68,7 +71,9 @@
 		url, len(stands.Workers), len(stands.Backends))
 	broken := e.run(ctx)
 	if !o.Once && ctx.Err() == nil {
-		e.invite(keyFile)
+		if err := e.invite(ctx, dir); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 		case err := <-ended:
@@ -100,7 +105,7 @@
 	if err != nil {
 		return teamkey.Key{}, "", err
 	}
-	file := filepath.Join(dir, "operator.key")
+	file := filepath.Join(dir, operatorKeyName)
 	err = os.WriteFile(file, []byte(key.Reveal()+"\n"), 0o600)
 	return key, file, errors.Wrap(err, "write the operator's key")
 }
--- a/internal/demo/example.go
+++ b/internal/demo/example.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,18 +78,45 @@
 	return e.broken
 }
 
-// invite prints what a new user can type next.
-func (e *example) invite(operatorKeyFile string) {
+// invite grants a second key and prints what a new user can type next.
+func (e *example) invite(ctx context.Context, dir string) error {
+	key, err := e.grant(ctx, "county-office")
+	if err != nil {
+		return err
+	}
+	operator, team := filepath.Join(dir, operatorKeyName), filepath.Join(dir, "county-office.key")
+	if err := os.WriteFile(team, []byte(key.Reveal()+"\n"), 0o600); err != nil {
+		return errors.Wrap(err, "write the team's key")
+	}
 	fmt.Fprintf(e.out, `
-The demo keeps serving. In another terminal:
+The demo keeps serving. In another terminal, as an operator:
 
-  export AUBURNPIER_SERVER=%s AUBURNPIER_KEY_FILE=%s
+  export AUBURNPIER_SERVER=%s
+  export AUBURNPIER_KEY_FILE=%s
   go run ./cmd/auburnpier status
   go run ./cmd/auburnpier table show
+
+and as the team county-office:
+
+  export AUBURNPIER_KEY_FILE=%s
   go run ./cmd/auburnpier submit --name tally --cpu 500m --memory 256MB --idempotent --wait -- sleep 2s
+  go run ./cmd/auburnpier request counting --data 'frame 1'
 
 Press Ctrl-C to end.
-`, e.url, operatorKeyFile)
+`, e.url, operator, team)
+	return nil
+}
+
+// grant gives a team a new key.
+func (e *example) grant(ctx context.Context, team domain.TeamID) (teamkey.Key, error) {
+	key, err := teamkey.Generate(rand.Reader)
+	if err != nil {
+		return teamkey.Key{}, err
+	}
+	_, err = e.operator.Edit(ctx, confdoc.Edit{ID: rand.Text(), GrantKey: &confdoc.GrantKey{
+		KeyID: key.ID(), Team: team, SecretSHA256: key.SecretSHA256(), Granted: time.Now(),
+	}})
+	return key, err
 }
 
 func (e *example) awaitReady(ctx context.Context) (string, error) {
@@ -107,16 +136,11 @@
 
 func (e *example) configure(ctx context.Context) (string, error) {
 	limit := domain.Resources{CPUMilli: 40_000, MemoryMB: 160_000}
-	key, err := teamkey.Generate(rand.Reader)
-	if err != nil {
-		return "", err
-	}
 	edits := []confdoc.Edit{
 		{SetTeam: &confdoc.SetTeam{Team: "county-office", Row: domain.TeamRow{Share: 1, Limit: limit, LimitRequests: 64}}},
 		{SetTeam: &confdoc.SetTeam{Team: "hydropower", Row: domain.TeamRow{Share: 3, Limit: limit, LimitRequests: 64}}},
 		{SetQueue: &confdoc.SetQueue{Queue: "counting", Row: domain.QueueRow{MaxWaiting: 100, TimeoutMS: 5000}}},
 		{SetQueue: &confdoc.SetQueue{Queue: "public", Row: domain.QueueRow{Open: true, MaxWaiting: 100, TimeoutMS: 5000}}},
-		{GrantKey: &confdoc.GrantKey{KeyID: key.ID(), Team: "county-office", SecretSHA256: key.SecretSHA256(), Granted: time.Now()}},
 	}
 	var version uint64
 	for _, edit := range edits {
@@ -127,9 +151,13 @@
 		}
 		version = applied.Version
 	}
+	key, err := e.grant(ctx, "county-office")
+	if err != nil {
+		return "", err
+	}
 	e.key = key
 	e.team = apiclient.New(e.url, key, http.DefaultTransport)
-	return fmt.Sprintf("version %d", version), nil
+	return fmt.Sprintf("version %d", version+1), nil
 }
 
 func spec(name string, kind domain.JobKind, tasks int, command ...string) domain.JobSpec {
--- a/internal/domain/validate.go
+++ b/internal/domain/validate.go
@@ -36,6 +36,10 @@
 	if s.Tasks == 0 {
 		s.Tasks = 1
 	}
+	if s.Kind == JobService {
+		// Replicas are started again whenever they end.
+		s.Idempotent = true
+	}
 }
 
 // Faults lists every wrong field of a normalized specification.
--- a/internal/refusal/write.go
+++ b/internal/refusal/write.go
@@ -31,5 +31,7 @@
 		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
 	w.WriteHeader(b.Status)
-	_ = json.NewEncoder(w).Encode(b)
+	e := json.NewEncoder(w)
+	e.SetEscapeHTML(false) // remedies name placeholders such as <id>
+	_ = e.Encode(b)
 }
