--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -37,6 +37,8 @@
 	oldest     time.Time // when the oldest batch that is not durable was handed out
 	confirming []confirmation
 	draining   bool                               // the partition is being handed over
+	ticks      int                                // since the start
+	published  sched.Stats                        // what the metrics include
 	wishes     map[domain.TeamID]domain.Resources // the last wish of each team
 	notified   map[domain.JobID][]chan struct{}
 
@@ -198,6 +200,10 @@
 
 func (p *Partition) tick() {
 	p.machine.Step(sched.Tick{Now: p.o.Clock.Now()})
+	p.ticks++
+	if p.ticks%publishTicks == 0 {
+		p.publish()
+	}
 }
 
 // post hands an event of a worker loop to the machine. It waits where the
--- a/internal/app/taskplane/worker.go
+++ b/internal/app/taskplane/worker.go
@@ -110,7 +110,7 @@
 	case errors.As(err, &refused):
 		w.p.post(ctx, sched.LeaseRefused{Worker: w.id, Lease: call.Lease, Attempts: attempts})
 	default:
-		w.p.o.Metrics.Retried(metrics.RetryWorkerCall)
+		// The machine counts the retry.
 		w.p.post(ctx, sched.StartUnknown{Worker: w.id, Lease: call.Lease, Attempts: attempts})
 	}
 }
