--- a/internal/core/sched/inspect.go
+++ b/internal/core/sched/inspect.go
@@ -4,7 +4,12 @@
 
 // Inspect returns the state for the invariant checker. It copies everything, so it is for tests and diagnosis.
 func (m *Machine) Inspect() invariant.View {
-	var v invariant.View
+	v := invariant.View{
+		Workers:  make([]invariant.Worker, 0, len(m.workerOrder)),
+		Attempts: make([]invariant.Attempt, 0, len(m.attempts)),
+		Teams:    make([]invariant.Team, 0, len(m.teamOrder)),
+		Jobs:     make([]invariant.Job, 0, len(m.jobs)),
+	}
 	for _, w := range m.workerOrder {
 		free, _ := m.index.Free(w.id)
 		x := invariant.Worker{ID: w.id, Capacity: w.capacity, Free: free, Indexed: w.indexed}
