--- a/internal/core/sched/gang_test.go
+++ b/internal/core/sched/gang_test.go
@@ -50,6 +50,7 @@
 // a third of 8 cores, so it keeps 2 of its 8 tasks.
 func TestPreemptionStopsAtTheShare(t *testing.T) {
 	c := newCell(t, 1).begin()
+	c.workers[0].endDelayMS = 1_500
 	c.endless(reservedUsage)
 	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
 	c.advance(3_000)
@@ -165,6 +166,27 @@
 	}
 }
 
+// Guards against members of a restarting gang that run on because its owner died.
+func TestGangRestartOutlivesItsOwner(t *testing.T) {
+	c := newCell(t, 4).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		switch r.Attempt {
+		case "gang.0.1":
+			return 2_000, domain.OutcomeFailed, r.Resources
+		case "gang.1.1", "gang.2.1":
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
+		}
+		return 5_000, domain.OutcomeSucceeded, r.Resources
+	}
+	c.loseEnds = true
+	c.mustSubmit("gang", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 3, Idempotent: true, SpanZones: true})
+	c.advance(10_000)
+	c.crash(false)
+	c.loseEnds = false
+	c.advance(30_000)
+	c.mustState("gang", domain.JobSucceeded)
+}
+
 // Guards against a member that joins its gang late in another availability zone.
 func TestLateGangMember(t *testing.T) {
 	c := newCell(t, 8).begin()
--- a/internal/core/sched/health_test.go
+++ b/internal/core/sched/health_test.go
@@ -75,20 +75,18 @@
 		c.mustSubmit(domain.JobID("service"+class), "a",
 			domain.JobSpec{Kind: domain.JobService, Tasks: 4, Idempotent: true, Class: class, Resources: amount(2, 2)})
 	}
-	var failures []int64
-	last := 0
+	var waits []int64
 	for range 1_200 {
 		c.advance(250)
-		if h := c.m.health["w000"]; h != nil && h.Quarantined && int(h.WaitMS) != last {
-			last = int(h.WaitMS)
-			failures = append(failures, h.WaitMS)
+		if h := c.m.health["w000"]; h != nil && h.Quarantined && !slices.Contains(waits, h.WaitMS) {
+			waits = append(waits, h.WaitMS)
 		}
 		if n := len(c.workers[0].running()); c.quarantined("w000") && n > 1 {
 			t.Fatalf("%d tasks run on a worker on probation, want one canary", n)
 		}
 	}
-	if len(failures) < 3 || failures[0] != 30_000 || failures[1] != 60_000 || failures[2] != 120_000 {
-		t.Fatalf("waits are %v, want 30 s doubling", failures)
+	if want := []int64{30_000, 60_000, 120_000}; len(waits) < 3 || !slices.Equal(waits[:3], want) {
+		t.Fatalf("waits are %v, want %v first", waits, want)
 	}
 	c.workers[0].broken = false
 	c.advance(300_000)
--- a/internal/core/sched/policy_test.go
+++ b/internal/core/sched/policy_test.go
@@ -158,6 +158,9 @@
 	if got := len(e.Events); got > DefaultConfig().MaxEvents+1 || e.Events[0].Kind != "accepted" {
 		t.Errorf("%d events, the first is %+v", got, e.Events[0])
 	}
+	if _, ok := c.m.Explain("nobody"); ok {
+		t.Error("an unknown job is explained")
+	}
 }
 
 // Guards against a wave of cancellations that loses some or leaves work behind.
--- a/internal/core/sched/safety_test.go
+++ b/internal/core/sched/safety_test.go
@@ -185,19 +185,25 @@
 	cases := []struct {
 		name   string
 		change func(c *cell) Event
-		// back makes the worker fit again; sent tells that the same intent is then started.
-		back func(c *cell) Event
-		sent bool
+		// back makes the worker fit again; sent tells that the same intent is then started,
+		// ends that the job then ends by itself.
+		back       func(c *cell) Event
+		sent, ends bool
 	}{
 		{"unreachable", func(c *cell) Event { return WorkerUnreachable{Worker: "w000", LastSent: fromMillis(c.now)} },
 			func(c *cell) Event {
 				return LeaseRenewed{Worker: "w000", Lease: c.workers[0].answer(), SentAt: fromMillis(c.now)}
-			}, true},
+			}, true, false},
 		{"leaving", func(c *cell) Event {
 			vm := c.workers[0].vm
 			vm.Leaving = true
 			return WorkersListed{VMs: []domain.VM{vm}}
-		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now + 1_000)} }, false},
+		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now + 1_000)} }, false, false},
+		{"restarted", func(c *cell) Event {
+			c.workers[0].reboot()
+			lease, _ := c.workers[0].acquire(c.epoch, c.now)
+			return LeaseAcquired{Worker: "w000", Lease: lease, SentAt: fromMillis(c.now)}
+		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now)} }, false, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -214,6 +220,11 @@
 			if r := c.m.Ready(); (len(r.Starts) == 1 && r.Starts[0].Requests[0].Attempt == "j1.0.1") != tc.sent {
 				t.Fatalf("starts are %+v, the first attempt is to be sent: %v", r.Starts, tc.sent)
 			}
+			if tc.ends {
+				c.step(Durable{Batch: c.m.batch})
+				c.advance(20_000)
+				c.mustState("j1", domain.JobSucceeded)
+			}
 		})
 	}
 }
