sched: use the usual terms, test that preempted room is held

Change: attempts that run after their end was decided are called orphans; faults of the tests are injected and removed. A case has two victims that end at different times and a third job that wants the room. Conclusion: no behaviour changes.

--- a/internal/core/invariant/checker.go
+++ b/internal/core/invariant/checker.go
@@ -117,7 +117,7 @@
 		if w.Indexed && !sum.Fits(w.Capacity) {
 			errs = append(errs, &Violation{RuleCapacity, fmt.Sprintf("%s reserves %+v of %+v", w.ID, sum, w.Capacity)})
 		}
-		if free := w.Capacity.Sub(sum).Sub(w.Strays); w.Indexed && free != w.Free {
+		if free := w.Capacity.Sub(sum).Sub(w.Orphans); w.Indexed && free != w.Free {
 			errs = append(errs, &Violation{RuleAccounts,
 				fmt.Sprintf("the index has %+v free on %s, the attempts leave %+v", w.Free, w.ID, free)})
 		}
--- a/internal/core/invariant/view.go
+++ b/internal/core/invariant/view.go
@@ -21,8 +21,8 @@
 	// Free is the room that the placement index still offers. It is unset where Indexed is not.
 	Free    domain.Resources
 	Indexed bool
-	// Strays is reserved for attempts that run although they have ended here.
-	Strays domain.Resources
+	// Orphans is reserved for attempts that run although they have ended here.
+	Orphans domain.Resources
 }
 
 // Attempt is an attempt without proof of its end.
--- a/internal/core/sched/apply.go
+++ b/internal/core/sched/apply.go
@@ -141,7 +141,7 @@
 	t := &j.Tasks[a.Task]
 	m.removeAttempt(a)
 	m.observe(j, r)
-	m.judgeWorker(a, r, at)
+	m.updateHealth(a, r, at)
 	t.Attempt = ""
 	if r.Stable {
 		t.Failures = 0
@@ -192,7 +192,7 @@
 	return string(r.Cause) + ": " + r.Detail
 }
 
-// settleTask applies the fate that the record names.
+// settleTask changes the task as the record says.
 func (m *Machine) settleTask(j *job, i int, at int64, r *EndedRecord) {
 	switch r.Next {
 	case NextSucceeded:
--- a/internal/core/sched/bench_test.go
+++ b/internal/core/sched/bench_test.go
@@ -129,7 +129,7 @@
 
 // BenchmarkTick measures Step and Ready of one tick. Under the peak it places 115
 // tasks, a quarter second of the target; under a full queue it places none of
-// 5,000 jobs of 50 sizes, and under urgent work it also searches victims in vain.
+// 5,000 jobs of 50 sizes, and under urgent work it also searches for victims and finds none.
 func BenchmarkTick(b *testing.B) {
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("peak, %d workers", size.workers), func(b *testing.B) {
--- a/internal/core/sched/cell_test.go
+++ b/internal/core/sched/cell_test.go
@@ -79,7 +79,7 @@
 // begin starts the first owner.
 func (c *cell) begin() *cell {
 	c.m = c.newMachine()
-	c.introduce()
+	c.inform()
 	return c
 }
 
@@ -88,8 +88,8 @@
 		policy.NewQueue(policy.Options{Weights: policy.Weights{Share: 1, Waiting: 0.1}}))
 }
 
-// introduce tells a new owner the time, teams and workers.
-func (c *cell) introduce() {
+// inform tells a new owner the time, teams and workers.
+func (c *cell) inform() {
 	c.step(Tick{Now: fromMillis(c.now)})
 	c.step(TeamsChanged{Teams: c.teams})
 	c.step(AllotmentsChanged{Allotments: c.allot})
@@ -115,13 +115,13 @@
 }
 
 func (c *cell) check(ev Event) {
-	if err := c.checker.Check(c.m.Inspect(), c.truth()); err != nil {
+	if err := c.checker.Check(c.m.Inspect(), c.running()); err != nil {
 		c.t.Fatalf("at %d ms after %T: %v", c.now-startMS, ev, err)
 	}
 }
 
-// truth lists what workers run, and what undelivered starts could still run.
-func (c *cell) truth() []invariant.Running {
+// running lists what workers run, and what undelivered starts could still run.
+func (c *cell) running() []invariant.Running {
 	var list []invariant.Running
 	for _, w := range c.workers {
 		for _, a := range w.running() {
@@ -211,7 +211,7 @@
 	}
 	held := c.arrive(call)
 	switch {
-	case w.deaf || c.starts == "unknown":
+	case w.answersLost || c.starts == "unknown":
 		c.step(StartUnknown{Worker: call.Worker, Lease: call.Lease, Attempts: ids})
 	case held:
 		c.step(StartAccepted{Worker: call.Worker, Lease: call.Lease, Attempts: ids})
@@ -247,7 +247,7 @@
 		return
 	}
 	lease, ok := w.acquire(c.epoch, c.now)
-	if w.deaf || !ok {
+	if w.answersLost || !ok {
 		c.unreachable(w)
 		return
 	}
@@ -274,7 +274,7 @@
 	}
 	lease, ok := w.renew(status.Lease, acks, c.now)
 	switch {
-	case w.deaf:
+	case w.answersLost:
 		c.unreachable(w)
 	case !ok:
 		c.step(LeaseRefused{Worker: id, Lease: status.Lease})
--- a/internal/core/sched/end.go
+++ b/internal/core/sched/end.go
@@ -20,7 +20,7 @@
 	excused bool
 }
 
-// end records the proven end of an attempt and decides the task's fate. An
+// end records the proven end of an attempt and decides what becomes of the task. An
 // attempt that ended together with another member of its gang is left alone.
 func (m *Machine) end(a *attempt, e ending) {
 	if m.attempts[a.ID] != a {
--- a/internal/core/sched/fakeworker_test.go
+++ b/internal/core/sched/fakeworker_test.go
@@ -28,8 +28,8 @@
 	lease    domain.LeaseID
 	lapsesMS int64
 	attempts map[domain.AttemptID]*fakeAttempt
-	// cut drops all calls; deaf loses answers after the call took effect.
-	cut, deaf bool
+	// cut drops all calls; answersLost loses answers after the call took effect.
+	cut, answersLost bool
 	// endDelayMS is how long a stop or checkpoint takes.
 	endDelayMS int64
 	// calledMS is the owner's last lease call, pausedMS until when it makes none.
--- a/internal/core/sched/faults_test.go
+++ b/internal/core/sched/faults_test.go
@@ -9,33 +9,33 @@
 	"auburnpier/internal/port"
 )
 
-// fault is one entry of the table. It strikes while the standard work runs;
-// heal takes it back 50 s later.
+// fault is one entry of the table. It is injected while the standard work runs;
+// remove takes it back 50 s later.
 type fault struct {
 	name   string
-	strike func(c *cell)
-	heal   func(c *cell)
-	// kills tells that tasks may have run without a known end.
-	kills bool
+	inject func(c *cell)
+	remove func(c *cell)
+	// loses tells that tasks may have run without a known end.
+	loses bool
 }
 
 // faults are the faults of 1.5 and 8 of the design page that a partition meets.
 var faults = []fault{
-	{name: "worker restarts", kills: true, strike: func(c *cell) { c.workers[0].reboot() }},
-	{name: "worker cut off briefly", kills: true, strike: func(c *cell) { c.workers[1].cut = true; c.advance(12_000); c.workers[1].cut = false }},
-	{name: "worker cut off until the lease lapsed", kills: true,
-		strike: func(c *cell) { c.workers[1].cut = true }, heal: func(c *cell) { c.workers[1].cut = false }},
-	{name: "worker hears but is not heard", kills: true,
-		strike: func(c *cell) { c.workers[2].deaf = true }, heal: func(c *cell) { c.workers[2].deaf = false }},
-	{name: "VM gone", kills: true, strike: func(c *cell) { setCut(c.workers[3:4], true); c.workers[3].reboot(); c.listed["w003"] = false }},
-	{name: "VM leaving", strike: func(c *cell) { c.setLeaving(c.workers[4:5], true) }},
-	{name: "rack fails", kills: true,
-		strike: func(c *cell) { setCut(c.workers[:4], true); rebootAll(c.workers[:4]) },
-		heal:   func(c *cell) { setCut(c.workers[:4], false) }},
-	{name: "owner crashes", kills: true, strike: func(c *cell) { c.crash(false) }},
-	{name: "owner crashes with a snapshot", kills: true, strike: func(c *cell) { c.crash(true) }},
-	{name: "owner pauses past the lease", kills: true, strike: func(c *cell) { c.paused = true; c.advance(40_000); c.paused = false }},
-	{name: "old owner's starts arrive late", kills: true, strike: func(c *cell) {
+	{name: "worker restarts", loses: true, inject: func(c *cell) { c.workers[0].reboot() }},
+	{name: "worker cut off briefly", loses: true, inject: func(c *cell) { c.workers[1].cut = true; c.advance(12_000); c.workers[1].cut = false }},
+	{name: "worker cut off until the lease lapsed", loses: true,
+		inject: func(c *cell) { c.workers[1].cut = true }, remove: func(c *cell) { c.workers[1].cut = false }},
+	{name: "answers of a worker lost", loses: true,
+		inject: func(c *cell) { c.workers[2].answersLost = true }, remove: func(c *cell) { c.workers[2].answersLost = false }},
+	{name: "VM gone", loses: true, inject: func(c *cell) { setCut(c.workers[3:4], true); c.workers[3].reboot(); c.listed["w003"] = false }},
+	{name: "VM leaving", inject: func(c *cell) { c.setLeaving(c.workers[4:5], true) }},
+	{name: "rack fails", loses: true,
+		inject: func(c *cell) { setCut(c.workers[:4], true); rebootAll(c.workers[:4]) },
+		remove: func(c *cell) { setCut(c.workers[:4], false) }},
+	{name: "owner crashes", loses: true, inject: func(c *cell) { c.crash(false) }},
+	{name: "owner crashes with a snapshot", loses: true, inject: func(c *cell) { c.crash(true) }},
+	{name: "owner pauses past the lease", loses: true, inject: func(c *cell) { c.paused = true; c.advance(40_000); c.paused = false }},
+	{name: "old owner's starts arrive late", loses: true, inject: func(c *cell) {
 		c.starts = "late"
 		c.mustSubmit("late", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 4})
 		c.advance(1_000)
@@ -43,19 +43,19 @@
 		c.crash(false)
 		c.deliverLate()
 	}},
-	{name: "store down", strike: func(c *cell) { c.storeDown = true }, heal: func(c *cell) { c.storeDown = false }},
+	{name: "store down", inject: func(c *cell) { c.storeDown = true }, remove: func(c *cell) { c.storeDown = false }},
 	startFault("start answers lost", "unknown"),
 	startFault("starts lost", "lost"),
 	startFault("starts late", "late"),
 	startFault("starts late and given up", "unknown late"),
 	startFault("starts refused", "refused"),
-	{name: "worker fails everything", kills: true, strike: func(c *cell) { c.workers[5].broken = true },
-		heal: func(c *cell) { c.workers[5].broken = false }},
-	{name: "limit lowered", kills: true, strike: func(c *cell) { c.setAllotment("a", amount(2, 8)) },
-		heal: func(c *cell) { c.setAllotment("a", amount(1000, 4000)) }},
-	{name: "list empty", kills: true,
-		strike: func(c *cell) { c.step(WorkersListed{}) }, heal: func(c *cell) { c.list() }},
-	{name: "wave of cancellations", strike: func(c *cell) {
+	{name: "worker fails everything", loses: true, inject: func(c *cell) { c.workers[5].broken = true },
+		remove: func(c *cell) { c.workers[5].broken = false }},
+	{name: "limit lowered", loses: true, inject: func(c *cell) { c.setAllotment("a", amount(2, 8)) },
+		remove: func(c *cell) { c.setAllotment("a", amount(1000, 4000)) }},
+	{name: "list empty", loses: true,
+		inject: func(c *cell) { c.step(WorkersListed{}) }, remove: func(c *cell) { c.list() }},
+	{name: "wave of cancellations", inject: func(c *cell) {
 		var ids []domain.JobID
 		for i := range 20 {
 			id := domain.JobID(fmt.Sprintf("wave%d", i))
@@ -65,13 +65,13 @@
 		c.advance(750)
 		c.step(Cancel{Jobs: ids, Reason: "not needed"})
 	}},
-	{name: "other team deleted", strike: func(c *cell) {
+	{name: "other team deleted", inject: func(c *cell) {
 		c.step(TeamsChanged{Teams: append(c.teams[:len(c.teams):len(c.teams)], TeamRow{ID: "d", Share: 1, Limit: amount(100, 400)})})
 		c.step(AllotmentsChanged{Allotments: []Allotment{{Team: "d", Amount: amount(2, 400)}}})
 		c.mustSubmit("deleted", "d", domain.JobSpec{Kind: domain.JobBatch, Tasks: 3, Idempotent: true})
 		c.advance(500)
 		c.step(TeamsChanged{Teams: c.teams})
-	}, heal: func(c *cell) {
+	}, remove: func(c *cell) {
 		c.mustState("deleted", domain.JobCancelled)
 		if s, _ := c.m.Status("deleted"); !strings.Contains(s.Reason, "team was deleted") {
 			c.t.Errorf("the reason of the deleted team's job is %q", s.Reason)
@@ -82,8 +82,8 @@
 // startFault makes start calls fail in one way. No task may be lost by it.
 func startFault(name, mode string) fault {
 	return fault{
-		name: name, strike: func(c *cell) { c.starts = mode },
-		heal: func(c *cell) { c.starts = ""; c.deliverLate() },
+		name: name, inject: func(c *cell) { c.starts = mode },
+		remove: func(c *cell) { c.starts = ""; c.deliverLate() },
 	}
 }
 
@@ -139,22 +139,22 @@
 	return s.TasksActive == 3 && s.TasksWaiting == 0 && c.state("service") == domain.JobRunning
 }
 
-// runFaults strikes with the faults in turn, heals them and requires that all work ends well.
+// runFaults injects the faults in turn, removes them and requires that all work ends well.
 func runFaults(t *testing.T, list ...fault) {
 	c := newCell(t, 8)
 	c.begin()
 	standardWork(c)
 	c.advance(3_000)
-	kills := false
+	loses := false
 	for _, f := range list {
-		f.strike(c)
+		f.inject(c)
 		c.advance(1_500)
-		kills = kills || f.kills
+		loses = loses || f.loses
 	}
 	c.advance(50_000)
 	for _, f := range list {
-		if f.heal != nil {
-			f.heal(c)
+		if f.remove != nil {
+			f.remove(c)
 		}
 	}
 	for waited := 0; waited < 420_000 && !c.settled(); waited += 5_000 {
@@ -167,7 +167,7 @@
 	if s, _ := c.m.Status("service"); s.Running != 3 {
 		t.Fatalf("the service has %d replicas, want 3: %s", s.Running, s.Reason)
 	}
-	if kills {
+	if loses {
 		c.mustState("once", domain.JobSucceeded, domain.JobUnknown, domain.JobFailed)
 	} else {
 		c.mustState("once", domain.JobSucceeded)
@@ -186,7 +186,7 @@
 }
 
 // Guards against pairs of faults that break what each alone does not. Every
-// pair strikes once, in an order that alternates over the table.
+// pair is injected once, in an order that alternates over the table.
 func TestTwoFaults(t *testing.T) {
 	for i, a := range faults {
 		for k, b := range faults[i:] {
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -123,7 +123,7 @@
 const maxCandidateTries = 8
 
 // gangWorkers chooses workers that hold the gang once their batch work has
-// ended. Replicas do not end: room behind them would be held in vain.
+// ended. Replicas do not end: room that they keep would be held for nothing.
 func (m *Machine) gangWorkers(j *job, req placement.Request, n int) ([]domain.WorkerID, bool) {
 	want := n
 	for range maxCandidateTries {
--- a/internal/core/sched/gang_test.go
+++ b/internal/core/sched/gang_test.go
@@ -32,7 +32,7 @@
 				c.mustSubmit("full", tc.team, tc.spec)
 				c.advance(3_000)
 				c.mustSubmit("now", "b", domain.JobSpec{Kind: kind, Tasks: 3, Priority: domain.PriorityUrgent, SpanZones: true})
-				c.mustSubmit("thief", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 5})
+				c.mustSubmit("other", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 5})
 				c.advance(6_500)
 				s, _ := c.m.Status("now")
 				if (s.Running == 3) != tc.want {
@@ -46,6 +46,24 @@
 	}
 }
 
+// Guards against other work that takes the room of the first victim before the second has ended.
+func TestPreemptedRoomIsHeld(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.workers[0].endDelayMS = 3_000
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		if r.Attempt == "full.7.1" {
+			return 4_000, domain.OutcomeSucceeded, r.Resources
+		}
+		return 1 << 40, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.advance(3_000)
+	c.mustSubmit("now", "b", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(2, 2), Priority: domain.PriorityUrgent})
+	c.mustSubmit("other", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8})
+	c.advance(6_500)
+	c.mustState("now", domain.JobRunning)
+}
+
 // Guards against preemption that goes on once the victims' team is at its share:
 // a third of 8 cores, so it keeps 2 of its 8 tasks.
 func TestPreemptionStopsAtTheShare(t *testing.T) {
@@ -125,7 +143,7 @@
 	}
 }
 
-// Guards against room that is held in vain for a gang which replicas keep out.
+// Guards against room that is held for a gang although replicas keep it out.
 func TestGangBehindServices(t *testing.T) {
 	c := newCell(t, 2).begin()
 	c.endless(reservedUsage)
--- a/internal/core/sched/health.go
+++ b/internal/core/sched/health.go
@@ -23,8 +23,8 @@
 	return !h.Quarantined || (now >= h.UntilMS && h.Canary == "")
 }
 
-// judgeWorker updates the health of the worker of an ended attempt.
-func (m *Machine) judgeWorker(a *attempt, r *EndedRecord, at int64) {
+// updateHealth updates the health of the worker of an ended attempt.
+func (m *Machine) updateHealth(a *attempt, r *EndedRecord, at int64) {
 	h := m.health[a.Worker]
 	canary := h != nil && h.Canary == a.ID
 	switch {
--- a/internal/core/sched/health_test.go
+++ b/internal/core/sched/health_test.go
@@ -29,7 +29,7 @@
 	cases := []struct {
 		name    string
 		classes int
-		strike  func(c *cell)
+		inject  func(c *cell)
 		want    bool
 	}{
 		{"fails jobs of two classes", 2, func(c *cell) { c.workers[0].broken = true }, true},
@@ -48,7 +48,7 @@
 				c.mustSubmit("service2", "a", domain.JobSpec{Kind: domain.JobService, Tasks: 4, Idempotent: true, Class: "y", Resources: amount(4, 4)})
 			}
 			c.advance(2_000)
-			tc.strike(c)
+			tc.inject(c)
 			if c.workers[0].broken {
 				c.workers[0].reboot()
 			}
--- a/internal/core/sched/inspect.go
+++ b/internal/core/sched/inspect.go
@@ -13,8 +13,8 @@
 	for _, w := range m.workerOrder {
 		free, _ := m.index.Free(w.id)
 		x := invariant.Worker{ID: w.id, Capacity: w.capacity, Free: free, Indexed: w.indexed}
-		for _, usage := range w.strays {
-			x.Strays = x.Strays.Add(usage)
+		for _, usage := range w.orphans {
+			x.Orphans = x.Orphans.Add(usage)
 		}
 		v.Workers = append(v.Workers, x)
 	}
--- a/internal/core/sched/journal_test.go
+++ b/internal/core/sched/journal_test.go
@@ -70,7 +70,7 @@
 	c.checker.Restarted()
 	c.m = c.recover(snapshot)
 	c.m.Step(FormerOwnerStopped{At: fromMillis(c.now)})
-	c.introduce()
+	c.inform()
 }
 
 // recover builds a machine from the journal.
--- a/internal/core/sched/lease.go
+++ b/internal/core/sched/lease.go
@@ -203,7 +203,7 @@
 		}
 		w.lapsed = true
 		w.lease = ""
-		m.clearStrays(w)
+		m.clearOrphans(w)
 		m.endAll(w, "the worker was unreachable until its lease lapsed", w.rackFailure)
 		m.updateExclusion(w)
 	}
@@ -226,7 +226,7 @@
 // reports handles a worker's list of attempts and returns the IDs that this partition has active there.
 func (m *Machine) reports(w *worker, list []port.AttemptReport) map[domain.AttemptID]bool {
 	listed := make(map[domain.AttemptID]bool, len(list))
-	strays := make(map[domain.AttemptID]domain.Resources)
+	orphans := make(map[domain.AttemptID]domain.Resources)
 	for i := range list {
 		r := &list[i]
 		a, ok := m.attempts[r.ID]
@@ -240,10 +240,10 @@
 		case r.State == port.AttemptEnded:
 			m.acknowledgeKnown(w, r.ID)
 		default:
-			strays[r.ID] = r.Usage
+			orphans[r.ID] = r.Usage
 		}
 	}
-	m.setStrays(w, strays)
+	m.setOrphans(w, orphans)
 	return listed
 }
 
@@ -261,32 +261,32 @@
 	m.acknowledgeLater(w.id, r.ID)
 }
 
-// setStrays reserves what a worker runs although it has ended here, and stops it.
+// setOrphans reserves what a worker runs although it has ended here, and stops it.
 // The list replaces the earlier one.
-func (m *Machine) setStrays(w *worker, strays map[domain.AttemptID]domain.Resources) {
-	m.clearStrays(w)
-	if len(strays) == 0 {
+func (m *Machine) setOrphans(w *worker, orphans map[domain.AttemptID]domain.Resources) {
+	m.clearOrphans(w)
+	if len(orphans) == 0 {
 		return
 	}
-	w.strays = strays
-	for _, id := range sortedKeys(strays) {
+	w.orphans = orphans
+	for _, id := range sortedKeys(orphans) {
 		if w.indexed {
-			m.index.ForceReserve(w.id, strayJob, strays[id])
+			m.index.ForceReserve(w.id, orphanJob, orphans[id])
 		}
 		m.out.stops = append(m.out.stops, outCall{w.id, id})
 	}
 }
 
-// strayJob is the job that reservations of strays are filed under.
-const strayJob = domain.JobID("")
+// orphanJob is the job that reservations of orphans are filed under.
+const orphanJob = domain.JobID("")
 
-func (m *Machine) clearStrays(w *worker) {
+func (m *Machine) clearOrphans(w *worker) {
 	if w.indexed {
-		for _, id := range sortedKeys(w.strays) {
-			m.index.Release(w.id, strayJob, w.strays[id])
+		for _, id := range sortedKeys(w.orphans) {
+			m.index.Release(w.id, orphanJob, w.orphans[id])
 		}
 	}
-	w.strays = nil
+	w.orphans = nil
 }
 
 // admits reports whether a worker's health lets it take starts.
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -13,7 +13,7 @@
 const maxClaims = 8
 
 // preemptionPauseMS is the least time between two searches for victims by one
-// job: a search in vain looks at every attempt.
+// job: a search without result looks at every attempt.
 const preemptionPauseMS = 500
 
 // preemption is the room that an urgent job waits for.
--- a/internal/core/sched/record.go
+++ b/internal/core/sched/record.go
@@ -92,7 +92,7 @@
 // Next tells what becomes of a task after an attempt.
 type Next uint8
 
-// Fates of a task. NextRetry plans it again; the others are final.
+// What becomes of a task. NextRetry plans it again; the others are final.
 const (
 	NextRetry Next = iota + 1
 	NextSucceeded
--- a/internal/core/sched/safety_test.go
+++ b/internal/core/sched/safety_test.go
@@ -25,7 +25,7 @@
 	cases := []struct {
 		name       string
 		idempotent bool
-		strike     func(c *cell)
+		inject     func(c *cell)
 		// kept is how long the reservation must stay, and gone when it must be released.
 		kept, gone int64
 		want       domain.JobState
@@ -47,7 +47,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := running(t, tc.idempotent)
-			tc.strike(c)
+			tc.inject(c)
 			c.advance(tc.kept)
 			if got := c.m.Stats().TasksActive; tc.kept > 0 && got != 1 {
 				t.Fatalf("after %d ms %d attempts are reserved, want 1", tc.kept, got)
@@ -70,7 +70,7 @@
 	c.workers[0].cut = true
 	c.m = c.recover(false)
 	c.checker.Restarted()
-	c.introduce()
+	c.inform()
 	c.advance(600_000)
 	c.mustState("service1", domain.JobRunning)
 	c.step(FormerOwnerStopped{At: fromMillis(c.now)})
@@ -141,25 +141,25 @@
 }
 
 // Guards against a task that goes on running after its end was decided: it is stopped and kept reserved.
-func TestStrayAttemptIsStopped(t *testing.T) {
+func TestOrphanIsStopped(t *testing.T) {
 	c := running(t, true)
 	w := c.workers[0]
-	stray := *w.running()[0]
+	orphan := *w.running()[0]
 	c.step(Cancel{Jobs: []domain.JobID{"service1"}})
 	c.advance(10_000)
-	stray.request.Attempt, stray.report.ID, stray.request.Job = "x.0.1", "x.0.1", "x"
+	orphan.request.Attempt, orphan.report.ID, orphan.request.Job = "x.0.1", "x.0.1", "x"
 	lease := w.answer()
-	lease.Attempts = append(lease.Attempts, stray.report)
+	lease.Attempts = append(lease.Attempts, orphan.report)
 	c.m.Step(LeaseRenewed{Worker: "w000", Lease: lease, SentAt: fromMillis(c.now)})
-	if s, _ := c.m.Worker("w000"); s.Reserved != stray.report.Usage {
-		t.Fatalf("%+v is reserved, want the stray's %+v", s.Reserved, stray.report.Usage)
+	if s, _ := c.m.Worker("w000"); s.Reserved != orphan.report.Usage {
+		t.Fatalf("%+v is reserved, want the orphan's %+v", s.Reserved, orphan.report.Usage)
 	}
 	if r := c.m.Ready(); len(r.Stops) != 1 || r.Stops[0].Attempts[0] != "x.0.1" {
-		t.Fatalf("stops are %+v, want the stray", r.Stops)
+		t.Fatalf("stops are %+v, want the orphan", r.Stops)
 	}
 	c.advance(10_000)
 	if s, _ := c.m.Worker("w000"); !s.Reserved.IsZero() {
-		t.Fatalf("%+v stays reserved after the stray ended", s.Reserved)
+		t.Fatalf("%+v stays reserved after the orphan ended", s.Reserved)
 	}
 }
 
--- a/internal/core/sched/status.go
+++ b/internal/core/sched/status.go
@@ -103,13 +103,13 @@
 	return ok && h.Quarantined
 }
 
-// reserved is the sum of the worker's reservations, strays included.
+// reserved is the sum of the worker's reservations, orphans included.
 func (m *Machine) reserved(w *worker) domain.Resources {
 	var sum domain.Resources
 	for _, a := range w.attempts {
 		sum = sum.Add(a.Reservation)
 	}
-	for _, usage := range w.strays {
+	for _, usage := range w.orphans {
 		sum = sum.Add(usage)
 	}
 	return sum
--- a/internal/core/sched/walk_test.go
+++ b/internal/core/sched/walk_test.go
@@ -79,7 +79,7 @@
 	case 7:
 		toggle(&w.worker().cut)
 	case 8:
-		toggle(&w.worker().deaf)
+		toggle(&w.worker().answersLost)
 	case 9:
 		toggle(&w.worker().broken)
 	case 10:
@@ -119,15 +119,15 @@
 	}
 }
 
-// calm takes all faults back and cancels what would run for ever.
-func (w *walker) calm() {
+// removeFaults takes all faults back and cancels what would run for ever.
+func (w *walker) removeFaults() {
 	w.storeDown, w.starts, w.loseEnds = false, "", false
 	w.deliverLate()
 	w.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
 		return 2_000, domain.OutcomeSucceeded, domain.Resources{CPUMilli: 100, MemoryMB: 100}
 	}
 	for _, x := range w.workers {
-		x.cut, x.deaf, x.broken, x.vm.Leaving = false, false, false, false
+		x.cut, x.answersLost, x.broken, x.vm.Leaving = false, false, false, false
 		w.listed[x.vm.ID] = true
 	}
 	for _, team := range []domain.TeamID{"a", "b", "c"} {
@@ -171,7 +171,7 @@
 	for range steps {
 		w.act()
 	}
-	w.calm()
+	w.removeFaults()
 	for waited := 0; waited < 3_600_000 && w.m.Stats().TasksActive+w.m.Stats().TasksWaiting > 0; waited += 10_000 {
 		w.advance(10_000)
 	}
--- a/internal/core/sched/worker.go
+++ b/internal/core/sched/worker.go
@@ -34,8 +34,8 @@
 	// lastSentMS is the last time at which a lease call of this owner may have been sent.
 	lastSentMS int64
 	attempts   map[domain.AttemptID]*attempt
-	// strays are attempts that the worker runs although they have ended here, with what is reserved for them.
-	strays   map[domain.AttemptID]domain.Resources
+	// orphans are attempts that the worker runs although they have ended here, with what is reserved for them.
+	orphans  map[domain.AttemptID]domain.Resources
 	excluded placement.RejectReason
 }
 
@@ -196,7 +196,7 @@
 // workerGone ends the attempts of a worker that is proven gone and forgets it.
 func (m *Machine) workerGone(w *worker) {
 	m.endAll(w, "the VM left the platform's list", w.rackFailure || w.leaving)
-	m.clearStrays(w)
+	m.clearOrphans(w)
 	if _, ok := m.health[w.id]; ok {
 		m.commit(Record{WorkerGone: &WorkerGoneRecord{Worker: w.id}})
 	}
