--- a/internal/app/requestplane/overflow_test.go
+++ b/internal/app/requestplane/overflow_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"auburnpier/internal/domain"
+	"auburnpier/internal/refusal"
 	"auburnpier/internal/standin/backend"
 )
 
@@ -17,6 +19,18 @@
 	address string
 	left    int
 	taken   int
+	// returned counts the slots given back; reuse offers them again.
+	returned int
+	reuse    bool
+}
+
+func (p *fixedPeers) Return(domain.QueueID, domain.InstanceID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.returned++
+	if p.reuse {
+		p.left++
+	}
 }
 
 func (p *fixedPeers) Take(domain.QueueID) (Peer, bool) {
@@ -30,6 +44,13 @@
 	return Peer{ID: "other", Address: p.address}, true
 }
 
+// refuseKey stands for an instance that already knows that a key was withdrawn.
+type refuseKey struct{}
+
+func (refuseKey) Admit(*http.Request, domain.QueueID) (Caller, error) {
+	return Caller{}, refusal.New(http.StatusUnauthorized, refusal.KeyUnknown, "the key was withdrawn", "present another key")
+}
+
 // Guards against an overflow that loses, repeats or loops a request, and
 // against a request that fails because the other instance is unusable.
 func TestOverflow(t *testing.T) {
@@ -60,6 +81,11 @@
 			c.front.Close()
 			return c
 		}, "no", http.StatusOK, 1, 0, 1},
+		{"key refused there", func(t *testing.T, back *fixedPeers) *cell {
+			c := newCell(t, cellOptions{servers: 1, peers: back})
+			c.plane.admission = refuseKey{}
+			return c
+		}, "no", http.StatusUnauthorized, 0, 0, 1},
 		{"outcome unknown there", func(t *testing.T, back *fixedPeers) *cell {
 			c := newCell(t, cellOptions{servers: 1, peers: back})
 			c.servers[0].SetFault(backend.Fault{Kind: backend.CloseAfter})
@@ -86,3 +112,35 @@
 		})
 	}
 }
+
+// Guards against an instance without slots that forwards only as many requests
+// as one report of free slots shows, and against a slot that a refusal returns.
+func TestOverflowReturnsSlots(t *testing.T) {
+	cases := []struct {
+		name     string
+		slots    int // slots of the other instance's server
+		answered bool
+		returned int
+	}{
+		{"answered", 8, true, 5},
+		{"refused", 0, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			other := newCell(t, cellOptions{servers: 1, row: domain.QueueRow{TimeoutMS: 100}})
+			other.slots.Set("b0", tc.slots)
+			peers := &fixedPeers{address: strings.TrimPrefix(other.front.URL, "http://"), left: 1, reuse: true}
+			here := newCell(t, cellOptions{servers: 1, peers: peers, row: domain.QueueRow{TimeoutMS: 300}})
+			here.slots.Set("b0", 0)
+			for n := range 5 {
+				got := here.do(ask{id: "id-" + strconv.Itoa(n), body: "payload"})
+				if (got.status == http.StatusOK) != tc.answered {
+					t.Fatalf("request %d: status %d, error %v", n, got.status, got.err)
+				}
+			}
+			if peers.returned != tc.returned {
+				t.Errorf("%d slots were returned, want %d", peers.returned, tc.returned)
+			}
+		})
+	}
+}
