sched: follow the gang candidates and partial holds of placement

Change: members are counted by worker, and holds keep the room of the members only, by HoldRoom, so that the rest of a held worker stays open.

--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -110,11 +110,11 @@
 		return
 	}
 	m.gangHold = &gangHold{j: j, workers: slices.Clone(workers), sinceMS: m.now}
-	m.index.Hold(j.ID, workers)
+	m.index.HoldRoom(j.ID, req.Size, workers)
 	m.index.ExpectStart(j.ID, fromMillis(m.expectedFree(workers)))
 	j.wait += "; workers are reserved for the gang"
 	if j.urgent() {
-		m.preemptForGang(j, req.Size, n)
+		m.preemptForGang(j, req.Size)
 	}
 	m.dirty = true
 }
@@ -122,23 +122,27 @@
 // maxCandidateTries bounds the searches for workers of one gang.
 const maxCandidateTries = 8
 
-// gangWorkers chooses workers that hold the gang once their batch work has
-// ended. Replicas do not end: room that they keep would be held for nothing.
+// gangWorkers chooses a worker for each of n members that holds them once its batch
+// work has ended. Replicas do not end: room that they keep would be held for nothing.
 func (m *Machine) gangWorkers(j *job, req placement.Request, n int) ([]domain.WorkerID, bool) {
 	want := n
 	for range maxCandidateTries {
-		workers, ok := m.index.GangCandidates(req, want, j.Spec.SpanZones)
+		list, ok := m.index.GangCandidates(req, want, j.Spec.SpanZones)
 		if !ok {
 			return nil, false
 		}
-		members := 0
-		for _, id := range workers {
-			members += copies(req.Size, m.roomBesideServices(m.worker(id)))
+		workers := make([]domain.WorkerID, 0, len(list))
+		members := make(map[domain.WorkerID]int)
+		for _, id := range list {
+			if members[id] < copies(req.Size, m.roomBesideServices(m.worker(id))) {
+				members[id]++
+				workers = append(workers, id)
+			}
 		}
-		if members >= n {
-			return workers, true
+		if len(workers) >= n {
+			return workers[:n], true
 		}
-		want += n - members
+		want += n - len(workers)
 	}
 	return nil, false
 }
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 
@@ -88,7 +87,7 @@
 		if p := m.preemptions[id]; len(p.claims) == 0 {
 			delete(m.preemptions, id)
 		} else {
-			m.index.Hold(id, p.claims)
+			m.index.HoldRoom(id, p.size, p.claims)
 		}
 	}
 }
@@ -196,33 +195,21 @@
 }
 
 // preemptForGang makes room for an urgent gang on the workers that it holds.
-func (m *Machine) preemptForGang(j *job, size domain.Resources, n int) {
-	type choice struct {
-		victims []*attempt
+func (m *Machine) preemptForGang(j *job, size domain.Resources) {
+	members := make(map[domain.WorkerID]int64)
+	for _, id := range m.gangHold.workers {
+		members[id]++
 	}
 	taken := m.ending()
-	var choices []choice
-	for _, id := range m.gangHold.workers {
-		w := m.worker(id)
-		// A worker may take several members; each further one needs more victims.
-		for k := int64(1); ; k++ {
-			victims, ok := m.victims(w, j.Team, size.Scale(k), taken)
-			if !ok {
-				break
-			}
-			choices = append(choices, choice{victims})
-			if len(choices) >= 4*n {
-				break
-			}
+	var all []*attempt
+	for _, id := range sortedKeys(members) {
+		victims, ok := m.victims(m.worker(id), j.Team, size.Scale(members[id]), taken)
+		if !ok {
+			return
 		}
+		all = append(all, victims...)
 	}
-	if len(choices) < n {
-		return
-	}
-	slices.SortStableFunc(choices, func(a, b choice) int { return cmp.Compare(len(a.victims), len(b.victims)) })
-	for _, c := range choices[:n] {
-		m.preemptAll(c.victims, taken)
-	}
+	m.preemptAll(all, taken)
 }
 
 func (m *Machine) dropPreemption(id domain.JobID) {
