--- a/internal/core/sched/gang_test.go
+++ b/internal/core/sched/gang_test.go
@@ -32,7 +32,7 @@
 				c.mustSubmit("full", tc.team, tc.spec)
 				c.advance(3_000)
 				c.mustSubmit("now", "b", domain.JobSpec{Kind: kind, Tasks: 3, Priority: domain.PriorityUrgent, SpanZones: true})
-				c.mustSubmit("thief", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 5})
+				c.mustSubmit("other", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 5})
 				c.advance(6_500)
 				s, _ := c.m.Status("now")
 				if (s.Running == 3) != tc.want {
@@ -46,10 +46,29 @@
 	}
 }
 
+// Guards against other work that takes the room of the first victim before the second has ended.
+func TestPreemptedRoomIsHeld(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.workers[0].endDelayMS = 3_000
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		if r.Attempt == "full.7.1" {
+			return 4_000, domain.OutcomeSucceeded, r.Resources
+		}
+		return 1 << 40, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
+	c.advance(3_000)
+	c.mustSubmit("now", "b", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(2, 2), Priority: domain.PriorityUrgent})
+	c.mustSubmit("other", "c", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8})
+	c.advance(6_500)
+	c.mustState("now", domain.JobRunning)
+}
+
 // Guards against preemption that goes on once the victims' team is at its share:
 // a third of 8 cores, so it keeps 2 of its 8 tasks.
 func TestPreemptionStopsAtTheShare(t *testing.T) {
 	c := newCell(t, 1).begin()
+	c.workers[0].endDelayMS = 1_500
 	c.endless(reservedUsage)
 	c.mustSubmit("full", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 8, Idempotent: true, Checkpointable: true})
 	c.advance(3_000)
@@ -124,7 +143,7 @@
 	}
 }
 
-// Guards against room that is held in vain for a gang which replicas keep out.
+// Guards against room that is held for a gang although replicas keep it out.
 func TestGangBehindServices(t *testing.T) {
 	c := newCell(t, 2).begin()
 	c.endless(reservedUsage)
@@ -165,21 +184,36 @@
 	}
 }
 
+// Guards against members of a restarting gang that run on because its owner died.
+func TestGangRestartOutlivesItsOwner(t *testing.T) {
+	c := newCell(t, 4).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		switch r.Attempt {
+		case "gang.0.1":
+			return 2_000, domain.OutcomeFailed, r.Resources
+		case "gang.1.1", "gang.2.1":
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
+		}
+		return 5_000, domain.OutcomeSucceeded, r.Resources
+	}
+	c.loseEnds = true
+	c.mustSubmit("gang", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 3, Idempotent: true, SpanZones: true})
+	c.advance(10_000)
+	c.crash(false)
+	c.loseEnds = false
+	c.advance(30_000)
+	c.mustState("gang", domain.JobSucceeded)
+}
+
 // Guards against a member that joins its gang late in another availability zone.
 func TestLateGangMember(t *testing.T) {
 	c := newCell(t, 8).begin()
 	c.endless(reservedUsage)
-	setLeaving := func(leaving bool) {
-		for _, w := range c.workers[:4] {
-			w.vm.Leaving = leaving
-		}
-		c.list()
-	}
-	setLeaving(true)
+	c.setLeaving(c.workers[:4], true)
 	c.mustSubmit("gang", "a", domain.JobSpec{Kind: domain.JobGang, Tasks: 4, Resources: amount(8, 8)})
 	c.step(Tick{Now: fromMillis(c.now)})
 	// The other zone has the lower worker IDs, which win among equals.
-	setLeaving(false)
+	c.setLeaving(c.workers[:4], false)
 	home := c.find(c.m.Inspect().Attempts[0].Worker)
 	// The worker of one member refuses the start, the others take theirs.
 	home.lease = ""
--- a/internal/core/sched/safety_test.go
+++ b/internal/core/sched/safety_test.go
@@ -25,7 +25,7 @@
 	cases := []struct {
 		name       string
 		idempotent bool
-		strike     func(c *cell)
+		inject     func(c *cell)
 		// kept is how long the reservation must stay, and gone when it must be released.
 		kept, gone int64
 		want       domain.JobState
@@ -47,7 +47,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := running(t, tc.idempotent)
-			tc.strike(c)
+			tc.inject(c)
 			c.advance(tc.kept)
 			if got := c.m.Stats().TasksActive; tc.kept > 0 && got != 1 {
 				t.Fatalf("after %d ms %d attempts are reserved, want 1", tc.kept, got)
@@ -70,7 +70,7 @@
 	c.workers[0].cut = true
 	c.m = c.recover(false)
 	c.checker.Restarted()
-	c.introduce()
+	c.inform()
 	c.advance(600_000)
 	c.mustState("service1", domain.JobRunning)
 	c.step(FormerOwnerStopped{At: fromMillis(c.now)})
@@ -141,48 +141,42 @@
 }
 
 // Guards against a task that goes on running after its end was decided: it is stopped and kept reserved.
-func TestStrayAttemptIsStopped(t *testing.T) {
+func TestOrphanIsStopped(t *testing.T) {
 	c := running(t, true)
 	w := c.workers[0]
-	stray := *w.running()[0]
+	orphan := *w.running()[0]
 	c.step(Cancel{Jobs: []domain.JobID{"service1"}})
 	c.advance(10_000)
-	stray.request.Attempt, stray.report.ID, stray.request.Job = "x.0.1", "x.0.1", "x"
+	orphan.request.Attempt, orphan.report.ID, orphan.request.Job = "x.0.1", "x.0.1", "x"
 	lease := w.answer()
-	lease.Attempts = append(lease.Attempts, stray.report)
+	lease.Attempts = append(lease.Attempts, orphan.report)
 	c.m.Step(LeaseRenewed{Worker: "w000", Lease: lease, SentAt: fromMillis(c.now)})
-	if s, _ := c.m.Worker("w000"); s.Reserved != stray.report.Usage {
-		t.Fatalf("%+v is reserved, want the stray's %+v", s.Reserved, stray.report.Usage)
+	if s, _ := c.m.Worker("w000"); s.Reserved != orphan.report.Usage {
+		t.Fatalf("%+v is reserved, want the orphan's %+v", s.Reserved, orphan.report.Usage)
 	}
 	if r := c.m.Ready(); len(r.Stops) != 1 || r.Stops[0].Attempts[0] != "x.0.1" {
-		t.Fatalf("stops are %+v, want the stray", r.Stops)
+		t.Fatalf("stops are %+v, want the orphan", r.Stops)
 	}
 	c.advance(10_000)
 	if s, _ := c.m.Worker("w000"); !s.Reserved.IsZero() {
-		t.Fatalf("%+v stays reserved after the stray ended", s.Reserved)
+		t.Fatalf("%+v stays reserved after the orphan ended", s.Reserved)
 	}
 }
 
 // Guards against a cancelled task that runs on because a stop or its sender was lost.
 func TestStopsAreRepeated(t *testing.T) {
-	cases := []struct {
-		name  string
-		crash bool
-	}{{"stop lost", false}, {"owner crashed after the cancellation", true}}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			c := running(t, false)
-			c.loseEnds = true
-			c.step(Cancel{Jobs: []domain.JobID{"service1"}})
-			c.advance(2_000)
-			c.mustState("service1", domain.JobRunning)
-			if tc.crash {
-				c.crash(false)
-			}
-			c.loseEnds = false
-			c.advance(3_000)
-			c.mustState("service1", domain.JobCancelled)
-		})
+	for _, crash := range []bool{false, true} {
+		c := running(t, false)
+		c.loseEnds = true
+		c.step(Cancel{Jobs: []domain.JobID{"service1"}})
+		c.advance(2_000)
+		c.mustState("service1", domain.JobRunning)
+		if crash {
+			c.crash(false)
+		}
+		c.loseEnds = false
+		c.advance(3_000)
+		c.mustState("service1", domain.JobCancelled)
 	}
 }
 
@@ -191,24 +185,25 @@
 	cases := []struct {
 		name   string
 		change func(c *cell) Event
-		// back makes the worker fit again; sent tells that the same intent is then started.
-		back func(c *cell) Event
-		sent bool
+		// back makes the worker fit again; sent tells that the same intent is then started,
+		// ends that the job then ends by itself.
+		back       func(c *cell) Event
+		sent, ends bool
 	}{
 		{"unreachable", func(c *cell) Event { return WorkerUnreachable{Worker: "w000", LastSent: fromMillis(c.now)} },
 			func(c *cell) Event {
 				return LeaseRenewed{Worker: "w000", Lease: c.workers[0].answer(), SentAt: fromMillis(c.now)}
-			}, true},
+			}, true, false},
 		{"leaving", func(c *cell) Event {
 			vm := c.workers[0].vm
 			vm.Leaving = true
 			return WorkersListed{VMs: []domain.VM{vm}}
-		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now + 1_000)} }, false},
+		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now + 1_000)} }, false, false},
 		{"restarted", func(c *cell) Event {
 			c.workers[0].reboot()
 			lease, _ := c.workers[0].acquire(c.epoch, c.now)
 			return LeaseAcquired{Worker: "w000", Lease: lease, SentAt: fromMillis(c.now)}
-		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now)} }, false},
+		}, func(c *cell) Event { return Tick{Now: fromMillis(c.now)} }, false, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -225,6 +220,11 @@
 			if r := c.m.Ready(); (len(r.Starts) == 1 && r.Starts[0].Requests[0].Attempt == "j1.0.1") != tc.sent {
 				t.Fatalf("starts are %+v, the first attempt is to be sent: %v", r.Starts, tc.sent)
 			}
+			if tc.ends {
+				c.step(Durable{Batch: c.m.batch})
+				c.advance(20_000)
+				c.mustState("j1", domain.JobSucceeded)
+			}
 		})
 	}
 }
