--- a/internal/core/policy/queue.go
+++ b/internal/core/policy/queue.go
@@ -84,6 +84,10 @@
 	g := q.group(q.team(item.Team), key)
 	g.insert(fresh)
 	q.markGroup(g)
+	if fresh.passed == q.round {
+		// The next round has to list the group again.
+		q.touch(g)
+	}
 }
 
 func (q *queue) Remove(job domain.JobID) {
