--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -98,21 +98,32 @@
 	}
 	if err != nil {
 		r.misses++
-		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
 		m.preempt(j, size, err)
+		m.pass(r, j, m.missReason(j), waitDetail(err))
 		return
 	}
 	m.popTask(j, restart)
 	m.intend(r, j, size, []domain.WorkerID{id}, []int{task}, restart)
 }
 
+// waitPreempting is passed for an urgent job that waits for victims to end. Unlike
+// policy.WaitNoRoom it lets the queue offer equal jobs, which need victims of their own.
+const waitPreempting policy.WaitReason = "preempting"
+
+func (m *Machine) missReason(j *job) policy.WaitReason {
+	if m.preemptions[j.ID] != nil {
+		return waitPreempting
+	}
+	return policy.WaitNoRoom
+}
+
 // request describes one task of the job to the index.
 func (m *Machine) request(j *job, size domain.Resources) placement.Request {
 	req := placement.Request{Size: size, Zones: j.Spec.Zones, Holder: j.ID, IgnoreReservations: j.urgent()}
 	if j.isService() {
 		req.Spread = j.ID
 	}
-	if j.avoidsCanaries() {
+	if m.avoidsCanaries(j) {
 		req.Avoid = append(req.Avoid, m.canaries...)
 	}
 	if run := m.roundedRunMS(j); run > 0 {
@@ -122,8 +133,11 @@
 }
 
 // avoidsCanaries reports whether the job is kept off workers on probation: a
-// canary may fail, which these jobs cannot repair by a retry of one task.
-func (j *job) avoidsCanaries() bool { return j.isGang() || !j.Spec.Idempotent }
+// canary may fail, which these jobs cannot repair by a retry of one task. After
+// AvoidFor they take such workers too, because no other job may come to end the probation.
+func (m *Machine) avoidsCanaries(j *job) bool {
+	return (j.isGang() || !j.Spec.Idempotent) && m.now-j.WaitingSinceMS < m.cfg.AvoidFor.Milliseconds()
+}
 
 // constraint names what restricts the workers of a job's next task, so that the
 // queue skips jobs of the same restrictions after one of them found no room.
@@ -135,7 +149,7 @@
 	if j.urgent() {
 		b.WriteString("urgent ")
 	}
-	if j.avoidsCanaries() {
+	if m.avoidsCanaries(j) {
 		b.WriteString("settled ")
 	}
 	if j.isGang() && j.Spec.SpanZones {
