policy: rerank a team once for all its groups

Cause: in a round on a full fleet each group that found no room reranked its team in every class.

Change: groups mark their team, which is reranked once; the keys of the team heaps are copied, so that they change only with the position in the heap.

--- a/internal/core/policy/refresh.go
+++ b/internal/core/policy/refresh.go
@@ -73,7 +73,7 @@
 		t.dirty = false
 		t.ratio = q.ratio(t, domain.Resources{})
 		t.below = t.ratio < q.level
-		q.rerankFrom(t, classUrgent)
+		q.rerankAll(t)
 	}
 	q.dirtyTeams = q.dirtyTeams[:0]
 }
@@ -103,18 +103,22 @@
 	g.class = now
 	g.first = e
 	g.team.classes[now].update(g)
-	q.rerankFrom(g.team, now)
+	q.markTeam(g.team)
 	q.scheduleAging(g, e)
 }
 
 func (q *queue) unlist(g *group) {
-	if !g.listed {
-		return
+	if g.listed {
+		g.leave()
+		q.markTeam(g.team)
 	}
+}
+
+// leave takes the group out of the heap of its class. The caller reranks the team.
+func (g *group) leave() {
 	g.listed = false
 	g.team.listed[g.key.class]--
 	g.team.classes[g.class].remove(g)
-	q.rerankFrom(g.team, g.class)
 }
 
 func (q *queue) scheduleAging(g *group, e *entry) {
@@ -123,8 +127,10 @@
 		q.aging.remove(g)
 		return
 	}
-	g.ages = at
-	q.aging.update(g)
+	if g.agingPosition == 0 || !g.ages.Equal(at) {
+		g.ages = at
+		q.aging.update(g)
+	}
 }
 
 // findLevel sets the level for the round. Where many teams leave their share
@@ -148,15 +154,15 @@
 		if below != t.below {
 			t.below = below
 			if t.contends() {
-				q.rerankFrom(t, classUrgent)
+				q.rerankAll(t)
 			}
 		}
 	}
 }
 
-// rerankFrom reranks the team in every class that a change in class c concerns.
-func (q *queue) rerankFrom(t *team, c class) {
-	for ; c < classes; c++ {
+// rerankAll reranks the team in every class.
+func (q *queue) rerankAll(t *team) {
+	for c := range classes {
 		q.rerank(t, c)
 	}
 }
@@ -171,6 +177,7 @@
 	}
 	t.offer[c] = g
 	t.rank[c] = q.rank(t.ratio)
+	t.since[c] = g.first.item.Enqueued
 	q.classes[c].update(t)
 }
 
--- a/internal/core/policy/round.go
+++ b/internal/core/policy/round.go
@@ -37,34 +37,42 @@
 			if !ok {
 				break
 			}
-			g := t.offer[c]
-			if q.offers(g) {
-				return g.first.item, true
+			if q.clear(t, class(c)) {
+				// The team may stand behind another one now.
+				q.rerankAll(t)
+				continue
 			}
+			return t.offer[c].first.item, true
 		}
 	}
 	return Item{}, false
 }
 
-// offers reports whether the group has a job to offer, and takes it off its heap otherwise.
+// clear takes groups that cannot be offered now off the heaps of the team,
+// until it has another one to offer in the class. It reports whether there was any.
+func (q *queue) clear(t *team, c class) bool {
+	cleared := false
+	for g := t.candidate(c); g != nil && !q.offers(g); g = t.candidate(c) {
+		cleared = true
+	}
+	return cleared
+}
+
+// offers reports whether the group has a job to offer, and takes it off its
+// heap otherwise. The caller reranks the team.
 func (q *queue) offers(g *group) bool {
-	if !g.need.Fits(g.team.room()) {
+	switch {
+	case !g.need.Fits(g.team.room()):
 		g.parked = true
 		g.team.parked = append(g.team.parked, g)
-		q.unlist(g)
-		return false
-	}
-	if q.noRoom.covers(g.key) {
-		q.block(g)
-		return false
+	case q.noRoom.covers(g.key):
+		g.blocked = q.round
+		q.touch(g)
+	default:
+		return true
 	}
-	return true
-}
-
-func (q *queue) block(g *group) {
-	g.blocked = q.round
-	q.touch(g)
-	q.unlist(g)
+	g.leave()
+	return false
 }
 
 func (q *queue) Pass(job domain.JobID, reason WaitReason) {
@@ -77,7 +85,8 @@
 	q.touch(g)
 	if reason == WaitNoRoom {
 		q.noRoom.add(g.key)
-		q.block(g)
+		g.blocked = q.round
+		q.unlist(g)
 		return
 	}
 	q.markGroup(g)
--- a/internal/core/policy/team.go
+++ b/internal/core/policy/team.go
@@ -1,6 +1,10 @@
 package policy
 
-import "auburnpier/internal/domain"
+import (
+	"time"
+
+	"auburnpier/internal/domain"
+)
 
 // team is what the queue keeps of a team.
 type team struct {
@@ -21,10 +25,12 @@
 	ratio float64
 	// below tells that ratio is below the level of the queue.
 	below bool
-	// offer is the group that the team offers in a class, and rank orders
-	// teams in the class; lower is first.
+	// offer is the group that the team offers in a class. Teams of a class are
+	// ordered by rank, lower first, then by since, when the oldest job of the
+	// offer was enqueued. The three change only together with the position in the heap.
 	offer [classes]*group
 	rank  [classes]float64
+	since [classes]time.Time
 	dirty bool
 }
 
@@ -44,9 +50,8 @@
 	if t.rank[c] != o.rank[c] {
 		return t.rank[c] < o.rank[c]
 	}
-	a, b := t.offer[c].first.item.Enqueued, o.offer[c].first.item.Enqueued
-	if !a.Equal(b) {
-		return a.Before(b)
+	if !t.since[c].Equal(o.since[c]) {
+		return t.since[c].Before(o.since[c])
 	}
 	return t.id < o.id
 }
