Store allotments by the index of their holder

Cause: each instance reads each new version of an allotment document, and the names of 8 holders repeated for 260 teams took most of its bytes.

Change: the stored form lists the holders once and the amounts in their order; an amount with one component is a number.

go test -race -count=1 ./internal/core/allot ./internal/app/allotment passes.

--- a/internal/core/allot/allot_test.go
+++ b/internal/core/allot/allot_test.go
@@ -290,3 +290,32 @@
 		})
 	}
 }
+
+// A document that lists a holder twice, has amounts without a holder or breaks
+// its invariant must not be used.
+func TestDecodeRefuses(t *testing.T) {
+	cases := []struct {
+		name, data string
+		ok         bool
+	}{
+		{"valid", `{"config":1,"holders":[{"name":"a"}],"items":{"t":{"limit":[4, 5],"held":[3]}}}`, true},
+		{"above the limit", `{"holders":[{"name":"a"}],"items":{"t":{"limit":4,"held":[5]}}}`, false},
+		{"negative", `{"holders":[{"name":"a"}],"items":{"t":{"limit":4,"held":[-1]}}}`, false},
+		{"holder twice", `{"holders":[{"name":"a"},{"name":"a"}],"items":{}}`, false},
+		{"more amounts than holders", `{"holders":[{"name":"a"}],"items":{"t":{"limit":4,"held":[1,1]}}}`, false},
+		{"four components", `{"holders":[],"items":{"t":{"limit":[1,2,3,4]}}}`, false},
+		{"fraction", `{"holders":[],"items":{"t":{"limit":1.5}}}`, false},
+		{"nested", `{"holders":[],"items":{"t":{"limit":[[1]]}}}`, false},
+		{"text", `{"holders":[],"items":{"t":{"limit":"1"}}}`, false},
+		{"unknown field", `{"holders":[],"items":{},"more":1}`, false},
+	}
+	for _, c := range cases {
+		d, err := Decode([]byte(c.data))
+		if (err == nil) != c.ok {
+			t.Errorf("%s: error %v", c.name, err)
+		}
+		if c.ok && (d.Items["t"].Limit != Vector{4, 5} || d.Held("t", "a") != Units(3)) {
+			t.Errorf("%s: got %+v", c.name, d)
+		}
+	}
+}
