--- a/internal/core/policy/queue.go
+++ b/internal/core/policy/queue.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"auburnpier/internal/domain"
@@ -13,6 +15,8 @@
 type queue struct {
 	options Options
 	teams   map[domain.TeamID]*team
+	// ordered holds the teams by ID, so that sums over them are reproducible.
+	ordered []*team
 	jobs    map[domain.JobID]*entry
 	classes [classes]heap[*team]
 	// aging holds the groups that rise by a class later.
@@ -20,8 +24,15 @@
 	total  domain.Resources
 	shares float64
 	round  uint64
-	now    time.Time
-	groups int // number of groups ever created
+	// level is the ratio that the contending teams would all have if what they
+	// run were divided among them by their shares, and at least one.
+	level float64
+	// leveled is the round for which level holds.
+	leveled uint64
+	now     time.Time
+	groups  int // number of groups ever created
+	// spare are retired groups, which are used again.
+	spare []*group
 	// dirtyGroups and dirtyTeams changed since the last call of Next.
 	dirtyGroups []*group
 	dirtyTeams  []*team
@@ -114,7 +125,19 @@
 	if t == nil {
 		return false
 	}
-	return q.ratio(t) > 1
+	return q.ratio(t, domain.Resources{}) > 1
+}
+
+func (q *queue) MayHold(job domain.JobID, held domain.Resources) bool {
+	e := q.jobs[job]
+	if e == nil {
+		return false
+	}
+	delay := q.options.ReservationDelay
+	if q.ratio(e.group.team, held) >= q.level {
+		delay *= aboveShareDelays
+	}
+	return q.now.Sub(e.item.Enqueued) >= delay
 }
 
 func (q *queue) team(id domain.TeamID) *team {
@@ -122,6 +145,10 @@
 	if t == nil {
 		t = newTeam(id)
 		q.teams[id] = t
+		at, _ := slices.BinarySearchFunc(q.ordered, id, func(t *team, id domain.TeamID) int {
+			return strings.Compare(string(t.id), string(id))
+		})
+		q.ordered = slices.Insert(q.ordered, at, t)
 	}
 	return t
 }
@@ -129,9 +156,36 @@
 func (q *queue) group(t *team, key groupKey) *group {
 	g := t.groups[key]
 	if g == nil {
-		q.groups++
-		g = &group{key: key, team: t, need: key.need(), number: q.groups, class: key.class}
+		g = q.newGroup()
+		g.key, g.team, g.need, g.class = key, t, key.need(), key.class
 		t.groups[key] = g
 	}
 	return g
 }
+
+func (q *queue) newGroup() *group {
+	last := len(q.spare) - 1
+	if last < 0 {
+		q.groups++
+		return &group{number: q.groups}
+	}
+	g := q.spare[last]
+	q.spare = q.spare[:last]
+	return g
+}
+
+// maxSpareEntries bounds the list that a spare group keeps.
+const maxSpareEntries = 256
+
+// retire forgets an empty group. It is used again unless a list still refers to it.
+func (q *queue) retire(g *group) {
+	if g.team.groups[g.key] == g {
+		delete(g.team.groups, g.key)
+	}
+	if g.parked || g.touched || cap(g.list) > maxSpareEntries {
+		return
+	}
+	clear(g.list)
+	*g = group{number: g.number, list: g.list[:0]}
+	q.spare = append(q.spare, g)
+}
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -88,6 +88,8 @@
 	touched bool
 	// moving counts attempts that are stopped to leave their worker.
 	moving int
+	// preemptAfterMS is when the job may search for victims again.
+	preemptAfterMS int64
 	// ceiling bounds learned reservations where one fitted no empty worker.
 	ceiling domain.Resources
 	// wait lists the rejections where the last search found no room.
@@ -164,7 +166,8 @@
 	unlisted  int
 	startedMS int64
 	peak      domain.Resources
-	throttled bool
+	// throttledMS is when the attempt was throttled last.
+	throttledMS int64
 	// cause is set once the attempt is to end; stopMS is when it is stopped
 	// if it was not checkpointed until then, and resendMS when the call is repeated.
 	cause    Cause
