Close gaps that planted faults showed in the tests

Cause: of 30 faults planted one at a time in a scratch copy, 6 were not found: the receive bound of the server, a believed death claim, a missing ping to the own region, known members not compared, and two that other code covers. A bar that is not noted from an update of an unknown member is delivered by the next update of that member, so that fault changes no result.

--- a/internal/core/membership/bar_test.go
+++ b/internal/core/membership/bar_test.go
@@ -122,3 +122,23 @@
 		t.Error("an instance that joined later does not know of the bar")
 	}
 }
+
+// Guards against a small region whose instances ping each other too seldom for
+// their authority, because the round goes through all instances of the cell.
+func TestSmallRegionKeepsAuthority(t *testing.T) {
+	w := newNetwork(t, 40, 2, 1)
+	for _, h := range w.hosts[:2] {
+		h.region = "small"
+	}
+	w.startAll()
+	vouchAll(w)
+	w.run(20 * time.Second)
+	for range 200 {
+		w.run(100 * time.Millisecond)
+		for _, h := range w.hosts[:2] {
+			if age := w.now.Sub(h.node.RegionAck()); age > authorityBound/2 {
+				t.Fatalf("the latest acknowledgement of the region of %s is %s old", h.id, age)
+			}
+		}
+	}
+}
--- a/internal/core/membership/change_test.go
+++ b/internal/core/membership/change_test.go
@@ -217,3 +217,24 @@
 		}
 	}
 }
+
+// Guards against a death that is believed although the member answered just now.
+func TestDeathOfAnsweringMemberIsDoubted(t *testing.T) {
+	w := formed(t, 3, 1, 1, nil)
+	w.run(10 * time.Second)
+	at := w.hosts[2]
+	m := at.node.find("i01")
+	if w.now.Sub(m.livedAt) > 2*at.node.cfg.Period {
+		t.Fatalf("the member answered %s ago", w.now.Sub(m.livedAt))
+	}
+	claim := &Message{Kind: KindGossip, From: "i00", To: "i02", Digest: w.hosts[0].node.digest(), Updates: []Update{{
+		Record: Record{ID: "i01", Incarnation: m.Incarnation}, State: StateDead, Accuser: "i00",
+	}}}
+	w.apply(at, at.node.Receive(w.now, w.hosts[0].address, claim))
+	if m.State == StateDead {
+		t.Error("the claim was believed")
+	}
+	if _, ok := w.until(3*time.Second, func() bool { return w.hosts[1].node.self.refutation > 0 && w.agree() }); !ok {
+		t.Errorf("the claim was not refuted: %s", w.disagreement())
+	}
+}
--- a/internal/core/membership/freshness.go
+++ b/internal/core/membership/freshness.go
@@ -23,7 +23,6 @@
 	}
 	if !d.EditInFlight && d.KnownHash == n.knownHash() && sentAt.After(m.clearAt) {
 		m.clearAt = sentAt
-		m.clearVersion = d.KnownVersion
 	}
 }
 
@@ -74,7 +73,7 @@
 			continue
 		}
 		known++
-		if m.clearAt.IsZero() || m.clearVersion > version {
+		if m.clearAt.IsZero() {
 			return Confirmation{}
 		}
 		if m.clearAt.Before(earliest) {
@@ -85,6 +84,7 @@
 		// Other instances may exist that were not heard of yet.
 		return Confirmation{}
 	}
+	// Every version that a member knows is noted when its datagram arrives.
 	if n.newestVersion > version {
 		return Confirmation{}
 	}
--- a/internal/core/membership/freshness_test.go
+++ b/internal/core/membership/freshness_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -257,3 +258,30 @@
 	}
 	return ""
 }
+
+// Guards against a confirmation by all peers while one of them knows an
+// instance that this one does not know, which may be accepting an edit.
+func TestUnknownInstanceBlocksConfirmation(t *testing.T) {
+	for _, unknown := range []bool{false, true} {
+		w := formed(t, 3, 1, 1, nil)
+		w.run(5 * time.Second)
+		began := w.now
+		if unknown {
+			// The records of the instance reach hosts 0 and 1 but not host 2.
+			w.alter = func(m *Message) {
+				m.Updates = slices.DeleteFunc(slices.Clone(m.Updates), func(u Update) bool { return m.To == "i02" && u.Record.ID == "new" })
+			}
+			w.cut = func(a, b *host) bool { return a.id == "new" && b.id == "i02" }
+			joiner := &host{id: "new", address: "10.0.0.9:7000", region: "r0"}
+			w.hosts = append(w.hosts, joiner)
+			w.start(joiner)
+			w.run(time.Second)
+			began = w.now
+		}
+		w.run(5 * time.Second)
+		confirmed := w.hosts[2].node.AllPeers(1).At.After(began)
+		if confirmed == unknown {
+			t.Errorf("another instance known to the peers alone: %v, confirmed: %v", unknown, confirmed)
+		}
+	}
+}
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -82,10 +82,8 @@
 	suspectSince time.Time
 	accusers     []domain.InstanceID
 	// clearAt is the sending of the latest ping whose acknowledgement stated
-	// no edit in flight and the same known members, and clearVersion the
-	// newest version that the member then knew.
-	clearAt      time.Time
-	clearVersion uint64
+	// no edit in flight and the same known members.
+	clearAt time.Time
 	// outagePingAt is the sending of the latest ping of the outage mode.
 	outagePingAt time.Time
 	// differsSince is the time since which the member states another view.
