policy: skip removed jobs at the front of a list once

Cause: each round that touched a group looked again at all removed entries before its first waiting job, up to half of the list.

Change: a group remembers the first entry that may wait. Release states that it does nothing without a reservation.

--- a/internal/core/placement/api.go
+++ b/internal/core/placement/api.go
@@ -91,7 +91,8 @@
 	Reserve(id domain.WorkerID, job domain.JobID, size domain.Resources) bool
 	// ForceReserve takes size even where it exceeds the room, for attempts found running.
 	ForceReserve(id domain.WorkerID, job domain.JobID, size domain.Resources)
-	// Release gives back what Reserve or ForceReserve took.
+	// Release gives back what Reserve or ForceReserve took. It does nothing where the worker has
+	// no reservation of the job, as after it was removed and added again.
 	Release(id domain.WorkerID, job domain.JobID, size domain.Resources)
 	// Place chooses a worker without reserving it, or returns a *NoFitError.
 	Place(r Request) (domain.WorkerID, error)
--- a/internal/core/policy/entry.go
+++ b/internal/core/policy/entry.go
@@ -59,8 +59,9 @@
 	number int // order of creation, for ties
 	list   []*entry
 	dead   int
-	// cursor is where the search for the next entry to offer starts in this round.
-	cursor int
+	// no entry before head waits, and cursor is where the search for the
+	// next entry to offer starts in this round.
+	head, cursor int
 	// first is the entry that is offered next. It is set while the group is
 	// listed and changes only together with the position in the heap.
 	first *entry
@@ -91,6 +92,7 @@
 	at, _ := slices.BinarySearchFunc(g.list, e, compareEntries)
 	g.list = slices.Insert(g.list, at, e)
 	g.cursor = min(g.cursor, at)
+	g.head = min(g.head, at)
 }
 
 // drop marks the entry as removed. The list is compacted when most of it is
@@ -114,6 +116,7 @@
 	}
 	clear(g.list[len(live):])
 	g.list = live
+	g.head = 0
 	g.cursor = cursor
 	g.dead = 0
 }
@@ -129,6 +132,9 @@
 		if !e.dead && e.passed != round {
 			return e
 		}
+		if e.dead && g.head == g.cursor {
+			g.head++
+		}
 	}
 	return nil
 }
--- a/internal/core/policy/round.go
+++ b/internal/core/policy/round.go
@@ -12,7 +12,7 @@
 	q.noRoom.reset()
 	for _, g := range q.touched {
 		g.touched = false
-		g.cursor = 0
+		g.cursor = g.head
 		q.markGroup(g)
 	}
 	q.touched = q.touched[:0]
