Take a peer's passed deadline as no answer

Cause: TestUnansweredCalls failed once in seven runs. The deadline of a call can pass at the peer just before it passes at the caller; the handler's context error then came back as an internal error instead of an unanswered call. Change: a context error of a handler is answered with the status of a context error. A test case has a handler that returns it; it fails without the change.

--- a/internal/adapter/peergrpc/contract_test.go
+++ b/internal/adapter/peergrpc/contract_test.go
@@ -195,6 +195,7 @@
 	closed.Close()
 	silent := serve(t, options(testSecret), &recorder{wait: true})
 	foreign := serve(t, options([]byte("the secret of another cell")), &recorder{})
+	late := serve(t, options(testSecret), &recorder{err: context.DeadlineExceeded})
 	cases := []struct {
 		name, address string
 		client        Options
@@ -203,6 +204,7 @@
 		{"nobody listens", nobody, options(testSecret), true},
 		{"no answer before the deadline", silent, options(testSecret), false},
 		{"the peer has another secret", foreign, options(testSecret), false},
+		{"the deadline passes at the peer first", late, options(testSecret), false},
 	}
 	for _, tc := range cases {
 		client := dial(t, tc.client)
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -1,8 +1,10 @@
 package peergrpc
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -58,8 +60,14 @@
 	}
 }
 
-// errorToStatus returns a status that carries the error as a refusal.
+// errorToStatus returns a status that carries the error as a refusal. A handler
+// that ran out of time has no answer: its deadline may pass just before the
+// caller's, which then takes the call as unanswered.
 func errorToStatus(err error) error {
+	var refused *refusal.Refusal
+	if !errors.As(err, &refused) && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)) {
+		return status.FromContextError(err).Err()
+	}
 	r := refusal.From(err)
 	st, detailErr := status.New(codes.FailedPrecondition, r.Message).WithDetails(refusalToWire(r))
 	if detailErr != nil {
