--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -60,12 +60,18 @@
 	}
 }
 
-// errorToStatus returns a status that carries the error as a refusal. A handler
-// that ran out of time has no answer: its deadline may pass just before the
-// caller's, which then takes the call as unanswered.
-func errorToStatus(err error) error {
+// outOfTime reports whether a handler ran out of time, which is no answer: its
+// deadline may pass just before the caller's.
+func outOfTime(err error) bool {
 	var refused *refusal.Refusal
-	if !errors.As(err, &refused) && (errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)) {
+	return !errors.As(err, &refused) &&
+		(errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled))
+}
+
+// errorToStatus returns a status that carries the error as a refusal. The
+// caller takes a call whose handler ran out of time as unanswered.
+func errorToStatus(err error) error {
+	if outOfTime(err) {
 		return status.FromContextError(err).Err()
 	}
 	r := refusal.From(err)
--- a/internal/adapter/peergrpc/server.go
+++ b/internal/adapter/peergrpc/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"auburnpier/internal/adapter/peergrpc/peerpb"
 	"auburnpier/internal/domain"
@@ -100,6 +101,9 @@
 			"the operation of the forwarded call is unknown", "upgrade all instances to the same version")), nil
 	}
 	payload, err := s.handler.Forward(ctx, call)
+	if outOfTime(err) {
+		return nil, status.FromContextError(err).Err()
+	}
 	if err != nil {
 		return refusedForward(refusal.From(err)), nil
 	}
