--- a/internal/core/membership/freshness.go
+++ b/internal/core/membership/freshness.go
@@ -23,7 +23,6 @@
 	}
 	if !d.EditInFlight && d.KnownHash == n.knownHash() && sentAt.After(m.clearAt) {
 		m.clearAt = sentAt
-		m.clearVersion = d.KnownVersion
 	}
 }
 
@@ -74,7 +73,7 @@
 			continue
 		}
 		known++
-		if m.clearAt.IsZero() || m.clearVersion > version {
+		if m.clearAt.IsZero() {
 			return Confirmation{}
 		}
 		if m.clearAt.Before(earliest) {
@@ -85,6 +84,7 @@
 		// Other instances may exist that were not heard of yet.
 		return Confirmation{}
 	}
+	// Every version that a member knows is noted when its datagram arrives.
 	if n.newestVersion > version {
 		return Confirmation{}
 	}
@@ -133,7 +133,8 @@
 		if m.State == StateDead {
 			period = n.cfg.OutagePeriod
 		}
-		if n.now.Sub(m.outagePingAt) < period {
+		// The pings of the rounds count as well.
+		if n.now.Sub(latest(m.outagePingAt, m.clearAt)) < period {
 			continue
 		}
 		m.outagePingAt = n.now
--- a/internal/core/sched/cell_test.go
+++ b/internal/core/sched/cell_test.go
@@ -50,14 +50,13 @@
 	plan      func(r port.StartRequest) (int64, domain.Outcome, domain.Resources)
 	started   int
 	throttled []ThrottleCall
-	wishes    map[domain.TeamID]domain.Resources
+	wishes    []Wish
 }
 
 func newCell(t testing.TB, workers int) *cell {
 	c := &cell{
 		t: t, now: startMS, epoch: 1, checker: invariant.New(),
 		listed: make(map[string]bool), acks: make(map[domain.WorkerID][]domain.AttemptID),
-		wishes: make(map[domain.TeamID]domain.Resources),
 	}
 	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
 		if strings.HasPrefix(string(r.Job), "service") {
@@ -80,7 +79,7 @@
 // begin starts the first owner.
 func (c *cell) begin() *cell {
 	c.m = c.newMachine()
-	c.introduce()
+	c.inform()
 	return c
 }
 
@@ -89,8 +88,8 @@
 		policy.NewQueue(policy.Options{Weights: policy.Weights{Share: 1, Waiting: 0.1}}))
 }
 
-// introduce tells a new owner the time, teams and workers.
-func (c *cell) introduce() {
+// inform tells a new owner the time, teams and workers.
+func (c *cell) inform() {
 	c.step(Tick{Now: fromMillis(c.now)})
 	c.step(TeamsChanged{Teams: c.teams})
 	c.step(AllotmentsChanged{Allotments: c.allot})
@@ -116,13 +115,13 @@
 }
 
 func (c *cell) check(ev Event) {
-	if err := c.checker.Check(c.m.Inspect(), c.truth()); err != nil {
+	if err := c.checker.Check(c.m.Inspect(), c.running()); err != nil {
 		c.t.Fatalf("at %d ms after %T: %v", c.now-startMS, ev, err)
 	}
 }
 
-// truth lists what workers run, and what undelivered starts could still run.
-func (c *cell) truth() []invariant.Running {
+// running lists what workers run, and what undelivered starts could still run.
+func (c *cell) running() []invariant.Running {
 	var list []invariant.Running
 	for _, w := range c.workers {
 		for _, a := range w.running() {
@@ -177,9 +176,7 @@
 		c.acks[a.Worker] = append(c.acks[a.Worker], a.Attempts...)
 	}
 	c.throttled = append(c.throttled, r.Throttles...)
-	for _, w := range r.Wishes {
-		c.wishes[w.Team] = w.Amount
-	}
+	c.wishes = append(c.wishes, r.Wishes...)
 	for _, id := range r.Acquire {
 		c.acquire(c.find(id))
 	}
@@ -214,7 +211,7 @@
 	}
 	held := c.arrive(call)
 	switch {
-	case w.deaf || c.starts == "unknown":
+	case w.answersLost || c.starts == "unknown":
 		c.step(StartUnknown{Worker: call.Worker, Lease: call.Lease, Attempts: ids})
 	case held:
 		c.step(StartAccepted{Worker: call.Worker, Lease: call.Lease, Attempts: ids})
@@ -250,7 +247,7 @@
 		return
 	}
 	lease, ok := w.acquire(c.epoch, c.now)
-	if w.deaf || !ok {
+	if w.answersLost || !ok {
 		c.unreachable(w)
 		return
 	}
@@ -277,7 +274,7 @@
 	}
 	lease, ok := w.renew(status.Lease, acks, c.now)
 	switch {
-	case w.deaf:
+	case w.answersLost:
 		c.unreachable(w)
 	case !ok:
 		c.step(LeaseRefused{Worker: id, Lease: status.Lease})
--- a/internal/core/sched/walk_test.go
+++ b/internal/core/sched/walk_test.go
@@ -23,6 +23,8 @@
 
 func (w *walker) chance(percent int) bool { return w.r.IntN(100) < percent }
 
+func toggle(b *bool) { *b = !*b }
+
 func (w *walker) worker() *fakeWorker { return w.workers[w.r.IntN(len(w.workers))] }
 
 // outcome draws how long a start runs, how it ends and what it uses.
@@ -75,17 +77,13 @@
 	case 6:
 		w.worker().reboot()
 	case 7:
-		x := w.worker()
-		x.cut = !x.cut
+		toggle(&w.worker().cut)
 	case 8:
-		x := w.worker()
-		x.deaf = !x.deaf
+		toggle(&w.worker().answersLost)
 	case 9:
-		x := w.worker()
-		x.broken = !x.broken
+		toggle(&w.worker().broken)
 	case 10:
-		x := w.worker()
-		x.vm.Leaving = !x.vm.Leaving
+		toggle(&w.worker().vm.Leaving)
 	case 11:
 		// A VM that leaves the list is dead, as the platform promises.
 		x := w.worker()
@@ -121,15 +119,15 @@
 	}
 }
 
-// calm takes all faults back and cancels what would run for ever.
-func (w *walker) calm() {
+// removeFaults takes all faults back and cancels what would run for ever.
+func (w *walker) removeFaults() {
 	w.storeDown, w.starts, w.loseEnds = false, "", false
 	w.deliverLate()
 	w.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
 		return 2_000, domain.OutcomeSucceeded, domain.Resources{CPUMilli: 100, MemoryMB: 100}
 	}
 	for _, x := range w.workers {
-		x.cut, x.deaf, x.broken, x.vm.Leaving = false, false, false, false
+		x.cut, x.answersLost, x.broken, x.vm.Leaving = false, false, false, false
 		w.listed[x.vm.ID] = true
 	}
 	for _, team := range []domain.TeamID{"a", "b", "c"} {
@@ -173,7 +171,7 @@
 	for range steps {
 		w.act()
 	}
-	w.calm()
+	w.removeFaults()
 	for waited := 0; waited < 3_600_000 && w.m.Stats().TasksActive+w.m.Stats().TasksWaiting > 0; waited += 10_000 {
 		w.advance(10_000)
 	}
