Bar a reclaimed holder at the reclaiming instance before the wait begins

The reclaimer's own membership barred the holder only at its next review, up to 500 ms into the 8 s in which the holder's authority has to end.

--- a/internal/daemon/allotments.go
+++ b/internal/daemon/allotments.go
@@ -268,9 +268,10 @@
 	var others []domain.InstanceID
 	for holder, h := range doc.Holders {
 		id, _, err := parseHolder(holder)
-		if err != nil || id == a.i.settings.Instance || h.Region != string(region) {
+		if err != nil || h.Region != string(region) {
 			continue
 		}
+		// This instance is among them: its own membership has to bar the holder too.
 		others = append(others, id)
 	}
 	return others, nil
