--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -1,8 +1,10 @@
 package peergrpc
 
 import (
+	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -58,8 +60,20 @@
 	}
 }
 
-// errorToStatus returns a status that carries the error as a refusal.
+// outOfTime reports whether a handler ran out of time, which is no answer: its
+// deadline may pass just before the caller's.
+func outOfTime(err error) bool {
+	var refused *refusal.Refusal
+	return !errors.As(err, &refused) &&
+		(errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled))
+}
+
+// errorToStatus returns a status that carries the error as a refusal. The
+// caller takes a call whose handler ran out of time as unanswered.
 func errorToStatus(err error) error {
+	if outOfTime(err) {
+		return status.FromContextError(err).Err()
+	}
 	r := refusal.From(err)
 	st, detailErr := status.New(codes.FailedPrecondition, r.Message).WithDetails(refusalToWire(r))
 	if detailErr != nil {
