policy: state that a job with a hold needs its own constraint

Cause: a holder that shares its constraint with an equal job is not offered in a round in which that job found no room before it, although its held room is free.

Change: the comment of Item.Constraint says so. No code changes.

--- a/internal/core/policy/api.go
+++ b/internal/core/policy/api.go
@@ -45,7 +45,9 @@
 	// Constraint names what else restricts where the tasks run, such as their
 	// zones and the workers that they avoid. Where one job found no room,
 	// jobs of the same constraint that need at least as much are not offered
-	// in that round. Jobs with different restrictions need different names.
+	// in that round. Jobs with different restrictions need different names. A
+	// job that holds room finds room where others find none, so it needs a
+	// name of its own, and so do jobs that may backfill.
 	Constraint string
 }
 
