Close gaps in the tests of the index and the queue

Change: cases for held room counted twice for its holder, candidates for which more has to free up, a release after the worker came back while the job runs elsewhere, positions in the list of a group, and a refund that wakes a parked group. The case of the accelerated worker now reserves both of its accelerators: with one free the score alone kept other tasks away, so the case did not guard the search order.

--- a/internal/core/placement/index_test.go
+++ b/internal/core/placement/index_test.go
@@ -48,7 +48,7 @@
 		{"spreading takes the emptiest", 0, func(x *index) { x.Reserve("z1-w0", "j", res(4, 16, 0)) }, Request{Size: res(1, 4, 0)}, "z1-w1"},
 		{"accelerators for those that need them", 1, nil, Request{Size: res(1, 4, 1)}, "z1-w3"},
 		{"accelerated worker is the last resort", 1, func(x *index) {
-			x.Reserve("z1-w3", "j", res(4, 16, 1))
+			x.Reserve("z1-w3", "j", res(4, 16, 2))
 		}, Request{Size: res(1, 4, 0)}, "z1-w0"},
 		{"no stranded memory", 1, func(x *index) {
 			x.Reserve("z1-w0", "j", res(5, 8, 0))
@@ -186,6 +186,28 @@
 	}
 }
 
+// Guards against held room that is counted twice for its holder, and against
+// candidates for which more has to free up than for others.
+func TestGangHoldAndCandidates(t *testing.T) {
+	x := newTestIndex(1)
+	for _, id := range []domain.WorkerID{"z1-w0", "z1-w1", "z1-w2", "z1-w3"} {
+		x.Reserve(id, "j", res(4, 4, 0))
+	}
+	x.HoldRoom("g", res(2, 2, 0), []domain.WorkerID{"z1-w0"})
+	r := Request{Size: res(2, 2, 0), Holder: "g", Zones: []domain.ZoneID{"z1"}}
+	if eight, err := x.PlaceGang(r, 8, false); err != nil || len(eight) != 8 {
+		t.Fatalf("gang is on %v (%v), want eight members", eight, err)
+	}
+	if nine, err := x.PlaceGang(r, 9, false); err == nil {
+		t.Fatalf("gang is on %v, which have room for eight", nine)
+	}
+	x.Reserve("z1-w3", "j", res(3, 3, 0))
+	want := []domain.WorkerID{"z1-w0", "z1-w0", "z1-w1", "z1-w1", "z1-w2", "z1-w2", "z1-w3", "z1-w0", "z1-w0"}
+	if got, ok := x.GangCandidates(r, 9, false); !ok || !reflect.DeepEqual(got, want) {
+		t.Fatalf("candidates are %v, want %v", got, want)
+	}
+}
+
 // Guards against capacity that appears where a worker comes back before its
 // reservations are released, and against a worker that Reserve overcommits.
 func TestReserveAndRelease(t *testing.T) {
@@ -194,9 +216,11 @@
 		t.Fatal("reservation is refused, or overcommits")
 	}
 	x.ForceReserve("z1-w0", "k", res(1, 1, 0))
+	x.Reserve("z1-w1", "j", res(1, 1, 0))
 	x.Remove("z1-w0")
 	x.Upsert(Node{ID: "z1-w0", Location: domain.Location{Zone: "z1", Rack: "r0"}, Capacity: res(8, 32, 0)})
 	x.Release("z1-w0", "j", res(8, 32, 0))
+	x.Release("z1-w1", "j", res(1, 1, 0))
 	if free, _ := x.Free("z1-w0"); free != res(8, 32, 0) || !x.Reserved().IsZero() || len(x.jobs) != 0 {
 		t.Fatalf("free is %v with %v reserved by %d jobs", free, x.Reserved(), len(x.jobs))
 	}
--- a/internal/core/policy/queue_test.go
+++ b/internal/core/policy/queue_test.go
@@ -250,3 +250,63 @@
 		})
 	}
 }
+
+// Guards against jobs that are lost where a list changes in front of the
+// position that a round has reached, and against a refund that wakes no job.
+func TestPositions(t *testing.T) {
+	const jobs = 3 * minCompact
+	id := func(n int) domain.JobID { return domain.JobID(fmt.Sprintf("j%03d", n)) }
+	older := with(job("older", "a", 0), func(i *Item) { i.Enqueued = start.Add(-time.Hour) })
+	removeFrom := func(q *queue, from, to int) {
+		for n := from; n < to; n++ {
+			q.Remove(id(n))
+		}
+	}
+	cases := []struct {
+		name   string
+		change func(q *queue)
+		want   domain.JobID
+	}{
+		{"nothing", func(*queue) {}, id(0)},
+		{"older job after a pass", func(q *queue) {
+			q.Pass(id(0), WaitRestarts)
+			q.Next()
+			q.Push(older)
+		}, "older"},
+		{"older job after removals, in the next round", func(q *queue) {
+			removeFrom(q, 0, 5)
+			q.Next()
+			q.Push(older)
+			q.Next()
+			q.Pass("older", WaitRestarts)
+			q.Begin(start)
+		}, "older"},
+		{"removed and compacted", func(q *queue) {
+			removeFrom(q, 0, 20)
+			q.Next()
+			q.Pass(id(20), WaitRestarts)
+			q.Next()
+			removeFrom(q, 40, jobs)
+			q.Begin(start)
+		}, id(20)},
+		{"refund", func(q *queue) {
+			q.Charge("a", fleet)
+			q.Next()
+			q.Refund("a", small)
+		}, id(0)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := newTestQueue(Options{}, nil)
+			for n := range jobs {
+				q.Push(job(string(id(n)), "a", time.Duration(jobs-n)))
+			}
+			q.Begin(start)
+			q.Next()
+			c.change(q)
+			if got, ok := q.Next(); !ok || got.Job != c.want {
+				t.Fatalf("%q is offered, want %q", got.Job, c.want)
+			}
+		})
+	}
+}
