sched: search victims for urgent gangs in every zone

Cause: an urgent gang preempted only on the workers that placement chose as candidates; where these ran work that may not be preempted, it waited although another zone had victims. Change: gangs claim room as other urgent jobs do, for all members or for none, in the zone with the fewest victims. Conclusion: urgent gangs use whatever may be preempted in the partition.

--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -42,7 +42,8 @@
 	}
 	if err != nil {
 		r.misses++
-		m.pass(r, j, policy.WaitNoRoom, waitDetail(err))
+		m.preempt(j, size, n, err)
+		m.pass(r, j, m.missReason(j), waitDetail(err))
 		m.holdForGang(j, req, n)
 		return
 	}
@@ -96,7 +97,7 @@
 // urgent gang holds at once, and takes the hold from a gang that is not urgent.
 func (m *Machine) holdForGang(j *job, req placement.Request, n int) {
 	waited := m.now - j.WaitingSinceMS
-	if waited < m.cfg.GangDelay.Milliseconds() && !j.urgent() {
+	if (waited < m.cfg.GangDelay.Milliseconds() && !j.urgent()) || m.preemptions[j.ID] != nil {
 		return
 	}
 	if h := m.gangHold; h != nil {
@@ -113,9 +114,6 @@
 	m.index.HoldRoom(j.ID, req.Size, workers)
 	m.index.ExpectStart(j.ID, fromMillis(m.expectedFree(workers)))
 	j.wait += "; workers are reserved for the gang"
-	if j.urgent() {
-		m.preemptForGang(j, req.Size)
-	}
 	m.dirty = true
 }
 
--- a/internal/core/sched/gang_test.go
+++ b/internal/core/sched/gang_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// Guards against an urgent gang that waits for work which it cannot preempt while another zone has victims.
+func TestUrgentGangFindsVictims(t *testing.T) {
+	c := newCell(t, 8).begin()
+	c.endless(reservedUsage)
+	for i, zone := range []domain.ZoneID{"z0", "z1"} {
+		c.mustSubmit(domain.JobID("full-"+zone), "a", domain.JobSpec{
+			Kind: domain.JobBatch, Tasks: 32, Idempotent: true, Checkpointable: i == 1, Zones: []domain.ZoneID{zone},
+		})
+	}
+	c.advance(3_000)
+	c.mustSubmit("now", "b", domain.JobSpec{Kind: domain.JobGang, Tasks: 10, Priority: domain.PriorityUrgent})
+	c.advance(6_500)
+	if s, _ := c.m.Status("now"); s.Running != 10 || c.m.Stats().Preemptions != 10 {
+		t.Fatalf("%d of 10 members run after %d preemptions: %s", s.Running, c.m.Stats().Preemptions, s.Reason)
+	}
+}
+
 // Guards against other work that takes the room of the first victim before the second has ended.
 func TestPreemptedRoomIsHeld(t *testing.T) {
 	c := newCell(t, 1).begin()
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -23,9 +23,10 @@
 	untilMS int64
 }
 
-// preempt makes room for the tasks of an urgent job that found none. Victims are
-// checkpointable batch attempts of other teams above their share.
-func (m *Machine) preempt(j *job, size domain.Resources, miss error) {
+// preempt makes room for n tasks of an urgent job that found none; a gang claims
+// room for all members or for none. Victims are checkpointable batch attempts of
+// other teams above their share.
+func (m *Machine) preempt(j *job, size domain.Resources, n int, miss error) {
 	var none *placement.NoFitError
 	if !j.urgent() || !errors.As(miss, &none) || none.Never || m.now < j.preemptAfterMS {
 		return
@@ -34,19 +35,23 @@
 	p := m.preemptions[j.ID]
 	if p == nil {
 		p = &preemption{size: size, untilMS: m.now + m.cfg.PreemptionHold.Milliseconds()}
-		m.preemptions[j.ID] = p
 	}
-	claimed := m.claimed()
-	taken := m.ending()
-	for len(p.claims) < min(j.waiting(), maxClaims) {
-		w, victims := m.cheapestWorker(j, size, claimed, taken)
-		if w == nil {
-			break
-		}
-		p.claims = append(p.claims, w.id)
-		claimed[w.id] = claimed[w.id].Add(size)
-		m.preemptAll(victims, taken)
+	var s *search
+	if j.isGang() {
+		s = m.searchGang(j, size, n-len(p.claims))
+	} else {
+		s = m.newSearch(j, size, j.Spec.Zones)
+		s.claim(min(n, maxClaims) - len(p.claims))
+	}
+	if s == nil || len(s.claims) == 0 {
+		return
+	}
+	if m.gangHold != nil && m.gangHold.j == j {
+		m.dropGangHold()
 	}
+	p.claims = append(p.claims, s.claims...)
+	m.preemptions[j.ID] = p
+	m.preemptAll(s.victims)
 	m.holdClaims()
 }
 
@@ -98,34 +103,105 @@
 	if p == nil {
 		return
 	}
+	if j.isGang() {
+		m.dropPreemption(j.ID)
+		return
+	}
 	at := max(slices.Index(p.claims, id), 0)
 	p.claims = slices.Delete(p.claims, at, at+1)
 	m.index.Unhold(j.ID)
 	m.holdClaims()
 }
 
-// preemptAll ends the victims and adds them to what was taken from their teams.
-func (m *Machine) preemptAll(victims []*attempt, taken map[domain.TeamID]domain.Resources) {
+func (m *Machine) preemptAll(victims []*attempt) {
 	for _, a := range victims {
-		if a.cause != CauseNone {
-			continue
-		}
 		m.stats.Preemptions++
-		taken[a.j.Team] = taken[a.j.Team].Add(a.Reservation)
 		m.requestEnd(a, CausePreempted)
 	}
 }
 
-// cheapestWorker returns the worker that takes the task after the fewest victims end.
-func (m *Machine) cheapestWorker(j *job, size domain.Resources, claimed map[domain.WorkerID]domain.Resources,
-	taken map[domain.TeamID]domain.Resources) (*worker, []*attempt) {
+// search collects claims and victims for one urgent job. It ends nothing.
+type search struct {
+	m       *Machine
+	j       *job
+	size    domain.Resources
+	zones   []domain.ZoneID
+	claims  []domain.WorkerID
+	victims []*attempt
+	chosen  map[*attempt]bool
+	// claimed is the room claimed on each worker, taken what ends of each team.
+	claimed map[domain.WorkerID]domain.Resources
+	taken   map[domain.TeamID]domain.Resources
+}
+
+func (m *Machine) newSearch(j *job, size domain.Resources, zones []domain.ZoneID) *search {
+	return &search{
+		m: m, j: j, size: size, zones: zones,
+		chosen: make(map[*attempt]bool), claimed: m.claimed(), taken: m.ending(),
+	}
+}
+
+// searchGang returns the search with the fewest victims that claims room for n
+// members, in one availability zone unless the gang may cross them, or nil.
+func (m *Machine) searchGang(j *job, size domain.Resources, n int) *search {
+	if n <= 0 {
+		return nil
+	}
+	choices := [][]domain.ZoneID{j.Spec.Zones}
+	if !j.Spec.SpanZones {
+		choices = nil
+		for _, zone := range m.zones(j.Spec.Zones) {
+			choices = append(choices, []domain.ZoneID{zone})
+		}
+	}
+	var best *search
+	for _, zones := range choices {
+		s := m.newSearch(j, size, zones)
+		s.claim(n)
+		if len(s.claims) == n && (best == nil || len(s.victims) < len(best.victims)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// zones returns the availability zones of the workers that the list allows, in order.
+func (m *Machine) zones(allowed []domain.ZoneID) []domain.ZoneID {
+	set := make(map[domain.ZoneID]bool)
+	for key := range m.racks {
+		if inZones(key.zone, allowed) {
+			set[key.zone] = true
+		}
+	}
+	return sortedKeys(set)
+}
+
+// claim claims room for up to n tasks.
+func (s *search) claim(n int) {
+	for range n {
+		w, victims := s.cheapestWorker()
+		if w == nil {
+			return
+		}
+		s.claims = append(s.claims, w.id)
+		s.claimed[w.id] = s.claimed[w.id].Add(s.size)
+		for _, a := range victims {
+			s.chosen[a] = true
+			s.victims = append(s.victims, a)
+			s.taken[a.j.Team] = s.taken[a.j.Team].Add(a.Reservation)
+		}
+	}
+}
+
+// cheapestWorker returns the worker that takes one more task after the fewest victims end.
+func (s *search) cheapestWorker() (*worker, []*attempt) {
 	var best *worker
 	var bestVictims []*attempt
-	for _, w := range m.workerOrder {
-		if w.excluded != "" || !w.indexed || !inZones(w.location.Zone, j.Spec.Zones) {
+	for _, w := range s.m.workerOrder {
+		if w.excluded != "" || !w.indexed || !inZones(w.location.Zone, s.zones) {
 			continue
 		}
-		victims, ok := m.victims(w, j.Team, size.Add(claimed[w.id]), taken)
+		victims, ok := s.victimsOn(w)
 		if ok && (best == nil || len(victims) < len(bestVictims)) {
 			best, bestVictims = w, victims
 		}
@@ -140,45 +216,45 @@
 	return len(zones) == 0 || slices.Contains(zones, zone)
 }
 
-// victims returns the newest preemptible attempts of the worker whose end makes
-// room for size. Each belongs to a team that is above its share without those before it.
-func (m *Machine) victims(w *worker, forTeam domain.TeamID, size domain.Resources,
-	taken map[domain.TeamID]domain.Resources) ([]*attempt, bool) {
-	free, ok := m.index.Free(w.id)
-	if !ok || !size.Fits(w.capacity) {
+// victimsOn returns the newest preemptible attempts of the worker whose end makes
+// room for one more task. Each belongs to a team that is above its share without those before it.
+func (s *search) victimsOn(w *worker) ([]*attempt, bool) {
+	need := s.claimed[w.id].Add(s.size)
+	free, ok := s.m.index.Free(w.id)
+	if !ok || !need.Fits(w.capacity) {
 		return nil, false
 	}
-	list, free, most := candidates(w, forTeam, free)
-	if !size.Fits(most) {
+	list, free, most := s.candidates(w, free)
+	if !need.Fits(most) {
 		return nil, false
 	}
 	slices.SortFunc(list, func(a, b *attempt) int { return -compareAttempts(a, b) })
-	var chosen []*attempt
+	var victims []*attempt
 	here := make(map[domain.TeamID]domain.Resources)
 	for _, a := range list {
-		if size.Fits(free) {
+		if need.Fits(free) {
 			break
 		}
 		team := a.j.Team
-		if !m.aboveShare(team, taken[team].Add(here[team])) {
+		if !s.m.aboveShare(team, s.taken[team].Add(here[team])) {
 			continue
 		}
 		here[team] = here[team].Add(a.Reservation)
 		free = free.Add(a.Reservation)
-		chosen = append(chosen, a)
+		victims = append(victims, a)
 	}
-	return chosen, size.Fits(free)
+	return victims, need.Fits(free)
 }
 
 // candidates returns the attempts that may be victims, the room once what ends
 // already has ended, and the room without all candidates.
-func candidates(w *worker, forTeam domain.TeamID, free domain.Resources) (list []*attempt, room, most domain.Resources) {
+func (s *search) candidates(w *worker, free domain.Resources) (list []*attempt, room, most domain.Resources) {
 	most = free
 	for _, a := range w.attempts {
 		switch {
-		case a.cause != CauseNone:
+		case a.cause != CauseNone || s.chosen[a]:
 			free = free.Add(a.Reservation)
-		case preemptible(a, forTeam):
+		case preemptible(a, s.j.Team):
 			list = append(list, a)
 		default:
 			continue
@@ -194,24 +270,6 @@
 	return j.Team != forTeam && !j.urgent() && j.Spec.Kind == domain.JobBatch && j.movable()
 }
 
-// preemptForGang makes room for an urgent gang on the workers that it holds.
-func (m *Machine) preemptForGang(j *job, size domain.Resources) {
-	members := make(map[domain.WorkerID]int64)
-	for _, id := range m.gangHold.workers {
-		members[id]++
-	}
-	taken := m.ending()
-	var all []*attempt
-	for _, id := range sortedKeys(members) {
-		victims, ok := m.victims(m.worker(id), j.Team, size.Scale(members[id]), taken)
-		if !ok {
-			return
-		}
-		all = append(all, victims...)
-	}
-	m.preemptAll(all, taken)
-}
-
 func (m *Machine) dropPreemption(id domain.JobID) {
 	if _, ok := m.preemptions[id]; !ok {
 		return
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -98,7 +98,7 @@
 	}
 	if err != nil {
 		r.misses++
-		m.preempt(j, size, err)
+		m.preempt(j, size, j.waiting(), err)
 		m.pass(r, j, m.missReason(j), waitDetail(err))
 		return
 	}
