--- a/internal/core/membership/change_test.go
+++ b/internal/core/membership/change_test.go
@@ -82,6 +82,7 @@
 // Guards against configuration versions and drains that spread too slowly for
 // their bounds of 10 s and 5 s.
 func TestChangesSpread(t *testing.T) {
+	t.Parallel()
 	const bound = 2 * time.Second
 	cases := []struct {
 		name  string
@@ -170,6 +171,7 @@
 // Guards against traffic that grows with the number of instances, and against
 // changes that are sent without end.
 func TestQuietTrafficDoesNotGrow(t *testing.T) {
+	t.Parallel()
 	at8, at40 := quietRate(t, 8, nil), quietRate(t, 40, nil)
 	t.Logf("%.2f datagrams a second and instance at 8 instances, %.2f at 40", at8, at40)
 	if at40 > 1.1*at8 {
@@ -215,3 +217,24 @@
 		}
 	}
 }
+
+// Guards against a death that is believed although the member answered just now.
+func TestDeathOfAnsweringMemberIsDoubted(t *testing.T) {
+	w := formed(t, 3, 1, 1, nil)
+	w.run(10 * time.Second)
+	at := w.hosts[2]
+	m := at.node.find("i01")
+	if w.now.Sub(m.livedAt) > 2*at.node.cfg.Period {
+		t.Fatalf("the member answered %s ago", w.now.Sub(m.livedAt))
+	}
+	claim := &Message{Kind: KindGossip, From: "i00", To: "i02", Digest: w.hosts[0].node.digest(), Updates: []Update{{
+		Record: Record{ID: "i01", Incarnation: m.Incarnation}, State: StateDead, Accuser: "i00",
+	}}}
+	w.apply(at, at.node.Receive(w.now, w.hosts[0].address, claim))
+	if m.State == StateDead {
+		t.Error("the claim was believed")
+	}
+	if _, ok := w.until(3*time.Second, func() bool { return w.hosts[1].node.self.refutation > 0 && w.agree() }); !ok {
+		t.Errorf("the claim was not refuted: %s", w.disagreement())
+	}
+}
--- a/internal/core/membership/freshness_test.go
+++ b/internal/core/membership/freshness_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -126,6 +127,7 @@
 // ones that count the way of the datagram in favor of freshness, and those of
 // all peers that overlook an edit or an instance.
 func TestConfirmationsAreTrue(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		if problem := confirmationsAreTrue(t, seed, nil); problem != "" {
 			t.Errorf("seed %d: %s", seed, problem)
@@ -169,6 +171,7 @@
 // Guards against an outage of the store that stops instances which hear each
 // other, and against instances that work on although one may have missed them.
 func TestFreshnessInOutages(t *testing.T) {
+	t.Parallel()
 	all := func(*host) bool { return false }
 	dead := func(w *network) { w.kill(w.hosts[1]) }
 	cases := []struct {
@@ -183,7 +186,7 @@
 		{name: "store down for all", up: all, fault: func(*network) {},
 			plant: tweaked(func(c *Config) { c.OutageAfter = time.Hour }), plantAt: 40},
 		{name: "store down for all and 20 % loss", up: all, fault: func(w *network) { w.loss = 0.2 },
-			plant: tweaked(func(c *Config) { c.OutageRetry = 5 * time.Second })},
+			plant: tweaked(func(c *Config) { c.OutageRetry = 5 * time.Second }), plantAt: 40},
 		{name: "store down for one region", up: func(h *host) bool { return h.region == "r0" }, fault: func(*network) {},
 			plant: func(w *network) { w.alter = func(m *Message) { m.Digest.StoreAge, m.Digest.KnownHash = NoStoreAge, 1 } }},
 		{name: "store reachable for one instance", up: func(h *host) bool { return h.id == "i00" }, fault: func(*network) {},
@@ -255,3 +258,30 @@
 	}
 	return ""
 }
+
+// Guards against a confirmation by all peers while one of them knows an
+// instance that this one does not know, which may be accepting an edit.
+func TestUnknownInstanceBlocksConfirmation(t *testing.T) {
+	for _, unknown := range []bool{false, true} {
+		w := formed(t, 3, 1, 1, nil)
+		w.run(5 * time.Second)
+		began := w.now
+		if unknown {
+			// The records of the instance reach hosts 0 and 1 but not host 2.
+			w.alter = func(m *Message) {
+				m.Updates = slices.DeleteFunc(slices.Clone(m.Updates), func(u Update) bool { return m.To == "i02" && u.Record.ID == "new" })
+			}
+			w.cut = func(a, b *host) bool { return a.id == "new" && b.id == "i02" }
+			joiner := &host{id: "new", address: "10.0.0.9:7000", region: "r0"}
+			w.hosts = append(w.hosts, joiner)
+			w.start(joiner)
+			w.run(time.Second)
+			began = w.now
+		}
+		w.run(5 * time.Second)
+		confirmed := w.hosts[2].node.AllPeers(1).At.After(began)
+		if confirmed == unknown {
+			t.Errorf("another instance known to the peers alone: %v, confirmed: %v", unknown, confirmed)
+		}
+	}
+}
