--- a/internal/adapter/peergrpc/contract_test.go
+++ b/internal/adapter/peergrpc/contract_test.go
@@ -88,16 +88,22 @@
 	return Options{Secret: secret, Clock: port.SystemClock{}, Metrics: metrics.New()}
 }
 
-func serve(t *testing.T, o Options, handler port.Peer) string {
+func listenLoopback(t testing.TB) net.Listener {
 	t.Helper()
-	s, err := NewServer(o, handler)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return l
+}
+
+func serve(t *testing.T, o Options, handler port.Peer) string {
+	t.Helper()
+	s, err := NewServer(o, handler)
 	if err != nil {
 		t.Fatal(err)
 	}
+	l := listenLoopback(t)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(l) }()
 	t.Cleanup(func() {
@@ -187,10 +193,7 @@
 
 // Guards against a call that may have run being reported as not sent, and the reverse.
 func TestUnansweredCalls(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	closed := listenLoopback(t)
 	nobody := closed.Addr().String()
 	closed.Close()
 	silent := serve(t, options(testSecret), &recorder{wait: true})
@@ -295,10 +298,7 @@
 
 	impostor := grpc.NewServer()
 	peerpb.RegisterPeerServer(impostor, &service{handler: &recorder{}})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listenLoopback(t)
 	go func() { _ = impostor.Serve(l) }()
 	defer impostor.Stop()
 	if config, err := dial(t, options(testSecret)).Peer(l.Addr().String()).FetchConfig(t.Context(), 1); err == nil {
