--- a/internal/app/peering/helper_test.go
+++ b/internal/app/peering/helper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,15 +26,31 @@
 	crashed bool
 }
 
+// nextPort numbers the ports of the tests. They lie below the range from which
+// the system takes ports for outgoing connections, which may otherwise take a
+// port between its choice and its use.
+var nextPort atomic.Uint32
+
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	start := uint32(os.Getpid()) * 211
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(start+nextPort.Add(1))%portCount)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func startInstance(t *testing.T, s Settings) *instance {
