--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,8 +91,11 @@
 
 // Policy weighs the measures of the deployment.
 type Policy struct {
-	ShareWeight   float64 `json:"share_weight"`
+	// ShareWeight weighs distance from share against waiting time.
+	ShareWeight float64 `json:"share_weight"`
+	// WaitingWeight weighs the time that a job has waited.
 	WaitingWeight float64 `json:"waiting_weight"`
+	// PackingWeight is 0 to spread tasks evenly, 1 to fill the fullest worker that has room.
 	PackingWeight float64 `json:"packing_weight"`
 }
 
@@ -129,7 +132,7 @@
 	return Settings{
 		Store:  Store{Adapter: "http", TimeoutMS: 1500},
 		VMList: VMList{PollMS: 1000, LagMS: 30000},
-		Policy: Policy{ShareWeight: 1, WaitingWeight: 1, PackingWeight: 1},
+		Policy: Policy{ShareWeight: 1, WaitingWeight: 0.02, PackingWeight: 0.8},
 		Requests: Requests{
 			MaxBodyBytes:    64 << 20,
 			MaxHeaderBytes:  32 << 10,
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -44,9 +44,9 @@
 	if s.TLS.Peers.Enabled() && s.TLS.Peers.CAFile == "" {
 		v.add("tls.peers.ca_file", `""`, "a CA file, because instances verify each other", "set the CA file")
 	}
-	v.weight("policy.share_weight", s.Policy.ShareWeight)
-	v.weight("policy.waiting_weight", s.Policy.WaitingWeight)
-	v.weight("policy.packing_weight", s.Policy.PackingWeight)
+	v.weight("policy.share_weight", s.Policy.ShareWeight, maxWeight)
+	v.weight("policy.waiting_weight", s.Policy.WaitingWeight, maxWeight)
+	v.weight("policy.packing_weight", s.Policy.PackingWeight, 1)
 	s.validateRequests(v)
 	v.between("shutdown.balancer_delay_ms", s.Shutdown.BalancerDelayMS, 0, 60_000)
 	v.between("shutdown.bound_ms", s.Shutdown.BoundMS, 100, 600_000)
@@ -97,9 +97,9 @@
 // maxWeight keeps one weight from making the others meaningless.
 const maxWeight = 100
 
-func (v *validator) weight(path string, value float64) {
-	if !(value >= 0 && value <= maxWeight) {
-		v.add(path, fmt.Sprint(value), fmt.Sprintf("0 to %d", maxWeight), "set a value in that range or remove the field for the default")
+func (v *validator) weight(path string, value, most float64) {
+	if !(value >= 0 && value <= most) {
+		v.add(path, fmt.Sprint(value), fmt.Sprintf("0 to %g", most), "set a value in that range or remove the field for the default")
 	}
 }
 
