--- a/internal/app/taskplane/dispatch.go
+++ b/internal/app/taskplane/dispatch.go
@@ -45,7 +45,6 @@
 	if p.snapshotWanted.Load() {
 		p.journalSnapshot(ctx)
 	}
-	p.notifyEnded(ready.Records)
 }
 
 func (p *Partition) journalBatch(ctx context.Context, ready sched.Ready) {
@@ -120,23 +119,29 @@
 	p.confirming = nil
 }
 
-// notifyEnded wakes callers that wait for jobs with new records.
-func (p *Partition) notifyEnded(records []sched.Record) {
-	if len(records) == 0 || len(p.notified) == 0 {
-		return
-	}
+// notifyEnded wakes callers that wait for jobs which have ended. It runs each
+// notifyTicks, because the states of all jobs that are waited for are looked at.
+func (p *Partition) notifyEnded() {
 	for id, waiters := range p.notified {
 		status, ok := p.machine.Status(id)
 		if ok && !status.State.Terminal() {
 			continue
 		}
-		for _, w := range waiters {
+		for w := range waiters {
 			close(w)
 		}
 		delete(p.notified, id)
 	}
 }
 
+// forgetWaiter takes a caller off the list who no longer waits.
+func (p *Partition) forgetWaiter(id domain.JobID, w chan struct{}) {
+	delete(p.notified[id], w)
+	if len(p.notified[id]) == 0 {
+		delete(p.notified, id)
+	}
+}
+
 func (p *Partition) worker(ctx context.Context, id domain.WorkerID) *workerLoop {
 	w, ok := p.workers[id]
 	if !ok {
--- a/internal/app/taskplane/jobs.go
+++ b/internal/app/taskplane/jobs.go
@@ -84,7 +84,10 @@
 			close(ended)
 			return
 		}
-		p.notified[id] = append(p.notified[id], ended)
+		if p.notified[id] == nil {
+			p.notified[id] = make(map[chan struct{}]struct{})
+		}
+		p.notified[id][ended] = struct{}{}
 	})
 	if err != nil {
 		return domain.JobStatus{}, p.unavailable(err)
@@ -92,6 +95,7 @@
 	select {
 	case <-ended:
 	case <-ctx.Done():
+		_ = p.do(context.WithoutCancel(ctx), func() { p.forgetWaiter(id, ended) })
 	case <-p.done:
 	}
 	return p.Status(context.WithoutCancel(ctx), id)
--- a/internal/app/taskplane/options.go
+++ b/internal/app/taskplane/options.go
@@ -30,6 +30,8 @@
 	groupInterval = 250 * time.Millisecond
 	// tickInterval bounds how long a placement waits for its round.
 	tickInterval = 50 * time.Millisecond
+	// notifyTicks is the number of ticks between two looks at the jobs that callers wait for.
+	notifyTicks = 3
 	// inboxLength bounds the events that wait for the machine.
 	inboxLength = 4096
 	// batchQueueLength bounds the batches that wait for the journal.
--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -40,7 +40,7 @@
 	ticks      int                                // since the start
 	published  sched.Stats                        // what the metrics include
 	wishes     map[domain.TeamID]domain.Resources // the last wish of each team
-	notified   map[domain.JobID][]chan struct{}
+	notified   map[domain.JobID]map[chan struct{}]struct{}
 
 	// The journal's goroutine sets these and signals wake. It never waits for
 	// the machine's goroutine, which may itself wait for room in batches.
@@ -104,7 +104,7 @@
 		batches:  make(chan batch, batchQueueLength),
 		done:     make(chan struct{}),
 		workers:  make(map[domain.WorkerID]*workerLoop),
-		notified: make(map[domain.JobID][]chan struct{}),
+		notified: make(map[domain.JobID]map[chan struct{}]struct{}),
 		wake:     make(chan struct{}, 1),
 		wishes:   make(map[domain.TeamID]domain.Resources),
 	}
@@ -201,6 +201,9 @@
 func (p *Partition) tick() {
 	p.machine.Step(sched.Tick{Now: p.o.Clock.Now()})
 	p.ticks++
+	if p.ticks%notifyTicks == 0 {
+		p.notifyEnded()
+	}
 	if p.ticks%publishTicks == 0 {
 		p.publish()
 	}
