--- a/internal/app/taskplane/router.go
+++ b/internal/app/taskplane/router.go
@@ -132,7 +132,7 @@
 	}
 	best := domain.PartitionID(rendezvous.Choose(key, names))
 	if best == "" {
-		return "", refusal.New(http.StatusBadRequest, refusal.NeverFits,
+		return "", refusal.New(http.StatusUnprocessableEntity, refusal.NeverFits,
 			fmt.Sprintf("no partition has region %q and zones %v", region, spec.Zones),
 			"name a region and zones of one partition of the configuration")
 	}
