Give the first partition all availability zones of the region

The first configuration named the zone of the creating instance only, so the workers of other zones were in no partition: 96 of 144 replicas ran on 6 of 12 workers, and explain counted 6 workers.

--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -115,7 +115,7 @@
 		if current := i.config.Current(); current != nil && current.Version() > 0 {
 			return
 		}
-		if i.config.Ready() {
+		if vms, _, _ := i.vms.Last(); i.config.Ready() && vms != nil {
 			i.createConfig(ctx, key)
 		}
 		sleep(ctx, bootstrapInterval)
@@ -134,7 +134,7 @@
 			Partitions: []domain.PartitionRow{{
 				ID:     domain.PartitionID(i.settings.Location.Region),
 				Region: i.settings.Location.Region,
-				Zones:  []domain.ZoneID{i.settings.Location.Zone},
+				Zones:  i.zonesOfRegion(),
 			}},
 		}},
 	})
@@ -145,6 +145,20 @@
 	i.log.Info("first configuration created", zap.String("operator_key", key.ID()))
 }
 
+// zonesOfRegion returns the availability zones of the region in which the
+// platform's list has VMs, and that of this instance.
+func (i *Instance) zonesOfRegion() []domain.ZoneID {
+	zones := []domain.ZoneID{i.settings.Location.Zone}
+	vms, _, _ := i.vms.Last()
+	for _, vm := range vms {
+		if vm.Location.Region == i.settings.Location.Region && !slices.Contains(zones, vm.Location.Zone) {
+			zones = append(zones, vm.Location.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // configSource answers peers that fetch the configuration.
 type configSource struct {
 	config *confsync.Sync
