--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -182,6 +182,13 @@
 	return key, nil
 }
 
-func (g *Globals) context() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), g.Timeout)
+// call runs f with a client and the time that one call may take.
+func (g *Globals) call(f func(ctx context.Context, client *apiclient.Client) error) error {
+	client, err := g.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
+	defer cancel()
+	return f(ctx, client)
 }
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnpier/internal/adapter/apiclient"
 	"auburnpier/internal/domain"
 )
 
@@ -46,13 +47,11 @@
 	if err != nil {
 		return err
 	}
-	client, err := g.client()
-	if err != nil {
+	var status domain.JobStatus
+	err = g.call(func(ctx context.Context, client *apiclient.Client) error {
+		status, err = client.Submit(ctx, spec)
 		return err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	status, err := client.Submit(ctx, spec)
+	})
 	if err != nil {
 		return errors.Wrapf(err, "the submission has idempotency key %s", spec.IdempotencyKey)
 	}
@@ -129,17 +128,13 @@
 
 // Run implements the command.
 func (c *GetCommand) Run(g *Globals) error {
-	client, err := g.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	status, err := client.Job(ctx, domain.JobID(c.Job))
-	if err != nil {
-		return err
-	}
-	return g.printJob(status)
+	return g.call(func(ctx context.Context, client *apiclient.Client) error {
+		status, err := client.Job(ctx, domain.JobID(c.Job))
+		if err != nil {
+			return err
+		}
+		return g.printJob(status)
+	})
 }
 
 // CancelCommand cancels a job.
@@ -149,17 +144,13 @@
 
 // Run implements the command.
 func (c *CancelCommand) Run(g *Globals) error {
-	client, err := g.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	status, err := client.Cancel(ctx, domain.JobID(c.Job))
-	if err != nil {
-		return err
-	}
-	return g.printJob(status)
+	return g.call(func(ctx context.Context, client *apiclient.Client) error {
+		status, err := client.Cancel(ctx, domain.JobID(c.Job))
+		if err != nil {
+			return err
+		}
+		return g.printJob(status)
+	})
 }
 
 // ExplainCommand prints the history of a job.
@@ -169,26 +160,24 @@
 
 // Run implements the command.
 func (c *ExplainCommand) Run(g *Globals) error {
-	client, err := g.client()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	status, err := client.Explain(ctx, domain.JobID(c.Job))
-	if err != nil {
-		return err
-	}
-	return g.print(status, func(w io.Writer) {
-		jobRows(w, status)
-		fmt.Fprintln(w)
-		row(w, "AT", "TASK", "EVENT", "WORKER", "DETAIL")
-		for _, e := range status.Events {
-			row(w, e.At.Format(time.RFC3339Nano), e.Task, e.Kind, e.Worker, e.Detail)
+	return g.call(func(ctx context.Context, client *apiclient.Client) error {
+		status, err := client.Explain(ctx, domain.JobID(c.Job))
+		if err != nil {
+			return err
 		}
+		return g.print(status, func(w io.Writer) { historyRows(w, status) })
 	})
 }
 
+func historyRows(w io.Writer, status domain.JobStatus) {
+	jobRows(w, status)
+	fmt.Fprintln(w)
+	row(w, "AT", "TASK", "EVENT", "WORKER", "DETAIL")
+	for _, e := range status.Events {
+		row(w, e.At.Format(time.RFC3339Nano), e.Task, e.Kind, e.Worker, e.Detail)
+	}
+}
+
 // NotSucceededError tells how a job that was waited for ended.
 type NotSucceededError struct {
 	Job    domain.JobID
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"crypto/rand"
 	"fmt"
 	"io"
@@ -11,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnpier/internal/adapter/api"
+	"auburnpier/internal/adapter/apiclient"
 	"auburnpier/internal/core/confdoc"
 	"auburnpier/internal/core/teamkey"
 	"auburnpier/internal/domain"
@@ -241,13 +244,12 @@
 
 // Run implements the command.
 func (c *StatusCommand) Run(g *Globals) error {
-	client, err := g.client()
-	if err != nil {
+	var list []api.InstanceStatus
+	err := g.call(func(ctx context.Context, client *apiclient.Client) error {
+		var err error
+		list, err = client.Status(ctx)
 		return err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	list, err := client.Status(ctx)
+	})
 	if err != nil {
 		return err
 	}
@@ -275,15 +277,10 @@
 
 // Run implements the command.
 func (c *DrainCommand) Run(g *Globals) error {
-	client, err := g.client()
+	err := g.call(func(ctx context.Context, client *apiclient.Client) error { return client.Drain(ctx) })
 	if err != nil {
 		return err
 	}
-	ctx, cancel := g.context()
-	defer cancel()
-	if err := client.Drain(ctx); err != nil {
-		return err
-	}
 	fmt.Fprintf(g.out, "%s is draining\n", g.Server)
 	return nil
 }
--- a/internal/cli/table.go
+++ b/internal/cli/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"fmt"
 	"io"
@@ -155,29 +156,28 @@
 }
 
 func (g *Globals) table() (api.Table, error) {
-	client, err := g.client()
-	if err != nil {
-		return api.Table{}, err
-	}
-	ctx, cancel := g.context()
-	defer cancel()
-	return client.Table(ctx)
+	var table api.Table
+	err := g.call(func(ctx context.Context, client *apiclient.Client) error {
+		var err error
+		table, err = client.Table(ctx)
+		return err
+	})
+	return table, err
 }
 
 // apply sends an edit and prints the version that holds it. A conflict prints
 // the current row and what to type next.
 func (g *Globals) apply(id string, edit confdoc.Edit) error {
-	client, err := g.client()
-	if err != nil {
-		return err
-	}
 	edit.ID = id
 	if id == "" {
 		edit.ID = rand.Text()
 	}
-	ctx, cancel := g.context()
-	defer cancel()
-	applied, err := client.Edit(ctx, edit)
+	var applied confdoc.Applied
+	err := g.call(func(ctx context.Context, client *apiclient.Client) error {
+		var err error
+		applied, err = client.Edit(ctx, edit)
+		return err
+	})
 	if err != nil {
 		g.printConflict(err)
 		return errors.Wrapf(err, "edit %s", edit.ID)
