--- a/internal/app/requestplane/conn.go
+++ b/internal/app/requestplane/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -94,6 +95,30 @@
 	return n, err
 }
 
+// ReadFrom sends a streamed body in pieces of a pooled buffer. Without it the
+// connection's own small buffer would set the size of each write.
+func (s writeSide) ReadFrom(r io.Reader) (int64, error) {
+	buf := getBuffer()
+	defer putBuffer(buf)
+	var total int64
+	for {
+		n, readErr := r.Read(*buf)
+		if n > 0 {
+			m, err := s.Write((*buf)[:n])
+			total += int64(m)
+			if err != nil {
+				return total, err
+			}
+		}
+		if readErr == io.EOF {
+			return total, nil
+		}
+		if readErr != nil {
+			return total, readErr
+		}
+	}
+}
+
 // usable reports whether an idle connection is still open and silent. Bytes
 // that arrived while no request was out belong to no request, so the
 // connection is never used again.
--- a/internal/bench/requests/run.sh
+++ b/internal/bench/requests/run.sh
@@ -10,6 +10,7 @@
 [ ${#sizes[@]} -gt 0 ] || sizes=(1 64 480)
 slow=${SLOW:-0}
 work=${WORK:-0}
+body=${BODY:-512}
 bin=$(mktemp)
 go build -o "$bin" ./internal/bench/requests
 pids=()
@@ -22,9 +23,9 @@
 for size in "${sizes[@]}"; do
 	for _ in $(seq "$rounds"); do
 		if [ "${DIRECT:-1}" = 1 ]; then
-			GOMAXPROCS=3 "$bin" load -label direct -target "$direct" -connections "$size" -duration "${seconds}s"
+			GOMAXPROCS=3 "$bin" load -label direct -target "$direct" -connections "$size" -duration "${seconds}s" -body "$body"
 		fi
-		GOMAXPROCS=3 "$bin" load -label baseline -target 127.0.0.1:18000 -connections "$size" -duration "${seconds}s"
-		GOMAXPROCS=3 "$bin" load -label plane -target 127.0.0.1:18001 -connections "$size" -duration "${seconds}s"
+		GOMAXPROCS=3 "$bin" load -label baseline -target 127.0.0.1:18000 -connections "$size" -duration "${seconds}s" -body "$body"
+		GOMAXPROCS=3 "$bin" load -label plane -target 127.0.0.1:18001 -connections "$size" -duration "${seconds}s" -body "$body"
 	done
 done
