Guard what the fake peer of the call tests records

Cause: under -race -count=5 at a load average of 20, TestUnansweredCalls failed once: the handlers of calls whose caller gave up wrote the record of the fake at the same time. Change: the record and the next error of the fake are behind a mutex.

--- a/internal/adapter/peergrpc/contract_test.go
+++ b/internal/adapter/peergrpc/contract_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,8 @@
 
 // recorder is a peer that notes what it was asked and answers as told.
 type recorder struct {
+	// mu guards asked and err: a handler may still run after its caller gave up.
+	mu    sync.Mutex
 	asked any
 	err   error
 	// wait holds each call until its context ends.
@@ -37,12 +40,24 @@
 }
 
 func (r *recorder) answer(ctx context.Context, asked any) error {
+	r.mu.Lock()
 	r.asked = asked
+	err := r.err
+	r.mu.Unlock()
 	if r.wait {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return r.err
+	return err
+}
+
+// take returns what was asked since the last call, and sets the next error.
+func (r *recorder) take(next error) any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	asked := r.asked
+	r.asked, r.err = nil, next
+	return asked
 }
 
 func (r *recorder) FetchConfig(ctx context.Context, newerThan uint64) (port.PeerConfig, error) {
@@ -166,8 +181,8 @@
 		if err != nil || !reflect.DeepEqual(got, c.want) {
 			t.Errorf("%s returned %+v, %v, want %+v", c.name, got, err, c.want)
 		}
-		if !reflect.DeepEqual(handler.asked, c.asked) {
-			t.Errorf("%s asked %+v, want %+v", c.name, handler.asked, c.asked)
+		if asked := handler.take(nil); !reflect.DeepEqual(asked, c.asked) {
+			t.Errorf("%s asked %+v, want %+v", c.name, asked, c.asked)
 		}
 	}
 }
@@ -177,13 +192,13 @@
 	handler := &recorder{}
 	peer := dial(t, options(testSecret)).Peer(serve(t, options(testSecret), handler))
 	for _, c := range calls() {
-		handler.err = testRefusal
+		handler.take(testRefusal)
 		_, err := c.run(t.Context(), peer)
 		var refused *refusal.Refusal
 		if !errors.As(err, &refused) || !reflect.DeepEqual(refused, testRefusal) {
 			t.Errorf("%s returned %#v, want %#v", c.name, err, testRefusal)
 		}
-		handler.err = errors.New("disk on fire")
+		handler.take(errors.New("disk on fire"))
 		_, err = c.run(t.Context(), peer)
 		if !errors.As(err, &refused) || refused.Reason != refusal.InternalError || refused.NotRun {
 			t.Errorf("%s returned %#v, want an internal error that does not claim not_run", c.name, err)
@@ -288,10 +303,10 @@
 	}
 	defer conn.Close()
 	for _, c := range cases {
-		handler.asked = nil
+		handler.take(nil)
 		_, err := peerpb.NewPeerClient(conn).FetchConfig(metadata.NewOutgoingContext(t.Context(), c.md), request)
-		if (err == nil) != c.ok || (handler.asked != nil) != c.ok {
-			t.Errorf("%s: the call returned %v and reached the handler: %v", c.name, err, handler.asked != nil)
+		if reached := handler.take(nil) != nil; (err == nil) != c.ok || reached != c.ok {
+			t.Errorf("%s: the call returned %v and reached the handler: %v", c.name, err, reached)
 		}
 	}
 	if got := o.Metrics.Counter(counterUnauthenticated).Count(); got != int64(len(cases)-1) {
