--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -56,6 +56,8 @@
 	operator teamkey.Key
 	team     teamkey.Key
 	peers    []string // peer addresses of all instances ever started
+	// adjust changes the settings of each instance before it starts. It may be nil.
+	adjust func(*settings.Settings)
 
 	mu        sync.Mutex
 	instances map[domain.InstanceID]*instance
@@ -90,6 +92,23 @@
 
 // startCellOf starts n instances over a platform with that many workers.
 func startCellOf(t testing.TB, n, workers int) *cell {
+	t.Helper()
+	c := newCell(t, workers)
+	for range n {
+		c.peers = append(c.peers, c.freeAddress())
+	}
+	for i := range n {
+		c.start(c.peers[i])
+	}
+	for _, i := range c.all() {
+		c.awaitReady(i)
+	}
+	c.configure()
+	return c
+}
+
+// newCell starts a platform without instances.
+func newCell(t testing.TB, workers int) *cell {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -107,16 +126,6 @@
 	c := &cell{t: t, dir: t.TempDir(), stands: stands, instances: make(map[domain.InstanceID]*instance)}
 	t.Cleanup(c.close)
 	c.writeSecrets()
-	for range n {
-		c.peers = append(c.peers, c.freeAddress())
-	}
-	for i := range n {
-		c.start(c.peers[i])
-	}
-	for _, i := range c.all() {
-		c.awaitReady(i)
-	}
-	c.configure()
 	return c
 }
 
@@ -189,6 +198,9 @@
 	s.Peers = settings.Peers{Seeds: c.peers, SecretFile: filepath.Join(c.dir, "peers.secret")}
 	s.Bootstrap.KeyFile = filepath.Join(c.dir, "operator.key")
 	s.Shutdown.BalancerDelayMS = 500
+	if c.adjust != nil {
+		c.adjust(&s)
+	}
 	raw, err := json.Marshal(s)
 	if err != nil {
 		c.t.Fatal(err)
