--- a/internal/daemon/allotments.go
+++ b/internal/daemon/allotments.go
@@ -229,7 +229,7 @@
 }
 
 func (a *allotments) startReclaim(ctx context.Context, holder string) {
-	id, _, err := parseHolder(holder)
+	id, incarnation, err := parseHolder(holder)
 	if err != nil {
 		return
 	}
@@ -242,6 +242,9 @@
 	a.i.log.Info("allotments of an instance are reclaimed", zap.String("holder", holder))
 	go func() {
 		err := a.reclaimer.Reclaim(ctx, id, holder)
+		if err == nil {
+			err = a.i.records.remove(ctx, id, incarnation)
+		}
 		a.i.log.Info("reclaim ended", zap.String("holder", holder), zap.Error(err))
 		a.mu.Lock()
 		delete(a.reclaiming, holder)
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -54,6 +54,7 @@
 	router  *taskplane.Router
 	plane   *requestplane.Plane
 	amounts *allotments
+	records *registry
 	vms     *vmlisthttp.Poller
 
 	listener net.Listener
@@ -87,6 +88,7 @@
 		Announce: i.announce,
 	})
 	i.amounts = newAllotments(i)
+	i.records = newRegistry(i)
 	i.newTaskPlane()
 	i.newRequestPlane()
 	i.vms = vmlisthttp.NewPoller(vmlisthttp.NewClient(s.VMList.Address), i.clock, i.deliverVMs)
@@ -262,6 +264,7 @@
 	group.Go(func() { i.feedConfig(parts) })
 	group.Go(func() { i.vms.Run(parts) })
 	group.Go(func() { i.amounts.run(parts) })
+	group.Go(func() { i.records.run(parts) })
 	group.Go(func() { i.plane.Run(parts) })
 	group.Go(func() { i.reportState(parts) })
 	group.Go(func() { i.bootstrap(parts) })
@@ -303,6 +306,7 @@
 	case <-ctx.Done():
 	}
 	err = errors.CombineErrors(err, i.amounts.leave(ctx))
+	err = errors.CombineErrors(err, i.records.remove(ctx, i.settings.Instance, uint64(i.started.UnixMilli())))
 	i.log.Info("graceful shutdown ends", zap.Duration("took", i.clock.Now().Sub(start)), zap.Error(err))
 	return err
 }
--- a/internal/e2e/tasks_test.go
+++ b/internal/e2e/tasks_test.go
@@ -148,3 +148,30 @@
 	}
 	return nil
 }
+
+// Guards against a fresh instance that finds nobody because every seed of its
+// settings was replaced: the registry in the store leads it to the others.
+func TestSeedsAreGone(t *testing.T) {
+	c := startCell(t, 2)
+	c.peers = []string{c.freeAddress()}
+	fresh := c.start(c.freeAddress())
+	c.awaitReady(fresh)
+	c.eventually(15*time.Second, "the fresh instance knows the others", func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		list, err := c.client(fresh, c.operator).Status(ctx)
+		if err != nil {
+			return err
+		}
+		alive := 0
+		for _, s := range list {
+			if s.Details != nil {
+				alive++
+			}
+		}
+		if alive != 3 {
+			return errors.Newf("%d of 3 instances answer: %+v", alive, list)
+		}
+		return nil
+	})
+}
