Report only what changed in renewals of worker leases

Cause: a renewal listed all attempts of the worker, 17 B/s for each running task at one renewal every 10 s. Change: a renewal names the version that it has seen, and the worker may leave out what has not changed since. A partial report proves nothing about running attempts that it leaves out; a new lease is answered with a whole report. The confirmation that is passed to peers is timed before its age is read, and a superseded process ends.

--- a/internal/core/sched/lease.go
+++ b/internal/core/sched/lease.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -14,7 +16,7 @@
 	w.bootID = e.Lease.BootID
 	w.acquired = true
 	m.leaseConfirmed(w, millis(e.SentAt))
-	listed := m.reports(w, e.Lease.Attempts)
+	listed := m.reports(w, e.Lease)
 	// One restart counts once against the worker, however many attempts it loses.
 	blame := !w.rackFailure
 	for _, a := range w.sorted() {
@@ -51,10 +53,11 @@
 		return
 	}
 	m.leaseConfirmed(w, millis(e.SentAt))
-	listed := m.reports(w, e.Lease.Attempts)
+	listed := m.reports(w, e.Lease)
 	reacquire := false
 	for _, a := range w.sorted() {
-		if listed[a.ID] {
+		// A partial report leaves out running attempts that did not change.
+		if listed[a.ID] || e.Lease.Partial && a.phase == phaseRunning {
 			continue
 		}
 		reacquire = m.missing(a) || reacquire
@@ -224,9 +227,13 @@
 }
 
 // reports handles a worker's list of attempts and returns the IDs that this partition has active there.
-func (m *Machine) reports(w *worker, list []port.AttemptReport) map[domain.AttemptID]bool {
+func (m *Machine) reports(w *worker, lease port.Lease) map[domain.AttemptID]bool {
+	list := lease.Attempts
 	listed := make(map[domain.AttemptID]bool, len(list))
 	orphans := make(map[domain.AttemptID]domain.Resources)
+	if lease.Partial {
+		maps.Copy(orphans, w.orphans)
+	}
 	for i := range list {
 		r := &list[i]
 		a, ok := m.attempts[r.ID]
@@ -238,6 +245,7 @@
 			listed[r.ID] = true
 			m.observeRunning(a, r)
 		case r.State == port.AttemptEnded:
+			delete(orphans, r.ID)
 			m.acknowledgeKnown(w, r.ID)
 		default:
 			orphans[r.ID] = r.Usage
--- a/internal/daemon/confpeers.go
+++ b/internal/daemon/confpeers.go
@@ -66,9 +66,12 @@
 // exchangeConfig tells the membership when the store confirmed the version in
 // force, and the configuration what the membership heard.
 func (i *Instance) exchangeConfig() {
+	// The time is read before the age is taken: a pause in between must not make
+	// the confirmation younger than it is.
+	now := i.clock.Now()
 	statement := i.config.Statement()
 	if statement.StoreConfirmed {
-		i.peers.StoreConfirmed(statement.Applied, i.clock.Now().Add(-statement.StoreAge))
+		i.peers.StoreConfirmed(statement.Applied, now.Add(-statement.StoreAge))
 	}
 	if version, holder := i.peers.NewestVersion(); holder != "" && version > statement.Applied {
 		i.config.HeardVersion(holder, version)
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -66,6 +66,12 @@
 		i.peers.SetPartitions(i.ownedPartitions())
 		i.peers.SetSlots(i.freeSlots())
 		i.exchangeConfig()
+		if i.peers.Superseded() {
+			// Two processes of one instance would both answer for it.
+			i.log.Error("another process runs under the name of this instance, this one ends")
+			i.Drain()
+			return
+		}
 	}
 }
 
--- a/internal/port/worker.go
+++ b/internal/port/worker.go
@@ -42,8 +42,12 @@
 	TTL time.Duration `json:"ttl_ns"`
 	// Version grows with each start and end of an attempt.
 	Version uint64 `json:"version"`
-	// Attempts lists all attempts that the worker runs or has not had acknowledged.
+	// Attempts lists all attempts that the worker runs or has not had
+	// acknowledged; in the answer to a renewal with Partial set, only those
+	// whose report changed since the version that the renewal had seen.
 	Attempts []AttemptReport `json:"attempts,omitempty"`
+	// Partial is never set in the answer to an acquisition.
+	Partial bool `json:"partial,omitempty"`
 }
 
 // RenewRequest renews a lease and waits for news.
@@ -56,7 +60,8 @@
 	// which arrives late does not extend it beyond what the holder counts on.
 	Elapsed time.Duration `json:"elapsed_ns"`
 	// Seen is the version of the last report. The answer comes as soon as the
-	// version is higher, and at the latest after Wait.
+	// version is higher, and at the latest after Wait. It may leave out what has
+	// not changed since. Zero asks for a whole report.
 	Seen uint64        `json:"seen"`
 	Wait time.Duration `json:"wait_ns,omitempty"`
 }
--- a/internal/standin/worker/run.go
+++ b/internal/standin/worker/run.go
@@ -32,6 +32,7 @@
 	}
 	w.attempts[r.Attempt] = a
 	w.news()
+	a.changed = w.version
 	key := taskKey{r.Job, r.Task}
 	w.startedBy[key] = append(w.startedBy[key], r.Attempt)
 	if total, _ := w.sum(); !total.Fits(w.capacity) {
@@ -82,6 +83,7 @@
 	}
 	a.timer.Stop()
 	w.news()
+	a.changed = w.version
 	a.report.State = port.AttemptEnded
 	a.report.Outcome = outcome
 	a.report.EndedAt = time.Now()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -42,6 +42,7 @@
 
 type attempt struct {
 	report  port.AttemptReport
+	changed uint64 // version of the last change of the report
 	request port.StartRequest
 	timer   *time.Timer
 }
@@ -112,7 +113,7 @@
 	w.acquired = time.Now()
 	w.extend(0)
 	w.news()
-	return w.reported(), nil
+	return w.reported(0), nil
 }
 
 // RenewLease implements port.Worker.
@@ -123,7 +124,7 @@
 	timer := time.NewTimer(r.Wait)
 	defer timer.Stop()
 	for {
-		lease, changed, err := w.report(r.Lease)
+		lease, changed, err := w.report(r.Lease, r.Seen)
 		if err != nil || lease.Version > r.Seen {
 			return lease, err
 		}
@@ -152,13 +153,13 @@
 	return nil
 }
 
-func (w *Worker) report(lease domain.LeaseID) (port.Lease, <-chan struct{}, error) {
+func (w *Worker) report(lease domain.LeaseID, seen uint64) (port.Lease, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.check(lease); err != nil {
 		return port.Lease{}, nil, err
 	}
-	return w.reported(), w.changed, nil
+	return w.reported(seen), w.changed, nil
 }
 
 // news is called with the lock held when an attempt or the lease changed.
@@ -206,6 +207,8 @@
 	}
 	if a, ok := w.attempts[id]; ok {
 		a.report.Usage.CPUMilli = min(a.report.Usage.CPUMilli, cpuMilli)
+		w.news()
+		a.changed = w.version
 	}
 	return nil
 }
@@ -283,12 +286,17 @@
 	}
 }
 
-func (w *Worker) reported() port.Lease {
+// reported lists the attempts whose report changed after the version. It lists
+// all where the version is zero.
+func (w *Worker) reported(seen uint64) port.Lease {
 	l := w.lease
 	l.Version = w.version
+	l.Partial = seen > 0
 	l.Attempts = make([]port.AttemptReport, 0, len(w.attempts))
 	for _, a := range w.attempts {
-		l.Attempts = append(l.Attempts, a.report)
+		if a.changed > seen {
+			l.Attempts = append(l.Attempts, a.report)
+		}
 	}
 	sort.Slice(l.Attempts, func(i, j int) bool { return l.Attempts[i].ID < l.Attempts[j].ID })
 	return l
