sched: test answers to starts and learned sizes that never fit

Change: two tests. Backfill at an unknown end changes nothing, because a reservation that begins now admits no task.

--- a/internal/core/sched/gang_test.go
+++ b/internal/core/sched/gang_test.go
@@ -249,3 +249,23 @@
 		}
 	}
 }
+
+// Guards against a gang that waits for ever because its class was seen to use more than fits.
+func TestLearnedSizeThatNeverFits(t *testing.T) {
+	c := newCell(t, 4).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		return 12_000, domain.OutcomeSucceeded, domain.Resources{CPUMilli: 5_000, MemoryMB: 1_500}
+	}
+	spec := domain.JobSpec{Kind: domain.JobBatch, Tasks: 6, Idempotent: true, Class: "model", Resources: amount(2, 2)}
+	c.mustSubmit("j1", "a", spec)
+	c.advance(40_000)
+	c.mustState("j1", domain.JobSucceeded)
+	// Eight members of the learned 5 cores need eight workers; two of 4 cores fit each of the four.
+	spec.Kind, spec.Tasks = domain.JobGang, 8
+	c.mustSubmit("gang", "a", spec)
+	c.advance(1_000)
+	v := c.m.Inspect()
+	if len(v.Attempts) != 8 || v.Attempts[0].Reservation != amount(4, 2) {
+		t.Fatalf("%d of 8 members run: %+v", len(v.Attempts), v.Attempts)
+	}
+}
--- a/internal/core/sched/safety_test.go
+++ b/internal/core/sched/safety_test.go
@@ -228,3 +228,20 @@
 		})
 	}
 }
+
+// Guards against answers to a start that are left to the next renewal, which costs seconds.
+func TestStartAnswersAreHandledAtOnce(t *testing.T) {
+	c := newCell(t, 1).begin()
+	c.starts = "late"
+	c.mustSubmit("j1", "a", domain.JobSpec{Kind: domain.JobBatch})
+	c.advance(1_000)
+	lease, ids := c.workers[0].lease, []domain.AttemptID{"j1.0.1"}
+	c.m.Step(StartUnknown{Worker: "w000", Lease: lease, Attempts: ids})
+	if r := c.m.Ready(); len(r.Acquire) != 1 || r.Acquire[0] != "w000" {
+		t.Errorf("leases to acquire are %v, want the worker's", r.Acquire)
+	}
+	c.m.Step(LeaseRefused{Worker: "w000", Lease: lease, Attempts: ids})
+	if got := c.m.Stats().TasksActive; got != 0 {
+		t.Errorf("%d attempts are reserved after the refusal, want none", got)
+	}
+}
