--- a/internal/app/requestplane/request.go
+++ b/internal/app/requestplane/request.go
@@ -42,6 +42,9 @@
 	mayHaveRun bool
 	attempts   int
 	forwards   int
+	// values backs the header values that the plane sets.
+	values     [8]string
+	valuesUsed int
 }
 
 // body is a request's body: held whole, or streamed once.
