Leave the caller's sending time out of a server's latency

Cause: the answer time counted from the start of a streamed request, so callers that send slowly had a server ejected as slow. Change: for streamed bodies it counts from the end of the request.

--- a/internal/app/requestplane/exchange.go
+++ b/internal/app/requestplane/exchange.go
@@ -34,11 +34,14 @@
 	// detach ends the watch on the caller's context. It reports false where
 	// the context has ended and the connection was interrupted.
 	detach func() bool
+	// streamed tells that the body was written by another goroutine.
+	streamed bool
 	// writer is closed when the request was sent; nil where that is known.
 	writer   chan struct{}
 	writeErr error
 	began    time.Time
-	latency  time.Duration // until the first byte of the answer
+	wrote    time.Time     // when a streamed request was sent; valid once writer is closed
+	latency  time.Duration // from the end of the request to the first byte of the answer
 }
 
 // start sends the request on a connection of the pool and reads the header of
@@ -56,28 +59,42 @@
 	}
 	x.detach = context.AfterFunc(ctx, x.conn.interrupt)
 	out := q.outgoing(pool.address, target, header)
-	x.send(q, out)
+	p.send(q, x, out)
 	if x.err != nil {
 		return x
 	}
 	x.receive(q, out)
-	x.latency = p.clock.Now().Sub(x.began)
+	x.latency = x.waited(p.clock.Now())
 	return x
 }
 
+// waited returns how long the server has had the whole request. The time that
+// a caller takes to send a streamed body says nothing about the server.
+func (x *exchange) waited(now time.Time) time.Duration {
+	if !x.streamed {
+		return now.Sub(x.began)
+	}
+	if !x.written() {
+		return 0
+	}
+	return now.Sub(x.wrote)
+}
+
 // send writes a request whose body is held whole, and starts to write a
 // streamed one, since the answer may begin before the body has ended.
-func (x *exchange) send(q *request, out *http.Request) {
+func (p *Plane) send(q *request, x *exchange, out *http.Request) {
 	if q.body.stream == nil {
 		x.err = x.conn.writeRequest(out)
 		x.sent = x.conn.sent > 0
 		return
 	}
 	_ = http.NewResponseController(q.w).EnableFullDuplex()
+	x.streamed = true
 	x.writer = make(chan struct{})
 	go func() {
 		defer close(x.writer)
 		x.writeErr = x.conn.writeRequest(out)
+		x.wrote = p.clock.Now()
 		if x.writeErr != nil {
 			// The answer cannot be waited for: the request will never be whole.
 			x.conn.interrupt()
@@ -129,6 +146,19 @@
 	x.sent = x.sent || x.conn.sent > 0
 }
 
+// written reports whether the whole request was sent, without waiting.
+func (x *exchange) written() bool {
+	if x.writer == nil {
+		return x.writeErr == nil
+	}
+	select {
+	case <-x.writer:
+		return x.writeErr == nil
+	default:
+		return false
+	}
+}
+
 // awaitWriter gives the writer a moment to end after the answer was read, and
 // reports whether the whole request was sent.
 func (x *exchange) awaitWriter(q *request) bool {
--- a/internal/app/requestplane/fair_test.go
+++ b/internal/app/requestplane/fair_test.go
@@ -62,18 +62,20 @@
 			c := newCell(t, cellOptions{servers: 1, slots: 2, work: work, row: tc.row, bytes: tc.byts})
 			stop := c.flood("owner", 80)
 			c.waitFor("the flood waits", func() bool { return c.plane.Usage().Waiting >= 38 })
-			var slowest time.Duration
+			// Requests that ran meanwhile are counted in place of time, so that a
+			// busy machine does not look like a queue.
+			most := 0
 			for i := range 20 {
-				began := time.Now()
+				before := len(c.servers[0].Ran())
 				got := c.do(ask{id: "office" + strconv.Itoa(i), team: "office"})
-				slowest = max(slowest, time.Since(began))
+				most = max(most, len(c.servers[0].Ran())-before)
 				if got.status != http.StatusOK {
 					t.Errorf("request of the small team got %d %q", got.status, got.reason)
 				}
 			}
-			// 40 waiting requests on two slots take 20 work times in order of arrival.
-			if slowest > 12*work {
-				t.Errorf("slowest request of the small team took %v behind a flood", slowest)
+			// In order of arrival about 40 requests would run first.
+			if most > 20 {
+				t.Errorf("%d requests ran while one of the small team waited behind a flood", most)
 			}
 			full := 0
 			for _, got := range stop() {
--- a/internal/app/requestplane/serve.go
+++ b/internal/app/requestplane/serve.go
@@ -86,7 +86,7 @@
 	}
 	now := p.clock.Now()
 	outcome := x.outcome(q, now)
-	waited := now.Sub(x.began)
+	waited := x.waited(now)
 	if x.refused && x.err == nil && x.drainRefused() {
 		p.finish(q, x)
 		p.disp.end(t, outcome, waited)
--- a/internal/app/requestplane/stream_test.go
+++ b/internal/app/requestplane/stream_test.go
@@ -127,3 +127,28 @@
 		t.Errorf("next request got %d %q", got.status, got.reason)
 	}
 }
+
+// Guards against a server that is taken for slow because callers send their
+// bodies slowly.
+func TestSlowCallerIsNotASlowServer(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 2, far: true})
+	c.slots.Set("b0", 0)
+	c.slots.Set("b1", 8)
+	for range 6 {
+		c.do(ask{id: "other"})
+	}
+	c.slots.Set("b0", 8)
+	body := strings.Repeat("x", prefetchBytes)
+	for i := range 4 {
+		caller := newRawCaller(c)
+		caller.send(strconv.Itoa(i), fmt.Sprintf("Content-Length: %d\r\n", 2*len(body)), body)
+		time.Sleep(100 * time.Millisecond)
+		_, _ = caller.nc.Write([]byte(body))
+		if resp, _, err := caller.receive(); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("got %+v, error %v", resp, err)
+		}
+	}
+	if n := len(c.servers[0].Ran()); n != 4 {
+		t.Errorf("the server got %d of 4 requests, so it was taken for slow", n)
+	}
+}
