Renew a dead owner's worker leases during a store outage

Cause: a partition cannot be taken over while the store is down, so the worker leases of an owner that dies then lapse after 30 s and the workers stop all its tasks. Nothing shared the leases or renewed them.

Change: the new package app/deputy. The owner sends the lease IDs and ages of each partition to the preferred other live instance of the region each 10 s, and within 1 s after a lease was acquired or lost. The deputy renews them each 10 s while the owner is dead in its member list, the store is unreachable from it and the peers it hears, and the last store confirmation is at most 75 minutes old. A deposition or news of a higher epoch ends this for good.

The proof of a successor now asks each member of the region that neither left nor provably ended, after the former owner, and this instance's own deputy. It also does so where the former owner had this instance's name, because a deputy may have renewed for the process before.

An owner that is alive but dead in its deputy's list would count a lease as lapsed that the deputy still renews. It therefore waits for the deputy's answer to a list without that lease before the lapse time runs. Lists carry a sequence number, so that one that is delivered late brings no withdrawn lease back.

--- a/internal/adapter/peergrpc/contract_test.go
+++ b/internal/adapter/peergrpc/contract_test.go
@@ -130,7 +130,7 @@
 func calls() []call {
 	forwarded := port.ForwardedCall{From: "a", Partition: "p", Operation: port.PeerExplain, Team: "t", Operator: true, Job: "j", Payload: []byte("{}")}
 	allotment := port.AllotmentRequest{Kind: port.AllotBackendSlots, Subject: "b", Holder: "a", Wanted: 4}
-	leases := port.SharedLeases{From: "a", Partition: "p", Epoch: 5, Chunk: 1, Chunks: 2, Leases: []port.SharedLease{{Worker: "w", Address: "10.0.0.1:1", Lease: "l"}}}
+	leases := port.SharedLeases{From: "a", Partition: "p", Epoch: 5, Sequence: 3, Chunk: 1, Chunks: 2, Leases: []port.SharedLease{{Worker: "w", Address: "10.0.0.1:1", Lease: "l", Age: 1234 * time.Millisecond}}}
 	return []call{
 		{"FetchConfig", uint64(8), port.PeerConfig{Version: 9, Document: []byte("{}")},
 			func(ctx context.Context, p port.Peer) (any, error) { return p.FetchConfig(ctx, 8) }},
--- a/internal/adapter/peergrpc/convert.go
+++ b/internal/adapter/peergrpc/convert.go
@@ -110,6 +110,7 @@
 		From:      domain.InstanceID(w.GetFrom()),
 		Partition: domain.PartitionID(w.GetPartition()),
 		Epoch:     domain.Epoch(w.GetEpoch()),
+		Sequence:  w.GetSequence(),
 		Chunk:     int(w.GetChunk()),
 		Chunks:    int(w.GetChunks()),
 	}
@@ -118,6 +119,7 @@
 			Worker:  domain.WorkerID(lease.GetWorker()),
 			Address: lease.GetAddress(),
 			Lease:   domain.LeaseID(lease.GetLease()),
+			Age:     time.Duration(lease.GetAgeMs()) * time.Millisecond,
 		})
 	}
 	return leases
@@ -128,6 +130,7 @@
 		From:      string(leases.From),
 		Partition: string(leases.Partition),
 		Epoch:     uint64(leases.Epoch),
+		Sequence:  leases.Sequence,
 		Chunk:     uint32(leases.Chunk),
 		Chunks:    uint32(leases.Chunks),
 	}
@@ -136,6 +139,7 @@
 			Worker:  string(lease.Worker),
 			Address: lease.Address,
 			Lease:   string(lease.Lease),
+			AgeMs:   lease.Age.Milliseconds(),
 		})
 	}
 	return w
--- /dev/null
+++ b/internal/app/deputy/deputy_test.go
@@ -0,0 +1,237 @@
+package deputy
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// world is the cluster, the clock and the workers of a test. A worker's address
+// is its lease ID.
+type world struct {
+	mu        sync.Mutex
+	now       time.Time
+	confirmed time.Time
+	outage    bool
+	ended     bool
+	epoch     domain.Epoch
+	answers   map[string]error
+	block     bool // renewals wait for the end of their context
+	sent      []port.RenewRequest
+}
+
+func (w *world) Now() time.Time                            { return w.now }
+func (w *world) Incarnation(domain.InstanceID) uint64      { return 1 }
+func (w *world) Ended(domain.InstanceID, uint64) bool      { return w.ended }
+func (w *world) Epoch(domain.PartitionID) domain.Epoch     { return w.epoch }
+func (w *world) StoreOutage() bool                         { return w.outage }
+func (w *world) StoreConfirmedAt() time.Time               { return w.confirmed }
+func (w *world) Worker(address string) port.Worker         { return &fakeWorker{w: w, address: address} }
+func (w *world) refuse(lease string, current domain.Epoch) { w.answers[lease] = refusedBy(current) }
+func refusedBy(current domain.Epoch) *port.LeaseRefusedError {
+	return &port.LeaseRefusedError{Current: current}
+}
+func shared(lease string, age time.Duration) port.SharedLease {
+	return port.SharedLease{Worker: "w-" + domain.WorkerID(lease), Address: lease, Lease: domain.LeaseID(lease), Age: age}
+}
+
+type fakeWorker struct {
+	port.Worker // any other call fails the test by a nil dereference
+	w           *world
+	address     string
+}
+
+func (f *fakeWorker) RenewLease(ctx context.Context, r port.RenewRequest) (port.Lease, error) {
+	f.w.mu.Lock()
+	f.w.sent = append(f.w.sent, r)
+	f.w.mu.Unlock()
+	if f.w.block {
+		<-ctx.Done()
+		return port.Lease{}, ctx.Err()
+	}
+	return port.Lease{}, f.w.answers[f.address]
+}
+
+func list(sequence uint64, leases ...port.SharedLease) port.SharedLeases {
+	return port.SharedLeases{From: "owner", Partition: "p", Epoch: 5, Sequence: sequence, Chunks: 1, Leases: leases}
+}
+
+// newWorld returns a dead owner's deputy in an outage, with the leases a and b
+// that were acquired 4 s ago.
+func newWorld(t *testing.T) (*world, *Deputy) {
+	start := time.Unix(1_800_000_000, 0)
+	w := &world{now: start, confirmed: start, outage: true, ended: true, epoch: 5, answers: make(map[string]error)}
+	d := New(Options{Cluster: w, Workers: w, Clock: w, Log: zap.NewNop(), Metrics: metrics.New()})
+	if err := d.ShareLeases(t.Context(), list(1, shared("a", 4*time.Second), shared("b", 4*time.Second))); err != nil {
+		t.Fatal(err)
+	}
+	return w, d
+}
+
+// Guards against a deputy that renews without need or right, or not at all: each
+// case runs for 30 s with a tick each second, and counts the renewals of a and b.
+func TestRenewals(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(w *world, d *Deputy)
+		at12   func(t *testing.T, w *world, d *Deputy) // after 12 s, between the renewals at 10 s and 20 s
+		a, b   int
+	}{
+		{name: "owner dead, store down", a: 4, b: 4},
+		{name: "owner alive", before: func(w *world, _ *Deputy) { w.ended = false }},
+		{name: "owner dead, store up", before: func(w *world, _ *Deputy) { w.outage = false }},
+		{name: "store never confirmed", before: func(w *world, _ *Deputy) { w.confirmed = time.Time{} }},
+		{name: "bound of 75 minutes passed", before: func(w *world, _ *Deputy) {
+			w.confirmed = w.now.Add(-confirmationBound - time.Second)
+		}},
+		{name: "bound of 75 minutes passes after 15 s", a: 2, b: 2, before: func(w *world, _ *Deputy) {
+			w.confirmed = w.now.Add(15*time.Second - confirmationBound)
+		}},
+		{name: "store is back", a: 2, b: 2, at12: func(_ *testing.T, w *world, _ *Deputy) { w.outage = false }},
+		{name: "owner lives after all", a: 2, b: 2, at12: func(_ *testing.T, w *world, _ *Deputy) { w.ended = false }},
+		{name: "deposed, then shared again by the old owner", a: 2, b: 2, at12: func(t *testing.T, w *world, d *Deputy) {
+			if last := d.Depose("p", 6); w.now.Sub(last) != 2*time.Second {
+				t.Errorf("the last renewal was %s ago, want 2s", w.now.Sub(last))
+			}
+			if d.ShareLeases(t.Context(), list(2, shared("a", 0))) == nil {
+				t.Error("the list of a deposed owner was taken")
+			}
+		}},
+		{name: "deposed before a list came", before: func(_ *world, d *Deputy) { d.Depose("p", 6) }},
+		{name: "deposition of the epochs below", a: 4, b: 4, at12: func(_ *testing.T, _ *world, d *Deputy) { d.Depose("p", 5) }},
+		{name: "a member states a higher epoch, then it is not heard", a: 2, b: 2, at12: func(t *testing.T, w *world, d *Deputy) {
+			w.epoch = 6
+			d.Tick(t.Context())
+			w.epoch = 0
+		}},
+		{name: "lease refused, then shared again", a: 1, b: 4, before: func(w *world, _ *Deputy) { w.refuse("a", 5) },
+			at12: func(t *testing.T, w *world, d *Deputy) {
+				delete(w.answers, "a")
+				_ = d.ShareLeases(t.Context(), list(2, shared("a", 16*time.Second), shared("b", 16*time.Second)))
+			}},
+		{name: "refused for a higher epoch", a: 2, b: 2, at12: func(t *testing.T, w *world, d *Deputy) {
+			w.refuse("a", 6)
+			w.now = w.now.Add(8 * time.Second)
+			d.renew(t.Context(), d.partitions["p"], "a")
+			w.sent = w.sent[:len(w.sent)-1] // the renewal that was refused
+		}},
+		{name: "no answer is tried again each second", a: 31, b: 4, before: func(w *world, _ *Deputy) {
+			w.answers["a"] = &port.WorkerUnreachableError{Address: "a"}
+		}},
+		{name: "lease withdrawn, then the list before it arrives", a: 2, b: 4, at12: func(t *testing.T, _ *world, d *Deputy) {
+			if err := d.ShareLeases(t.Context(), list(3, shared("b", 16*time.Second))); err != nil {
+				t.Error(err)
+			}
+			if d.ShareLeases(t.Context(), list(2, shared("a", 16*time.Second), shared("b", 16*time.Second))) == nil {
+				t.Error("a list was taken after a later one")
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w, d := newWorld(t)
+			start := w.now
+			if c.before != nil {
+				c.before(w, d)
+			}
+			for s := range 31 {
+				w.now = start.Add(time.Duration(s) * time.Second)
+				d.Tick(t.Context())
+				if s == 12 && c.at12 != nil {
+					c.at12(t, w, d)
+				}
+			}
+			count := make(map[domain.LeaseID]int)
+			for _, r := range w.sent {
+				count[r.Lease]++
+				if r.Wait != 0 || len(r.Acknowledged) > 0 {
+					t.Errorf("renewal %+v waits or acknowledges", r)
+				}
+			}
+			if count["a"] != c.a || count["b"] != c.b {
+				t.Errorf("renewals of a: %d, want %d; of b: %d, want %d", count["a"], c.a, count["b"], c.b)
+			}
+		})
+	}
+}
+
+// Guards against a lease that outlives what the owner counts on: the time since
+// the acquisition must not exceed the real one, whatever the list's delay is.
+func TestElapsedHonorsAge(t *testing.T) {
+	for _, c := range []struct{ age, delay, wait, want time.Duration }{
+		{age: 0, delay: 0, wait: 0, want: 0},
+		{age: 5 * time.Second, delay: 3 * time.Second, wait: 12 * time.Second, want: 17 * time.Second},
+		{age: time.Hour, delay: 0, wait: time.Millisecond, want: time.Hour + time.Millisecond},
+		{age: -time.Second, delay: time.Second, wait: time.Second, want: time.Second},
+	} {
+		w, d := newWorld(t)
+		w.now = w.now.Add(c.delay)
+		_ = d.ShareLeases(t.Context(), list(2, shared("c", c.age)))
+		w.now = w.now.Add(c.wait)
+		d.Tick(t.Context())
+		if len(w.sent) != 1 || w.sent[0].Elapsed != c.want {
+			t.Errorf("%+v: sent %+v", c, w.sent)
+		}
+	}
+}
+
+// Guards against a deposition that is answered while a renewal is under way.
+func TestDeposeEndsCallsUnderWay(t *testing.T) {
+	w, d := newWorld(t)
+	w.block = true
+	ticked := make(chan struct{})
+	go func() { d.Tick(t.Context()); close(ticked) }()
+	for under := 0; under < 2; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		under = len(w.sent)
+		w.mu.Unlock()
+	}
+	began := time.Now()
+	if last := d.Depose("p", 6); !last.Equal(w.now) {
+		t.Errorf("last renewal at %s, want %s", last, w.now)
+	}
+	if took := time.Since(began); took > callTimeout/2 {
+		t.Errorf("the deposition waited %s for the renewals", took)
+	}
+	<-ticked
+	d.Tick(t.Context())
+	if len(w.sent) != 2 {
+		t.Errorf("%d renewals, want the 2 before the deposition", len(w.sent))
+	}
+}
+
+// Guards against a list in parts that is used before it is whole, or whose
+// parts come from two lists.
+func TestListInParts(t *testing.T) {
+	w, d := newWorld(t)
+	first := list(2, shared("c", 0))
+	first.Chunks = 2
+	second := list(2, shared("d", 0))
+	second.Chunks, second.Chunk = 2, 1
+	stray := second
+	stray.Sequence = 3
+	if d.ShareLeases(t.Context(), first) != nil || d.ShareLeases(t.Context(), stray) == nil {
+		t.Error("the first part was refused, or the part of another list was taken")
+	}
+	d.Tick(t.Context())
+	if err := d.ShareLeases(t.Context(), second); err != nil {
+		t.Error(err)
+	}
+	d.Tick(t.Context())
+	var got []domain.LeaseID
+	for _, r := range w.sent {
+		got = append(got, r.Lease)
+	}
+	slices.Sort(got)
+	if !slices.Equal(got, []domain.LeaseID{"a", "b", "c", "d"}) {
+		t.Errorf("renewed %v", got)
+	}
+}
--- /dev/null
+++ b/internal/app/deputy/sharer.go
@@ -0,0 +1,260 @@
+package deputy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"auburnpier/internal/app/taskplane"
+	"auburnpier/internal/core/rendezvous"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+const (
+	// shareInterval is how often an unchanged list is sent.
+	shareInterval = 10 * time.Second
+	// shareTimeout bounds one call to the deputy.
+	shareTimeout = 2 * time.Second
+	// leasesPerCall keeps a call to about 200 KB, far below the largest message.
+	leasesPerCall = 1000
+)
+
+// Directory finds the instances that can be a deputy.
+type Directory interface {
+	// Live returns the live instances, this one included.
+	Live() []taskplane.Member
+	// Peer returns the calls of an instance that neither left nor provably ended.
+	Peer(id domain.InstanceID) (port.Peer, bool)
+}
+
+// SharerOptions are what a Sharer needs from its surroundings.
+type SharerOptions struct {
+	Instance  domain.InstanceID
+	Region    domain.RegionID
+	Directory Directory
+	// Leases lists the leases of the partitions that this instance owns.
+	Leases func() []taskplane.PartitionLeases
+	Clock  port.Clock
+}
+
+// Sharer sends the leases of each partition of this instance to its deputy. It
+// knows which instances may renew a lease, so that the owner counts no lease as
+// lapsed that a deputy may still renew. It is safe for concurrent use.
+type Sharer struct {
+	o SharerOptions
+
+	mu       sync.Mutex
+	sequence uint64
+	shared   map[domain.PartitionID]*shares
+}
+
+// shares is what was sent of one partition under one epoch.
+type shares struct {
+	epoch   domain.Epoch
+	holders map[domain.InstanceID]*holder
+}
+
+// holder is an instance that was sent a list.
+type holder struct {
+	leases  map[domain.LeaseID]struct{} // that it may hold
+	changes uint64                      // of the list that it acknowledged
+	ackedAt time.Time
+}
+
+// NewSharer returns a sharer that has sent nothing yet.
+func NewSharer(o SharerOptions) *Sharer {
+	return &Sharer{o: o, shared: make(map[domain.PartitionID]*shares)}
+}
+
+// Choose returns the deputy of the partition, or "" where the region has no
+// other live instance.
+func Choose(partition domain.PartitionID, owner domain.InstanceID, region domain.RegionID, live []taskplane.Member) domain.InstanceID {
+	var names []string
+	for _, m := range live {
+		if m.ID != owner && m.Region == region && !m.Draining {
+			names = append(names, string(m.ID))
+		}
+	}
+	return domain.InstanceID(rendezvous.Choose(string(partition), names))
+}
+
+// Run shares leases until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.Tick(ctx)
+		}
+	}
+}
+
+// Tick sends the lists that are due: those that changed, those of a new deputy,
+// and the others each shareInterval. An instance that is no longer the deputy
+// is sent an empty list.
+func (s *Sharer) Tick(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, m := range s.plan() {
+		group.Go(func() { s.send(ctx, m) })
+	}
+	group.Wait()
+}
+
+// message is one list on its way to one instance.
+type message struct {
+	to       domain.InstanceID
+	list     taskplane.PartitionLeases
+	sequence uint64
+}
+
+// plan returns the lists that are due. It holds the lock from the reading of the
+// leases until they are noted as exposed, so that Withdrawn knows of each list
+// that was read before a lease was lost.
+func (s *Sharer) plan() []message {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lists := s.o.Leases()
+	live := s.o.Directory.Live()
+	s.forget(lists)
+	var due []message
+	for _, list := range lists {
+		deputy := Choose(list.Partition, s.o.Instance, s.o.Region, live)
+		for _, to := range s.receivers(list, deputy) {
+			m := message{to: to, list: list}
+			if to != deputy {
+				m.list.Leases = nil
+			}
+			s.sequence++
+			m.sequence = s.sequence
+			s.expose(m)
+			due = append(due, m)
+		}
+	}
+	return due
+}
+
+// Withdrawn implements taskplane.LeaseCopies.
+func (s *Sharer) Withdrawn(partition domain.PartitionID, lease domain.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.shared[partition]
+	if !ok {
+		return true
+	}
+	for id, h := range p.holders {
+		if _, held := h.leases[lease]; !held {
+			continue
+		}
+		if _, ok := s.o.Directory.Peer(id); ok {
+			return false
+		}
+	}
+	return true
+}
+
+// forget drops what was sent of partitions that no longer run here. It is
+// called with the lock held.
+func (s *Sharer) forget(lists []taskplane.PartitionLeases) {
+	epochs := make(map[domain.PartitionID]domain.Epoch, len(lists))
+	for _, list := range lists {
+		epochs[list.Partition] = list.Epoch
+	}
+	for id, p := range s.shared {
+		if epochs[id] != p.epoch {
+			delete(s.shared, id)
+		}
+	}
+}
+
+// receivers returns the instances that the list is due for. It is called with
+// the lock held.
+func (s *Sharer) receivers(list taskplane.PartitionLeases, deputy domain.InstanceID) []domain.InstanceID {
+	p, ok := s.shared[list.Partition]
+	if !ok {
+		p = &shares{epoch: list.Epoch, holders: make(map[domain.InstanceID]*holder)}
+		s.shared[list.Partition] = p
+	}
+	if _, known := p.holders[deputy]; !known && deputy != "" {
+		p.holders[deputy] = &holder{leases: make(map[domain.LeaseID]struct{})}
+	}
+	now := s.o.Clock.Now()
+	var due []domain.InstanceID
+	for id, h := range p.holders {
+		switch {
+		case id == deputy && (h.ackedAt.IsZero() || h.changes != list.Changes || now.Sub(h.ackedAt) >= shareInterval):
+			due = append(due, id)
+		case id != deputy && len(h.leases) > 0:
+			due = append(due, id)
+		case id != deputy:
+			delete(p.holders, id)
+		}
+	}
+	return due
+}
+
+func (s *Sharer) send(ctx context.Context, m message) {
+	peer, ok := s.o.Directory.Peer(m.to)
+	if !ok {
+		s.drop(m)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	leases := m.list.Leases
+	part := port.SharedLeases{From: s.o.Instance, Partition: m.list.Partition, Epoch: m.list.Epoch, Sequence: m.sequence}
+	part.Chunks = max(1, (len(leases)+leasesPerCall-1)/leasesPerCall)
+	for part.Chunk = range part.Chunks {
+		first := part.Chunk * leasesPerCall
+		part.Leases = leases[first:min(first+leasesPerCall, len(leases))]
+		if peer.ShareLeases(ctx, part) != nil {
+			return
+		}
+	}
+	s.acknowledged(m)
+}
+
+// holder returns nil after another epoch began. It is called with the lock held.
+func (s *Sharer) holder(m message) *holder {
+	p, ok := s.shared[m.list.Partition]
+	if !ok || p.epoch != m.list.Epoch {
+		return nil
+	}
+	return p.holders[m.to]
+}
+
+// expose notes before the call that the instance may hold the leases. It is
+// called with the lock held.
+func (s *Sharer) expose(m message) {
+	if h := s.holder(m); h != nil {
+		for _, l := range m.list.Leases {
+			h.leases[l.Lease] = struct{}{}
+		}
+	}
+}
+
+// acknowledged notes that the instance holds this list only.
+func (s *Sharer) acknowledged(m message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.holder(m)
+	if h == nil {
+		return
+	}
+	clear(h.leases)
+	s.expose(m)
+	h.changes = m.list.Changes
+	h.ackedAt = s.o.Clock.Now()
+}
+
+// drop forgets an instance whose process left or provably ended.
+func (s *Sharer) drop(m message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok := s.shared[m.list.Partition]; ok && p.epoch == m.list.Epoch {
+		delete(p.holders, m.to)
+	}
+}
--- a/internal/app/peering/api.go
+++ b/internal/app/peering/api.go
@@ -80,6 +80,9 @@
 	// answered it has a recent store confirmation. All known instances are
 	// pinged then, which AllPeers needs.
 	StoreOutage() bool
+	// StoreConfirmedAt returns the time of the latest store confirmation that
+	// this instance has or that a member relayed. It is zero if there is none.
+	StoreConfirmedAt() time.Time
 	// Joined reports whether the member list was received from a peer, or
 	// there is none to ask.
 	Joined() bool
--- a/internal/app/peering/loop.go
+++ b/internal/app/peering/loop.go
@@ -126,13 +126,14 @@
 
 func (l *loop) snapshot() snapshot {
 	s := snapshot{
-		self:      l.node.Self(),
-		members:   l.node.Members(),
-		allPeers:  l.node.AllPeers(l.node.Self().ConfigVersion),
-		relayed:   l.node.RelayedAll(),
-		regionAck: l.node.RegionAck(),
-		outage:    l.node.Outage(),
-		joined:    l.node.Joined(),
+		self:        l.node.Self(),
+		members:     l.node.Members(),
+		allPeers:    l.node.AllPeers(l.node.Self().ConfigVersion),
+		relayed:     l.node.RelayedAll(),
+		regionAck:   l.node.RegionAck(),
+		outage:      l.node.Outage(),
+		confirmedAt: l.node.StoreConfirmedAt(),
+		joined:      l.node.Joined(),
 	}
 	version, holder := l.node.NewestVersion()
 	s.newestVersion = version
--- a/internal/app/peering/view.go
+++ b/internal/app/peering/view.go
@@ -25,6 +25,7 @@
 	newestVersion uint64
 	newestHolder  domain.InstanceID
 	outage        bool
+	confirmedAt   time.Time
 	joined        bool
 }
 
@@ -166,6 +167,9 @@
 // StoreOutage reports whether no recent store confirmation is known.
 func (v *view) StoreOutage() bool { return v.read().outage }
 
+// StoreConfirmedAt returns the time of the latest store confirmation that is known.
+func (v *view) StoreConfirmedAt() time.Time { return v.read().confirmedAt }
+
 // Joined reports whether the member list was received from a peer, or there is none to ask.
 func (v *view) Joined() bool { return v.read().joined }
 
--- a/internal/app/taskplane/keeper.go
+++ b/internal/app/taskplane/keeper.go
@@ -24,6 +24,10 @@
 	// lapseMargin is added to the lease's time to live before a worker that may
 	// still run attempts is contacted again, so that its lease has lapsed by then.
 	lapseMargin = 5 * time.Second
+	// withdrawWait is how long a lost lease waits for the deputy's answer that
+	// it renews the lease no more, and withdrawPoll how often that is checked.
+	withdrawWait = 3 * time.Second
+	withdrawPoll = 100 * time.Millisecond
 	// reportSpacing bounds the renewals of a worker whose tasks end all the
 	// time, so that ends are reported in groups.
 	reportSpacing = 200 * time.Millisecond
@@ -45,6 +49,8 @@
 	acquiredAt time.Time
 	lastSent   time.Time
 	failures   int
+	// lost lists leases that a deputy may still renew since the worker became unreachable.
+	lost []domain.LeaseID
 }
 
 func newKeeper(w *workerLoop) *keeper {
@@ -71,6 +77,7 @@
 }
 
 func (k *keeper) run(ctx context.Context) {
+	defer func() { k.w.p.held.drop(k.w.id, k.lease.ID) }()
 	for ctx.Err() == nil {
 		if k.lease.ID == "" || k.takeAcquire() {
 			k.acquireLease(ctx)
@@ -102,11 +109,13 @@
 	k.lease = lease
 	k.acquiredAt = p.o.Clock.Now()
 	k.failures = 0
+	k.lost = nil // the new lease supersedes them at the worker
+	p.held.acquired(k.w.id, heldLease{address: k.w.address, lease: lease.ID, at: k.acquiredAt}, k.lastSent)
 	p.post(ctx, sched.LeaseAcquired{Worker: k.w.id, Lease: lease, SentAt: k.lastSent})
 }
 
 func (k *keeper) acquireFailed(ctx context.Context, err error) {
-	k.lease = port.Lease{}
+	k.lose()
 	p := k.w.p
 	var refused *port.LeaseRefusedError
 	if errors.As(err, &refused) && refused.Current > p.epoch {
@@ -119,13 +128,57 @@
 	k.unreachable(ctx)
 }
 
-// unreachable reports the worker and leaves it alone for a while.
-func (k *keeper) unreachable(ctx context.Context) {
+// lose forgets the lease and takes it off the list that the deputy gets.
+func (k *keeper) lose() {
+	if k.lease.ID == "" {
+		return
+	}
+	k.lost = append(k.lost, k.lease.ID)
+	k.w.p.held.drop(k.w.id, k.lease.ID)
 	k.lease = port.Lease{}
-	k.w.p.post(ctx, sched.WorkerUnreachable{Worker: k.w.id, LastSent: k.lastSent})
+}
+
+// unreachable reports the worker and leaves it alone for a while. Where a
+// deputy may still renew a lost lease, the report moves the last moment of a
+// renewal to the present, so that the lease does not count as lapsed.
+func (k *keeper) unreachable(ctx context.Context) {
+	k.lose()
+	p := k.w.p
+	if len(k.lost) == 0 || p.o.Copies == nil {
+		p.post(ctx, sched.WorkerUnreachable{Worker: k.w.id, LastSent: k.lastSent})
+		pause(ctx, k.rest(ctx))
+		return
+	}
+	withdrawn := k.awaitWithdrawn(ctx)
+	p.post(ctx, sched.WorkerUnreachable{Worker: k.w.id, LastSent: p.o.Clock.Now()})
+	if !withdrawn {
+		pause(ctx, acquireRetryDelay)
+		return
+	}
+	k.lost = nil
 	pause(ctx, k.rest(ctx))
 }
 
+// awaitWithdrawn waits for a while until no deputy renews the lost leases.
+func (k *keeper) awaitWithdrawn(ctx context.Context) bool {
+	for range withdrawWait / withdrawPoll {
+		if k.withdrawn() {
+			return true
+		}
+		pause(ctx, withdrawPoll)
+	}
+	return k.withdrawn()
+}
+
+func (k *keeper) withdrawn() bool {
+	for _, lease := range k.lost {
+		if !k.w.p.o.Copies.Withdrawn(k.w.p.id, lease) {
+			return false
+		}
+	}
+	return true
+}
+
 // rest returns how long an unreachable worker is left alone: until its lease
 // has lapsed where it may still run attempts, so that they are proven stopped.
 func (k *keeper) rest(ctx context.Context) time.Duration {
@@ -147,6 +200,7 @@
 	request, ids := k.request(cancel)
 	k.lastSent = p.o.Clock.Now()
 	request.Elapsed = k.lastSent.Sub(k.acquiredAt)
+	p.held.renewing(k.lastSent)
 	lease, err := k.w.remote.RenewLease(wait, request)
 	interrupted := k.finished()
 	switch {
@@ -199,7 +253,8 @@
 	var refused *port.LeaseRefusedError
 	if errors.As(err, &refused) {
 		p.post(ctx, sched.LeaseRefused{Worker: k.w.id, Lease: k.lease.ID})
-		k.lease = port.Lease{}
+		k.lose()
+		k.lost = nil // no renewal of it has an effect
 		return
 	}
 	p.o.Metrics.Retried(metrics.RetryWorkerCall)
--- a/internal/app/taskplane/manager.go
+++ b/internal/app/taskplane/manager.go
@@ -69,6 +69,7 @@
 	owned    map[domain.PartitionID]*Partition
 	since    map[domain.PartitionID]time.Time // when the present disagreement about the owner began
 	draining bool
+	renewed  map[domain.PartitionID]time.Time // last renewal of partitions that no longer run here
 }
 
 // NewManager returns a manager that owns nothing yet.
@@ -80,6 +81,7 @@
 		former:  former,
 		owned:   make(map[domain.PartitionID]*Partition),
 		since:   make(map[domain.PartitionID]time.Time),
+		renewed: make(map[domain.PartitionID]time.Time),
 	}
 }
 
@@ -150,7 +152,10 @@
 	m.mu.Unlock()
 	var group sync.WaitGroup
 	for _, p := range owned {
-		group.Go(p.Stop)
+		group.Go(func() {
+			p.Stop()
+			m.forget(p.id, p)
+		})
 	}
 	group.Wait()
 }
@@ -228,7 +233,7 @@
 	if vms != nil {
 		p.setWorkers(workersOf(in.Partitions, id, vms))
 	}
-	if former != "" && former != m.o.Instance {
+	if former != "" {
 		go m.proveStopped(ctx, p, former)
 	}
 }
@@ -263,6 +268,7 @@
 func (m *Manager) forget(id domain.PartitionID, p *Partition) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteRenewal(p)
 	if m.owned[id] == p {
 		delete(m.owned, id)
 	}
@@ -274,6 +280,7 @@
 	for id, p := range m.owned {
 		select {
 		case <-p.done:
+			m.noteRenewal(p)
 			delete(m.owned, id)
 		default:
 		}
--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -48,6 +48,8 @@
 	snapshotWanted atomic.Bool
 	wake           chan struct{}
 
+	held heldLeases
+
 	mu  sync.Mutex
 	err error
 }
@@ -136,9 +138,8 @@
 	// The machine needs the time before any other event: an end that is
 	// recorded at time zero counts as long past and its job is forgotten.
 	p.tick()
-	if r.Previous == "" || r.Previous == p.o.Instance {
-		// No other process can still renew leases: the former owner was this
-		// instance's address, which this process holds now, or there was none.
+	if r.Previous == "" {
+		// There was no owner whose leases another process could renew.
 		p.machine.Step(sched.FormerOwnerStopped{At: p.o.Clock.Now()})
 	}
 	var group sync.WaitGroup
--- a/internal/app/taskplane/worker.go
+++ b/internal/app/taskplane/worker.go
@@ -24,12 +24,13 @@
 // workerLoop carries the messages of one worker. One goroutine makes the
 // calls, one at a time and in order; the other keeps the lease.
 type workerLoop struct {
-	p      *Partition
-	id     domain.WorkerID
-	remote port.Worker
-	wake   chan struct{}
-	cancel context.CancelFunc
-	keeper *keeper
+	p       *Partition
+	id      domain.WorkerID
+	address string
+	remote  port.Worker
+	wake    chan struct{}
+	cancel  context.CancelFunc
+	keeper  *keeper
 
 	mu  sync.Mutex
 	box mailbox
@@ -38,11 +39,12 @@
 func newWorkerLoop(ctx context.Context, p *Partition, id domain.WorkerID, address string) *workerLoop {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &workerLoop{
-		p:      p,
-		id:     id,
-		remote: p.o.Workers.Worker(address),
-		wake:   make(chan struct{}, 1),
-		cancel: cancel,
+		p:       p,
+		id:      id,
+		address: address,
+		remote:  p.o.Workers.Worker(address),
+		wake:    make(chan struct{}, 1),
+		cancel:  cancel,
 	}
 	w.keeper = newKeeper(w)
 	p.loops.Go(func() { w.run(ctx) })
--- a/internal/core/membership/freshness.go
+++ b/internal/core/membership/freshness.go
@@ -110,13 +110,19 @@
 // Outage reports whether the store seems unreachable: neither this instance
 // nor a member that answered it has a recent confirmation.
 func (n *Node) Outage() bool {
-	newest := latest(n.self.storeBegan, n.relayed[0].At)
+	newest := n.StoreConfirmedAt()
 	if newest.IsZero() {
 		newest = n.startedAt
 	}
 	return n.now.Sub(newest) > n.cfg.OutageAfter
 }
 
+// StoreConfirmedAt returns the time of the latest store confirmation of this
+// instance or of a member that answered it, or the zero value.
+func (n *Node) StoreConfirmedAt() time.Time {
+	return latest(n.self.storeBegan, n.relayed[0].At)
+}
+
 // tickOutage pings all known instances while the store is unreachable.
 func (n *Node) tickOutage() {
 	if !n.Outage() {
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -24,6 +24,7 @@
 	"auburnpier/internal/adapter/workerhttp"
 	"auburnpier/internal/app/allotment"
 	"auburnpier/internal/app/confsync"
+	"auburnpier/internal/app/deputy"
 	"auburnpier/internal/app/peering"
 	"auburnpier/internal/app/requestplane"
 	"auburnpier/internal/app/sharedwatch"
@@ -51,6 +52,8 @@
 	peers   *peering.Service
 	config  *confsync.Sync
 	manager *taskplane.Manager
+	deputy  *deputy.Deputy
+	sharer  *deputy.Sharer
 	router  *taskplane.Router
 	plane   *requestplane.Plane
 	amounts *allotments
@@ -151,10 +154,20 @@
 func (i *Instance) newTaskPlane() {
 	p := i.settings.Policy
 	view := peerView{peers: i.peers}
+	workers := workerhttp.NewDialer()
+	region := i.settings.Location.Region
+	i.deputy = deputy.New(deputy.Options{
+		Cluster: deputyCluster{i.peers}, Workers: workers, Clock: i.clock, Log: i.log, Metrics: i.metrics,
+	})
+	i.sharer = deputy.NewSharer(deputy.SharerOptions{
+		Instance: i.settings.Instance, Region: region, Directory: view, Clock: i.clock,
+		Leases: func() []taskplane.PartitionLeases { return i.manager.SharedLeases() },
+	})
 	i.manager = taskplane.NewManager(taskplane.Options{
 		Instance:   i.settings.Instance,
 		Store:      i.store,
-		Workers:    workerhttp.NewDialer(),
+		Workers:    workers,
+		Copies:     i.sharer,
 		Allotments: i.amounts.tasks,
 		Clock:      i.clock,
 		Weights:    policy.Weights{Share: p.ShareWeight, Waiting: p.WaitingWeight, Packing: p.PackingWeight},
@@ -162,12 +175,15 @@
 		Metrics:    i.metrics,
 		NewID:      newID,
 		ListLag:    settings.Milliseconds(i.settings.VMList.LagMS),
-	}, i.settings.Location.Region, view, formerOwners{peers: i.peers, self: i.settings.Instance, clock: i.clock})
+	}, region, view, formerOwners{
+		peers: i.peers, deputy: i.deputy, self: i.settings.Instance, region: region, clock: i.clock,
+	})
 	i.router = taskplane.NewRouter(i.manager, view)
 	i.peers.Handle(peering.Handlers{
 		Config:      configSource{i.config},
 		Jobs:        i.router,
-		Depositions: depositions{i.manager},
+		Depositions: depositions{manager: i.manager, deputy: i.deputy, clock: i.clock},
+		Leases:      i.deputy,
 		Status:      statusSource{i},
 	})
 }
@@ -263,6 +279,8 @@
 	group.Go(func() { i.vms.Run(parts) })
 	group.Go(func() { i.amounts.run(parts) })
 	group.Go(func() { i.plane.Run(parts) })
+	group.Go(func() { i.deputy.Run(parts) })
+	group.Go(func() { i.sharer.Run(parts) })
 	group.Go(func() { i.reportState(parts) })
 	group.Go(func() { i.bootstrap(parts) })
 	managing, stopManaging := context.WithCancel(parts)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"auburnpier/internal/app/deputy"
 	"auburnpier/internal/app/peering"
 	"auburnpier/internal/app/taskplane"
 	"auburnpier/internal/core/membership"
@@ -50,46 +53,112 @@
 	return v.peers.Peer(id)
 }
 
-// formerOwners finds out when a former owner stopped renewing leases: it
-// acknowledges so itself, or its process provably ended.
+// deputyCluster shows the membership to the deputy.
+type deputyCluster struct {
+	*peering.Service
+}
+
+// Incarnation implements deputy.Cluster.
+func (c deputyCluster) Incarnation(id domain.InstanceID) uint64 {
+	m, _ := c.Get(id)
+	return m.Incarnation
+}
+
+// Ended implements deputy.Cluster. A member that the list never had is not ended.
+func (c deputyCluster) Ended(id domain.InstanceID, incarnation uint64) bool {
+	m, ok := c.Get(id)
+	if incarnation == 0 {
+		return false
+	}
+	return !ok || m.Incarnation > incarnation || m.State == membership.StateDead || m.State.Gone()
+}
+
+// Epoch implements deputy.Cluster.
+func (c deputyCluster) Epoch(partition domain.PartitionID) domain.Epoch {
+	_, epoch, _ := c.Owner(partition)
+	return epoch
+}
+
+// formerOwners finds out when all renewals for a former owner have stopped: the
+// owner acknowledges so itself or its process provably ended, and so does each
+// other member of the region, since each could be the deputy.
 type formerOwners struct {
-	peers *peering.Service
-	self  domain.InstanceID
-	clock port.Clock
+	peers  *peering.Service
+	deputy *deputy.Deputy
+	self   domain.InstanceID
+	region domain.RegionID
+	clock  port.Clock
 }
 
 // StoppedAt implements taskplane.FormerOwners.
 func (f formerOwners) StoppedAt(ctx context.Context, former domain.InstanceID, partition domain.PartitionID, epoch domain.Epoch) (time.Time, bool) {
-	asked := f.clock.Now()
-	if m, ok := f.peers.Get(former); ok && m.State.Gone() {
-		return asked, true
+	f.deputy.Depose(partition, epoch)
+	if !f.acknowledges(ctx, former, partition, epoch) {
+		return time.Time{}, false
 	}
-	peer, ok := f.peers.Peer(former)
+	// The members are listed after the former owner stopped, because it could
+	// choose another deputy until then.
+	var missing atomic.Int64
+	var calls sync.WaitGroup
+	for _, m := range f.peers.List() {
+		if m.Location.Region != f.region || m.ID == former {
+			continue
+		}
+		calls.Go(func() {
+			if !f.acknowledges(ctx, m.ID, partition, epoch) {
+				missing.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	return f.clock.Now(), missing.Load() == 0
+}
+
+// acknowledges reports whether the instance renews no lease below the epoch
+// from now on. A former process under this instance's ID ended before this one
+// could listen on its address.
+func (f formerOwners) acknowledges(ctx context.Context, id domain.InstanceID, partition domain.PartitionID, epoch domain.Epoch) bool {
+	if id == f.self {
+		return true
+	}
+	if m, ok := f.peers.Get(id); ok && m.State.Gone() {
+		return true
+	}
+	peer, ok := f.peers.Peer(id)
 	if !ok {
-		return time.Time{}, false
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, depositionTimeout)
 	defer cancel()
 	answer, err := peer.AcknowledgeDeposition(ctx, f.self, partition, epoch)
-	if err != nil || !answer.Acknowledged {
-		return time.Time{}, false
-	}
-	return f.clock.Now(), true
+	return err == nil && answer.Acknowledged
 }
 
-// depositions answers successors of partitions that this instance owned.
+// depositions answers successors of partitions that this instance owned or
+// was the deputy of.
 type depositions struct {
 	manager *taskplane.Manager
+	deputy  *deputy.Deputy
+	clock   port.Clock
 }
 
 // AcknowledgeDeposition stops the partition where it still runs here under a
-// lower epoch. Stopping ends the renewals before the answer is sent.
+// lower epoch, and the renewals of the deputy. Both have ended before the answer
+// is sent.
 func (d depositions) AcknowledgeDeposition(_ context.Context, _ domain.InstanceID, partition domain.PartitionID, epoch domain.Epoch) (port.Deposition, error) {
+	last := d.deputy.Depose(partition, epoch)
 	if p, ok := d.manager.Partition(partition); ok {
 		if p.Epoch() >= epoch {
 			return port.Deposition{}, nil
 		}
 		p.Stop()
 	}
-	return port.Deposition{Acknowledged: true, SinceLastRenewalMS: -1}, nil
+	if own := d.manager.LastRenewal(partition); own.After(last) {
+		last = own
+	}
+	answer := port.Deposition{Acknowledged: true, SinceLastRenewalMS: -1}
+	if !last.IsZero() {
+		answer.SinceLastRenewalMS = max(0, d.clock.Now().Sub(last).Milliseconds())
+	}
+	return answer, nil
 }
--- a/internal/port/peers.go
+++ b/internal/port/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"auburnpier/internal/domain"
 )
@@ -80,6 +81,10 @@
 	Worker  domain.WorkerID
 	Address string
 	Lease   domain.LeaseID
+	// Age is the time since the answer to the acquisition arrived, by the
+	// owner's clock at the sending of the list. It is carried in whole
+	// milliseconds, rounded down.
+	Age time.Duration
 }
 
 // SharedLeases is the list that an owner sends to its deputy.
@@ -87,7 +92,10 @@
 	From      domain.InstanceID
 	Partition domain.PartitionID
 	Epoch     domain.Epoch
-	Leases    []SharedLease
+	// Sequence grows with each list of the epoch. A list with a lower one than
+	// that of an earlier list is refused.
+	Sequence uint64
+	Leases   []SharedLease
 	// Chunk and Chunks number the parts of a list that exceeds one message.
 	// Chunk counts from zero.
 	Chunk, Chunks int
