--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -79,11 +79,18 @@
 	return epoch
 }
 
+// regionPeers is what the proof of formerOwners needs of the peering service.
+type regionPeers interface {
+	List() []membership.Member
+	Get(id domain.InstanceID) (membership.Member, bool)
+	Peer(id domain.InstanceID) (port.Peer, bool)
+}
+
 // formerOwners finds out when all renewals for a former owner have stopped: the
 // owner acknowledges so itself or its process provably ended, and so does each
 // other member of the region, since each could be the deputy.
 type formerOwners struct {
-	peers  *peering.Service
+	peers  regionPeers
 	deputy *deputy.Deputy
 	self   domain.InstanceID
 	region domain.RegionID
