Let a lost lease lapse before its worker is tried again

Cause: a worker that may still run attempts was left alone for exactly the time after which its lease counts as lapsed. The machine checks for lapses each 0.5 s only. An acquisition that failed at once in between moved the last moment of a renewal to the present, so that the lease of a worker whose calls are refused at once never lapsed and its attempts stayed reserved for good. The case without shared leases shows that this is older than the deputy.

Change: the rest is 2 s longer. A test with the time of a synctest bubble runs a partition over the stand-ins: it covers the report of a lost lease with a deputy that may renew it, with one that may not, and without one.

Conclusion: the reservation ends with the proof, and not before it.

--- a/internal/app/taskplane/keeper.go
+++ b/internal/app/taskplane/keeper.go
@@ -24,6 +24,10 @@
 	// lapseMargin is added to the lease's time to live before a worker that may
 	// still run attempts is contacted again, so that its lease has lapsed by then.
 	lapseMargin = 5 * time.Second
+	// lapseCheck is longer than the machine's interval between two checks for
+	// lapsed leases. A new acquisition that fails at once would move the last
+	// moment of a renewal on before the machine has seen the lapse.
+	lapseCheck = 2 * time.Second
 	// withdrawWait is how long a lost lease waits for the deputy's answer that
 	// it renews the lease no more, and withdrawPoll how often that is checked.
 	withdrawWait = 3 * time.Second
@@ -188,7 +192,7 @@
 		attempts = status.Attempts
 	})
 	if attempts > 0 {
-		return leaseTTL + lapseMargin
+		return leaseTTL + lapseMargin + lapseCheck
 	}
 	return acquireRetryDelay
 }
--- /dev/null
+++ b/internal/app/taskplane/leases_test.go
@@ -0,0 +1,122 @@
+package taskplane
+
+import (
+	"context"
+	"crypto/rand"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/app/allotment"
+	"auburnpier/internal/core/policy"
+	"auburnpier/internal/core/sched"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/store"
+	"auburnpier/internal/standin/worker"
+)
+
+// ample gives the team t all that it wants.
+type ample struct{}
+
+func (ample) Allowances(domain.PartitionID) (uint64, map[domain.TeamID]allotment.TaskAllowance) {
+	return 1, map[domain.TeamID]allotment.TaskAllowance{"t": {Amount: capacity}}
+}
+func (ample) Report(domain.PartitionID, uint64, map[domain.TeamID]allotment.TaskUse) {}
+func (ample) TakeOver(context.Context, domain.PartitionID, domain.Epoch, map[domain.TeamID]allotment.TaskUse) error {
+	return nil
+}
+func (ample) Outside(domain.PartitionID) map[domain.TeamID]domain.Resources { return nil }
+func (ample) Drop(domain.PartitionID)                                       {}
+
+var capacity = domain.Resources{CPUMilli: 8000, MemoryMB: 8000}
+
+type dialer struct{ w *worker.Worker }
+
+func (d dialer) Worker(string) port.Worker { return d.w }
+
+type copies struct {
+	always    bool
+	withdrawn atomic.Bool
+}
+
+func (c *copies) Withdrawn(domain.PartitionID, domain.LeaseID) bool {
+	return c.always || c.withdrawn.Load()
+}
+
+// Guards against tasks of an unreachable worker that are planned again while a
+// deputy may still renew its lease, and against reservations that are kept after
+// it provably renews no more.
+func TestLostLeaseWaitsForDeputy(t *testing.T) {
+	// The goroutine of the library's meters must not belong to the bubble.
+	metrics.New().Timer("warm-up")
+	for _, c := range []struct {
+		name     string
+		deputies *copies
+		want     domain.JobState
+	}{
+		{"the deputy may renew it", &copies{}, domain.JobRunning},
+		{"no deputy renews it", &copies{always: true}, domain.JobUnknown},
+		{"leases are not shared", nil, domain.JobUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { lostLease(t, c.deputies, c.want) })
+		})
+	}
+}
+
+func lostLease(t *testing.T, deputies *copies, want domain.JobState) {
+	ctx, cancel := context.WithCancel(t.Context())
+	w := worker.New("w", capacity)
+	var asked LeaseCopies
+	if deputies != nil {
+		asked = deputies
+	}
+	p, _, err := open(ctx, ctx, Options{
+		Instance: "owner", Store: store.New(), Workers: dialer{w}, Allotments: ample{}, Clock: port.SystemClock{},
+		Weights: policy.Weights{Share: 1, Waiting: 1, Packing: 1}, Log: zap.NewNop(), Metrics: metrics.New(),
+		NewID: rand.Text, Copies: asked, ListLag: 30 * time.Second,
+	}, "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		w.Restart()
+		cancel()
+		<-p.Done()
+	}()
+	p.setInputs(Inputs{Teams: []sched.TeamRow{{ID: "t", Share: 1, Limit: capacity}}})
+	p.setWorkers([]domain.VM{{ID: "w", Role: domain.RoleWorker, Address: "w", Capacity: capacity}})
+	time.Sleep(5 * time.Second)
+	job, err := p.Submit(ctx, "t", domain.JobSpec{
+		Name: "job", Kind: domain.JobBatch, Tasks: 1, IdempotencyKey: "k", Resources: domain.Resources{CPUMilli: 500, MemoryMB: 500},
+		Command: []string{worker.CommandServe},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := func(after time.Duration, want domain.JobState) {
+		t.Helper()
+		time.Sleep(after)
+		if status, err := p.Status(ctx, job.ID); err != nil || status.State != want {
+			t.Errorf("the job is %s (%s), error %v; want %s", status.State, status.Reason, err, want)
+		}
+	}
+	state(5*time.Second, domain.JobRunning)
+	if leases, _ := p.held.list(time.Now()); len(leases) != 1 || leases[0].Age < 9*time.Second || leases[0].Age > 10*time.Second {
+		t.Errorf("shared leases %+v, want one that is almost 10 s old", leases)
+	}
+	w.SetFaults(worker.Faults{Unreachable: true})
+	state(5*time.Minute, want)
+	if leases, _ := p.held.list(time.Now()); len(leases) != 0 {
+		t.Errorf("the lost lease is still shared: %+v", leases)
+	}
+	if deputies != nil {
+		deputies.withdrawn.Store(true)
+	}
+	state(time.Minute, domain.JobUnknown)
+}
