Acknowledge a deposition after a hand-over has ended

Cause: at the end of a process the manager forgets its partitions before it stops them. A deposition that came meanwhile was acknowledged at once, although the leases were renewed for up to 5 s more. The age of the last renewal was given as none, also where this instance had sent some.

Change: Manager.Depose waits for a hand-over under way and returns the time of the last renewal, also of a partition that ended before.

In a scratch copy the case of the hand-over fails where the manager does not keep the partitions that are handed over: the answer comes before the renewals end and names no renewal.

Conclusion: an acknowledgement is sent after the last renewal.

--- a/internal/app/taskplane/leases.go
+++ b/internal/app/taskplane/leases.go
@@ -106,16 +106,32 @@
 	return lists
 }
 
-// LastRenewal returns when this instance last sent a renewal or acquisition for
-// the partition, or the zero value.
-func (m *Manager) LastRenewal(id domain.PartitionID) time.Time {
+// Depose stops the partition where it runs here under a lower epoch. It returns
+// when this instance renews no lease of it any more, with the time at which the
+// last renewal or acquisition was sent, or zero where there was none. It returns
+// false where the partition runs here under the epoch or a higher one.
+func (m *Manager) Depose(id domain.PartitionID, epoch domain.Epoch) (time.Time, bool) {
+	m.mu.Lock()
+	p := m.owned[id]
+	leaving := m.leaving[id]
+	m.mu.Unlock()
+	if p != nil && p.epoch >= epoch {
+		return time.Time{}, false
+	}
+	if leaving != nil {
+		<-leaving.done
+	}
+	if p != nil {
+		p.Stop()
+		m.forget(id, p)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last := m.renewed[id]
-	if p, ok := m.owned[id]; ok && p.held.lastRenewal().After(last) {
-		last = p.held.lastRenewal()
+	if leaving != nil && leaving.held.lastRenewal().After(last) {
+		last = leaving.held.lastRenewal()
 	}
-	return last
+	return last, true
 }
 
 // noteRenewal is called with the lock held when the partition has ended.
--- a/internal/app/taskplane/leases_test.go
+++ b/internal/app/taskplane/leases_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// options are those of a partition over the stand-ins of the store and one worker.
+func options(w *worker.Worker, c LeaseCopies) Options {
+	return Options{
+		Instance: "owner", Store: store.New(), Workers: dialer{w}, Allotments: ample{}, Clock: port.SystemClock{},
+		Weights: policy.Weights{Share: 1, Waiting: 1, Packing: 1}, Log: zap.NewNop(), Metrics: metrics.New(),
+		NewID: rand.Text, Copies: c, ListLag: 30 * time.Second,
+	}
+}
+
+// openWith opens a partition that has had its worker for 5 s.
+func openWith(t *testing.T, ctx context.Context, o Options) *Partition {
+	t.Helper()
+	p, _, err := open(ctx, ctx, o, "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.setInputs(Inputs{Teams: []sched.TeamRow{{ID: "t", Share: 1, Limit: capacity}}})
+	p.setWorkers([]domain.VM{{ID: "w", Role: domain.RoleWorker, Address: "w", Capacity: capacity}})
+	time.Sleep(5 * time.Second)
+	return p
+}
+
 func lostLease(t *testing.T, deputies *copies, want domain.JobState) {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := worker.New("w", capacity)
@@ -76,22 +98,12 @@
 	if deputies != nil {
 		asked = deputies
 	}
-	p, _, err := open(ctx, ctx, Options{
-		Instance: "owner", Store: store.New(), Workers: dialer{w}, Allotments: ample{}, Clock: port.SystemClock{},
-		Weights: policy.Weights{Share: 1, Waiting: 1, Packing: 1}, Log: zap.NewNop(), Metrics: metrics.New(),
-		NewID: rand.Text, Copies: asked, ListLag: 30 * time.Second,
-	}, "p")
-	if err != nil {
-		t.Fatal(err)
-	}
+	p := openWith(t, ctx, options(w, asked))
 	defer func() {
 		w.Restart()
 		cancel()
 		<-p.Done()
 	}()
-	p.setInputs(Inputs{Teams: []sched.TeamRow{{ID: "t", Share: 1, Limit: capacity}}})
-	p.setWorkers([]domain.VM{{ID: "w", Role: domain.RoleWorker, Address: "w", Capacity: capacity}})
-	time.Sleep(5 * time.Second)
 	job, err := p.Submit(ctx, "t", domain.JobSpec{
 		Name: "job", Kind: domain.JobBatch, Tasks: 1, IdempotencyKey: "k", Resources: domain.Resources{CPUMilli: 500, MemoryMB: 500},
 		Command: []string{worker.CommandServe},
@@ -120,3 +132,52 @@
 	}
 	state(time.Minute, domain.JobUnknown)
 }
+
+// Guards against a deposition that is answered while a partition still renews:
+// one that runs, one whose hand-over at the end of the process is under way, and
+// one that ended before.
+func TestDeposeWaitsForRenewals(t *testing.T) {
+	metrics.New().Timer("warm-up")
+	for _, c := range []struct {
+		name  string
+		end   func(m *Manager, p *Partition)
+		epoch domain.Epoch
+		want  bool
+	}{
+		{"it runs", func(*Manager, *Partition) {}, 9, true},
+		{"it is handed over", func(m *Manager, _ *Partition) { go m.HandOver() }, 9, true},
+		{"it runs under that epoch", func(*Manager, *Partition) {}, 1, false},
+		{"it ended", func(m *Manager, p *Partition) { p.Stop(); m.dropEnded() }, 9, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				o := options(worker.New("w", capacity), nil)
+				m := NewManager(o, "r", nil, nil)
+				p := openWith(t, ctx, o)
+				m.owned["p"] = p
+				renewed := p.held.lastRenewal()
+				// The machine is busy for 3 s, which delays the end of the partition.
+				go func() { p.inbox <- func() { time.Sleep(3 * time.Second) } }()
+				synctest.Wait()
+				c.end(m, p)
+				synctest.Wait()
+				last, ok := m.Depose("p", c.epoch)
+				if ok != c.want || ok && last.Before(renewed) {
+					t.Errorf("deposed %v with the last renewal at %s, want %v and %s or later", ok, last, c.want, renewed)
+				}
+				select {
+				case <-p.Done():
+				default:
+					if ok {
+						t.Error("the answer came before the renewals ended")
+					}
+				}
+				cancel()
+				<-p.Done()
+				time.Sleep(time.Minute) // the worker's lease lapses
+			})
+		})
+	}
+}
--- a/internal/app/taskplane/manager.go
+++ b/internal/app/taskplane/manager.go
@@ -69,7 +69,8 @@
 	owned    map[domain.PartitionID]*Partition
 	since    map[domain.PartitionID]time.Time // when the present disagreement about the owner began
 	draining bool
-	renewed  map[domain.PartitionID]time.Time // last renewal of partitions that no longer run here
+	leaving  map[domain.PartitionID]*Partition // handed over at the end of Run
+	renewed  map[domain.PartitionID]time.Time  // last renewal of partitions that no longer run here
 }
 
 // NewManager returns a manager that owns nothing yet.
@@ -148,6 +149,7 @@
 	m.mu.Lock()
 	m.draining = true
 	owned := m.list()
+	m.leaving = m.owned
 	m.owned = make(map[domain.PartitionID]*Partition)
 	m.mu.Unlock()
 	var group sync.WaitGroup
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -154,13 +154,11 @@
 // is sent.
 func (d depositions) AcknowledgeDeposition(_ context.Context, _ domain.InstanceID, partition domain.PartitionID, epoch domain.Epoch) (port.Deposition, error) {
 	last := d.deputy.Depose(partition, epoch)
-	if p, ok := d.manager.Partition(partition); ok {
-		if p.Epoch() >= epoch {
-			return port.Deposition{}, nil
-		}
-		p.Stop()
+	own, ok := d.manager.Depose(partition, epoch)
+	if !ok {
+		return port.Deposition{}, nil
 	}
-	if own := d.manager.LastRenewal(partition); own.After(last) {
+	if own.After(last) {
 		last = own
 	}
 	answer := port.Deposition{Acknowledged: true, SinceLastRenewalMS: -1}
