--- a/internal/app/peering/loop.go
+++ b/internal/app/peering/loop.go
@@ -126,14 +126,15 @@
 
 func (l *loop) snapshot() snapshot {
 	s := snapshot{
-		self:      l.node.Self(),
-		members:   l.node.Members(),
-		allPeers:  l.node.AllPeers(l.node.Self().ConfigVersion),
-		relayed:   l.node.RelayedAll(),
-		regionAck: l.node.RegionAck(),
-		outage:    l.node.Outage(),
-		joined:    l.node.Joined(),
-		replaced:  l.node.Superseded(),
+		self:        l.node.Self(),
+		members:     l.node.Members(),
+		allPeers:    l.node.AllPeers(l.node.Self().ConfigVersion),
+		relayed:     l.node.RelayedAll(),
+		regionAck:   l.node.RegionAck(),
+		outage:      l.node.Outage(),
+		confirmedAt: l.node.StoreConfirmedAt(),
+		joined:      l.node.Joined(),
+		replaced:    l.node.Superseded(),
 	}
 	version, holder := l.node.NewestVersion()
 	s.newestVersion = version
