Bound the effect of unreachable workers on a deputy's renewals

Cause: with 64 calls at once, the timeouts of an availability zone that is cut off (190 workers) would delay the other renewals by three calls of 3 s.

Change: 256 calls at once.

The delay itself was not measured.

--- a/internal/app/deputy/deputy.go
+++ b/internal/app/deputy/deputy.go
@@ -30,8 +30,10 @@
 	retryDelay = time.Second
 	// callTimeout bounds one call to a worker.
 	callTimeout = 3 * time.Second
-	// parallelCalls bounds the renewals under way at once.
-	parallelCalls = 64
+	// parallelCalls bounds the renewals under way at once. It exceeds the workers
+	// of an availability zone (190), so that the timeouts of one that is cut off
+	// do not delay the other renewals by more than one call.
+	parallelCalls = 256
 	// confirmationBound is the same as that of an owner, see section 4.2 of docs/design.md.
 	confirmationBound = 75 * time.Minute
 )
