--- a/internal/adapter/api/api_test.go
+++ b/internal/adapter/api/api_test.go
@@ -197,6 +197,21 @@
 	}
 }
 
+// Guards against a target path that is redirected instead of forwarded as it is.
+func TestQueuePathsAreKept(t *testing.T) {
+	var got string
+	requests := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.URL.Path })
+	h := NewServer(Options{Jobs: &fakeJobs{}, Config: &fakeConfig{}, Cell: &fakeCell{}, Metrics: metrics.New(), Requests: requests})
+	const path = "/v1/queues/counting/request/a//b/../c"
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r.URL.Path = path
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	if got != path || w.Code != http.StatusOK {
+		t.Fatalf("status %d, the request plane got %q", w.Code, got)
+	}
+}
+
 // Guards against a body that crashes the decoder or passes with wrong fields.
 func FuzzSubmit(f *testing.F) {
 	f.Add(goodJob)
--- a/internal/adapter/api/server.go
+++ b/internal/adapter/api/server.go
@@ -94,7 +94,7 @@
 	Jobs   Jobs
 	Config Config
 	Cell   Cell
-	// Requests serves /v1/queues/. It resolves the key itself.
+	// Requests serves the paths below queuesPrefix. It resolves the key itself.
 	Requests http.Handler
 	// ReadTimeout bounds the time in which a JSON body arrives. Zero means no bound.
 	ReadTimeout time.Duration
@@ -123,15 +123,22 @@
 	s.mux.HandleFunc("POST /v1/edits", s.operator(s.edit))
 	s.mux.HandleFunc("GET /v1/status", s.operator(s.cellStatus))
 	s.mux.HandleFunc("POST /v1/drain", s.operator(s.drain))
-	if o.Requests != nil {
-		s.mux.Handle("/v1/queues/", o.Requests)
-	}
 	s.mux.HandleFunc("/", s.unknownPath)
 	return s
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+// queuesPrefix starts the paths of requests on queues.
+const queuesPrefix = "/v1/queues/"
+
+// ServeHTTP implements http.Handler. Requests on queues bypass the mux, which
+// would redirect target paths that contain "//" or "..".
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.o.Requests != nil && strings.HasPrefix(r.URL.Path, queuesPrefix) {
+		s.o.Requests.ServeHTTP(w, r)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, map[string]string{"status": "alive"})
--- a/internal/e2e/cost_test.go
+++ b/internal/e2e/cost_test.go
@@ -157,3 +157,65 @@
 	b.ReportMetric(residentMB(b, i.process.Process.Pid), "MB")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkTakeOver measures the time from the death of an owner until its
+// successor holds the leases of all workers.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, workers := range []int{12, 48, 96} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", workers, 12*workers), func(b *testing.B) { takeOver(b, workers, 12*workers) })
+	}
+}
+
+func takeOver(b *testing.B, workers, tasks int) {
+	c := startCellOf(b, 2, workers)
+	status := c.submit(domain.JobSpec{
+		Name: "replicas", Kind: domain.JobService, Tasks: tasks, Idempotent: true,
+		Resources: domain.Resources{CPUMilli: 500, MemoryMB: 500}, Command: []string{"serve"},
+	})
+	c.eventually(time.Minute, "all replicas run", func() error { return c.running(status.ID, tasks) })
+	c.kill(c.owner())
+	begun := time.Now()
+	successor := c.all()[0]
+	c.eventually(time.Minute, "the successor owns the partition", func() error { return c.leased(successor, 0) })
+	owned := time.Since(begun)
+	c.eventually(time.Minute, "the successor holds all leases", func() error { return c.leased(successor, workers) })
+	b.ReportMetric(owned.Seconds(), "s-to-own")
+	b.ReportMetric(time.Since(begun).Seconds(), "s-to-lease-all")
+	b.ReportMetric(0, "ns/op")
+	if starts := c.extraStarts(status); starts > 0 {
+		b.Errorf("%d tasks were started again", starts)
+	}
+}
+
+// leased returns nil where the instance owns the partition and holds the leases of that many workers.
+func (c *cell) leased(i *instance, workers int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	list, err := c.client(i, c.operator).Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, s := range list {
+		if s.ID != i.id || s.Details == nil || len(s.Details.Partitions) == 0 {
+			continue
+		}
+		if n := s.Details.Partitions[0].Leased; n < workers {
+			return fmt.Errorf("%d of %d leases", n, workers)
+		}
+		return nil
+	}
+	return fmt.Errorf("%s owns no partition", i.id)
+}
+
+// extraStarts counts the starts of tasks beyond the first.
+func (c *cell) extraStarts(j domain.JobStatus) int {
+	extra := 0
+	for task := range j.Spec.Tasks {
+		starts := -1
+		for _, w := range c.stands.Workers {
+			starts += w.Starts(j.ID, task)
+		}
+		extra += max(0, starts)
+	}
+	return extra
+}
