--- a/internal/app/requestplane/hold_test.go
+++ b/internal/app/requestplane/hold_test.go
@@ -115,3 +115,25 @@
 		t.Errorf("leaving server ran %d requests, want the one from before", n)
 	}
 }
+
+// Guards against more connections than the server's row allows, and against
+// requests that fail because of that bound.
+func TestFewerConnectionsThanSlots(t *testing.T) {
+	c := newCell(t, cellOptions{servers: 1, work: 5 * time.Millisecond})
+	c.vms[0].MaxConnections = 2
+	c.plane.UpdateVMs(c.vms)
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if got := c.do(ask{id: strconv.Itoa(i)}); got.status != http.StatusOK {
+				t.Errorf("got %d %q", got.status, got.reason)
+			}
+		}()
+	}
+	wg.Wait()
+	if _, most := c.servers[0].Connections(); most > 2 {
+		t.Errorf("%d connections at once, want at most 2", most)
+	}
+}
--- a/internal/core/route/server.go
+++ b/internal/core/route/server.go
@@ -18,13 +18,18 @@
 	Queues         []domain.QueueID
 }
 
-// FromVM returns the backend server of a list row.
+// FromVM returns the backend server of a list row. Each slot needs a connection,
+// so a server with fewer connections than slots has fewer slots.
 func FromVM(vm domain.VM) ServerInfo {
+	slots := vm.Slots
+	if vm.MaxConnections > 0 {
+		slots = min(slots, vm.MaxConnections)
+	}
 	return ServerInfo{
 		ID:             domain.BackendID(vm.ID),
 		Address:        vm.Address,
 		Location:       vm.Location,
-		Slots:          vm.Slots,
+		Slots:          slots,
 		MaxConnections: vm.MaxConnections,
 		Leaving:        vm.Leaving,
 		Queues:         vm.Queues,
