--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -66,6 +66,12 @@
 		i.peers.SetPartitions(i.ownedPartitions())
 		i.peers.SetSlots(i.freeSlots())
 		i.exchangeConfig()
+		if i.peers.Superseded() {
+			// Two processes of one instance would both answer for it.
+			i.log.Error("another process runs under the name of this instance, this one ends")
+			i.Drain()
+			return
+		}
 	}
 }
 
@@ -115,7 +121,8 @@
 		if current := i.config.Current(); current != nil && current.Version() > 0 {
 			return
 		}
-		if vms, _, _ := i.vms.Last(); i.config.Ready() && vms != nil {
+		// The list may be empty at first; the partition names the zones it shows.
+		if vms, _, _ := i.vms.Last(); i.config.Ready() && len(vms) > 0 {
 			i.createConfig(ctx, key)
 		}
 		sleep(ctx, bootstrapInterval)
