Wait for the calls of a list that was stopped before its deposition

Cause: a deposition waited only for the renewals of a list that it stopped itself. One that news of a higher epoch had stopped before could have calls under way when the deposition was acknowledged. They were noted as sent and named their time, so no lease lived longer than the successor counts on; the contract of Depose was not kept.

Change: stopped lists are kept until a deposition has waited for them.

No test covers this order by itself: the calls are cancelled at once, so the difference cannot be seen reliably.

Conclusion: Depose returns after the last call of any lower epoch.

--- a/internal/app/deputy/deputy.go
+++ b/internal/app/deputy/deputy.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,7 @@
 
 	mu         sync.Mutex
 	partitions map[domain.PartitionID]*partition
+	stopped    map[domain.PartitionID][]*partition // whose last calls a deposition waits for
 	floors     map[domain.PartitionID]domain.Epoch // leases of lower epochs are never renewed
 	renewed    map[domain.PartitionID]time.Time    // when the last renewal was sent
 }
@@ -105,6 +107,7 @@
 	return &Deputy{
 		o:          o,
 		partitions: make(map[domain.PartitionID]*partition),
+		stopped:    make(map[domain.PartitionID][]*partition),
 		floors:     make(map[domain.PartitionID]domain.Epoch),
 		renewed:    make(map[domain.PartitionID]time.Time),
 	}
@@ -182,26 +185,26 @@
 // the last one was sent, or zero where there was none.
 func (d *Deputy) Depose(id domain.PartitionID, epoch domain.Epoch) time.Time {
 	d.mu.Lock()
-	p := d.raise(id, epoch)
+	d.raise(id, epoch)
+	// It may have been stopped before, by news of a higher epoch.
+	stopped := slices.Clone(d.stopped[id])
 	d.mu.Unlock()
-	if p != nil {
+	for _, p := range stopped {
 		p.calls.Wait()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.stopped[id] = slices.DeleteFunc(d.stopped[id], func(p *partition) bool { return slices.Contains(stopped, p) })
 	return d.renewed[id]
 }
 
-// raise forbids renewals below the epoch and returns the partition that it
-// stopped, or nil. It is called with the lock held.
-func (d *Deputy) raise(id domain.PartitionID, epoch domain.Epoch) *partition {
+// raise forbids renewals below the epoch and stops the partition where it has a
+// lower one. It is called with the lock held.
+func (d *Deputy) raise(id domain.PartitionID, epoch domain.Epoch) {
 	d.floors[id] = max(d.floors[id], epoch)
-	p := d.partitions[id]
-	if p == nil || p.epoch >= epoch {
-		return nil
+	if p := d.partitions[id]; p != nil && p.epoch < epoch {
+		d.stop(p)
 	}
-	d.stop(p)
-	return p
 }
 
 // stop is called with the lock held.
@@ -211,6 +214,7 @@
 	}
 	p.stopped = true
 	p.cancel()
+	d.stopped[p.id] = append(d.stopped[p.id], p)
 	if d.partitions[p.id] == p {
 		delete(d.partitions, p.id)
 	}
