sched: give a gang that holds room a constraint of its own

Cause: a gang that held workers shared its constraint with equal jobs. Where a job of a team further below its share found no room first, the queue did not offer the holder in that round, although its held room was free. It waited until HoldMax ended the hold. Change: the constraint of the holder names its job. The job is queued again when the hold begins and when it ends. Before: in TestHolderIsOfferedAfterEqualJob 0 of 2 members run about 8 s after the held workers are free. After: 2 of 2 run. Conclusion: the holder is offered in every round.

--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -114,6 +114,7 @@
 	m.index.HoldRoom(j.ID, req.Size, workers)
 	m.index.ExpectStart(j.ID, fromMillis(m.expectedFree(workers)))
 	j.wait += "; workers are reserved for the gang"
+	m.touch(j)
 	m.dirty = true
 }
 
@@ -189,8 +190,13 @@
 }
 
 func (m *Machine) dropGangHold() {
-	m.index.Unhold(m.gangHold.j.ID)
+	j := m.gangHold.j
+	m.index.Unhold(j.ID)
 	m.gangHold = nil
+	// An ended job is not touched: its hold is dropped while flushTouched goes through the list.
+	if !j.State.Terminal() && !j.Cancelled {
+		m.touch(j)
+	}
 	m.dirty = true
 }
 
--- a/internal/core/sched/gang_test.go
+++ b/internal/core/sched/gang_test.go
@@ -160,6 +160,31 @@
 	}
 }
 
+// Guards against a gang that is not offered, although the room it holds is free,
+// because an equal gang of a team further below its share found none.
+func TestHolderIsOfferedAfterEqualJob(t *testing.T) {
+	c := newCell(t, 3).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		run := int64(1 << 40)
+		if r.Job == "fill" {
+			run = 45_000
+		}
+		return run, domain.OutcomeSucceeded, r.Resources
+	}
+	// Its replica keeps team b above team c, so that c's gang is offered first.
+	c.mustSubmit("service1", "b", domain.JobSpec{Kind: domain.JobService, Idempotent: true, Resources: amount(6, 4)})
+	c.mustSubmit("fill", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(6, 4), Idempotent: true})
+	c.advance(1_000)
+	gang := domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true}
+	c.mustSubmit("holder", "b", gang)
+	c.advance(32_000)
+	c.mustSubmit("equal", "c", gang)
+	c.advance(20_000)
+	if s, _ := c.m.Status("holder"); s.Running != 2 {
+		t.Fatalf("%d of 2 members run on the workers held for them: %s", s.Running, s.Reason)
+	}
+}
+
 // Guards against room that is held for a gang although replicas keep it out.
 func TestGangBehindServices(t *testing.T) {
 	c := newCell(t, 2).begin()
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -140,7 +140,8 @@
 }
 
 // constraint names what restricts the workers of a job's next task, so that the
-// queue skips jobs of the same restrictions after one of them found no room.
+// queue skips jobs of the same restrictions after one of them found no room. A job
+// that holds room finds it where equal jobs do not, so its constraint is its own.
 func (m *Machine) constraint(j *job) string {
 	var b strings.Builder
 	for _, z := range j.Spec.Zones {
@@ -161,6 +162,9 @@
 	for _, id := range m.avoidedNext(j) {
 		b.WriteString("a" + string(id) + " ")
 	}
+	if m.gangHold != nil && m.gangHold.j == j {
+		b.WriteString("holds room for " + string(j.ID))
+	}
 	return b.String()
 }
 
