sched: hold room for several gangs and for large tasks

A large task starved behind small tasks of another team. Change: each job may hold room. One gang at a time holds beyond the bound after GangDelay, as before, because a gang larger than the bound would never start otherwise. An urgent gang ends holds of other jobs on its workers. A job holds for at most 8 tasks, and a started task uses one of them. The package holds has the count of held room and the expected start. Holds stay volatile. Before, trial with TestLargeTasksHoldRoom on: the 8-core task still waits after 140 s. After: it runs. Conclusion: large tasks no longer starve.

--- /dev/null
+++ b/internal/core/holds/holds_test.go
@@ -0,0 +1,67 @@
+package holds
+
+import (
+	"testing"
+	"time"
+
+	"auburnpier/internal/domain"
+)
+
+func cpus(n int64) domain.Resources { return domain.Resources{CPUMilli: n * 1000} }
+
+// Guards against held room beyond the bound, and against room that stays counted after it was given back.
+func TestLedger(t *testing.T) {
+	l := NewLedger()
+	total := cpus(100)
+	l.Add("a", cpus(8))
+	l.AddBeyond("a", cpus(50))
+	cases := []struct {
+		size int64
+		want bool
+	}{{4, true}, {5, false}}
+	for _, tc := range cases {
+		if got := l.Allows(cpus(tc.size), total, 0.12); got != tc.want {
+			t.Errorf("%d of 100 may be held beside 8 within 0.12: %v, want %v", tc.size, got, tc.want)
+		}
+	}
+	if got := l.Team("a"); got != cpus(58) {
+		t.Errorf("the team holds %+v, want 58 cores", got)
+	}
+	l.Remove("a", cpus(8))
+	l.RemoveBeyond("a", cpus(50))
+	if !l.Allows(cpus(12), total, 0.12) || !l.Team("a").IsZero() {
+		t.Errorf("%+v is held by the team after all was given back", l.Team("a"))
+	}
+}
+
+// Guards against backfill that delays the holder because its start was expected too late or at an unknown time.
+func TestExpectedStart(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	after := func(s int) time.Time { return now.Add(time.Duration(s) * time.Second) }
+	cases := []struct {
+		name    string
+		size    int64
+		workers []domain.WorkerID
+		want    time.Time
+	}{
+		{"free now", 2, []domain.WorkerID{"w"}, now},
+		{"the first end is enough", 4, []domain.WorkerID{"w"}, after(10)},
+		{"two members need both ends", 4, []domain.WorkerID{"w", "w"}, after(30)},
+		{"the last worker decides", 4, []domain.WorkerID{"w", "v"}, after(20)},
+		{"too little ends", 9, []domain.WorkerID{"w"}, time.Time{}},
+		{"overdue", 4, []domain.WorkerID{"late"}, time.Time{}},
+	}
+	rooms := map[domain.WorkerID]Room{
+		"w":    {Free: cpus(2), Ends: []End{{after(30), cpus(4)}, {after(10), cpus(2)}}},
+		"v":    {Free: cpus(0), Ends: []End{{after(20), cpus(4)}}},
+		"late": {Free: cpus(0), Ends: []End{{after(-1), cpus(4)}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			got := ExpectedStart(now, cpus(tc.size), tc.workers, func(id domain.WorkerID) Room { return rooms[id] })
+			if !got.Equal(tc.want) {
+				t.Fatalf("expected start is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/core/sched/config.go
+++ b/internal/core/sched/config.go
@@ -54,9 +54,14 @@
 	CanaryRun time.Duration
 	// RackWindow is the time within which half of a rack becomes unreachable in a rack failure.
 	RackWindow time.Duration
-	// GangDelay is the wait after which a gang reserves workers.
+	// GangDelay is the wait after which one gang at a time reserves workers, of
+	// whatever size it is.
 	GangDelay time.Duration
-	// HoldMax is how long a gang holds the same workers before it chooses again,
+	// MaxHeld is the fraction of the partition's dominant resource that other jobs
+	// hold at most. Held room is idle until enough of it is free. The default is
+	// that of the benchmark's counting deployment.
+	MaxHeld float64
+	// HoldMax is how long a job holds the same workers before it chooses again,
 	// and PreemptionHold how long an urgent job holds the room it preempted.
 	HoldMax        time.Duration
 	PreemptionHold time.Duration
@@ -105,6 +110,7 @@
 		CanaryRun:             20 * time.Second,
 		RackWindow:            30 * time.Second,
 		GangDelay:             30 * time.Second,
+		MaxHeld:               0.12,
 		HoldMax:               time.Minute,
 		PreemptionHold:        10 * time.Second,
 		CheckpointGrace:       2 * time.Second,
@@ -145,6 +151,7 @@
 	setDefault(&c.CanaryRun, d.CanaryRun)
 	setDefault(&c.RackWindow, d.RackWindow)
 	setDefault(&c.GangDelay, d.GangDelay)
+	setDefault(&c.MaxHeld, d.MaxHeld)
 	setDefault(&c.HoldMax, d.HoldMax)
 	setDefault(&c.PreemptionHold, d.PreemptionHold)
 	setDefault(&c.CheckpointGrace, d.CheckpointGrace)
--- /dev/null
+++ b/internal/core/sched/hold_test.go
@@ -0,0 +1,176 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"auburnpier/internal/core/placement"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// holdingCell returns a cell of 128 cores that team a's endless tasks fill, with
+// jobs that have waited long enough to hold room. Holds do not end meanwhile.
+func holdingCell(t *testing.T, maxHeld float64) *cell {
+	c := newCell(t, 16)
+	c.cfg.MaxHeld, c.cfg.HoldMax = maxHeld, time.Hour
+	c.begin()
+	c.endless(reservedUsage)
+	c.mustSubmit("fill", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 32, Resources: amount(4, 4), RunTimeMS: 86_400_000, Idempotent: true})
+	c.advance(2_000)
+	large := domain.JobSpec{Kind: domain.JobBatch, Resources: amount(8, 8), RunTimeMS: 5_000}
+	gang := domain.JobSpec{Kind: domain.JobGang, Tasks: 2, Resources: amount(6, 4), SpanZones: true}
+	c.mustSubmit("gang1", "b", gang)
+	c.advance(1_000)
+	c.mustSubmit("gang2", "c", gang)
+	c.advance(1_000)
+	c.mustSubmit("large", "b", large)
+	c.mustSubmit("own", "a", large)
+	c.advance(100_000)
+	return c
+}
+
+func (c *cell) mustHold(want ...domain.JobID) {
+	c.t.Helper()
+	if got := sortedKeys(c.m.holds); !slices.Equal(got, want) {
+		c.t.Fatalf("%v hold room, want %v", got, want)
+	}
+	taken := make(map[domain.WorkerID]domain.JobID)
+	for id, h := range c.m.holds {
+		for _, w := range h.workers {
+			if other, ok := taken[w]; ok && other != id {
+				c.t.Errorf("%s and %s hold worker %s", id, other, w)
+			}
+			taken[w] = id
+		}
+	}
+}
+
+// mustHoldNothing fails where ended jobs left a part of the ledger counted.
+func (c *cell) mustHoldNothing() {
+	c.t.Helper()
+	c.mustHold()
+	if !c.m.held.Allows(domain.Resources{}, c.m.index.Total(), 0) {
+		c.t.Error("room is counted as held without a holder")
+	}
+	for _, row := range c.teams {
+		if held := c.m.held.Team(row.ID); !held.IsZero() {
+			c.t.Errorf("%+v is counted as held by team %s without a holder", held, row.ID)
+		}
+	}
+}
+
+// Guards against room held beyond the bound, for a team above its share, or after its job ended.
+func TestSeveralHolds(t *testing.T) {
+	cases := []struct {
+		name    string
+		maxHeld float64
+		want    []domain.JobID
+	}{
+		{"one gang beyond the bound", 0.05, []domain.JobID{"gang1"}},
+		{"one more gang, or one large task, within the bound", 0, []domain.JobID{"gang1", "gang2"}},
+		{"all but the team above its share", 0.2, []domain.JobID{"gang1", "gang2", "large"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := holdingCell(t, tc.maxHeld)
+			c.mustHold(tc.want...)
+			for _, id := range []domain.JobID{"gang1", "gang2", "large", "own"} {
+				c.step(Cancel{Jobs: []domain.JobID{id}})
+			}
+			c.advance(1_000)
+			c.mustHoldNothing()
+		})
+	}
+}
+
+// Guards against an urgent gang that waits for workers which others hold.
+func TestUrgentGangEndsHolds(t *testing.T) {
+	c := holdingCell(t, 0.2)
+	c.mustHold("gang1", "gang2", "large")
+	c.mustSubmit("now", "b", domain.JobSpec{
+		Kind: domain.JobGang, Tasks: 16, Resources: amount(8, 8), SpanZones: true, Priority: domain.PriorityUrgent,
+	})
+	c.advance(1_000)
+	c.mustHold("now")
+}
+
+// Guards against holds on a lost worker, and against holds that outlive HoldMax.
+func TestHoldsEnd(t *testing.T) {
+	c := holdingCell(t, 0.2)
+	lost := c.m.holds["large"].workers[0]
+	c.setLeaving([]*fakeWorker{c.find(lost)}, true)
+	c.advance(2_000)
+	if h := c.m.holds["large"]; h == nil || slices.Contains(h.workers, lost) {
+		t.Fatalf("the large task holds %+v after worker %s left", h, lost)
+	}
+	c.m.cfg.HoldMax = time.Minute
+	c.m.housekeeping()
+	if h := c.m.holds["gang1"]; h != nil {
+		t.Fatalf("gang1 holds the same workers for more than %v", c.m.cfg.HoldMax)
+	}
+}
+
+// Guards against large tasks that starve because small tasks of another team take all room that frees up.
+func TestLargeTasksHoldRoom(t *testing.T) {
+	c := newCell(t, 16).begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		if r.Job == "large" {
+			return 1 << 40, domain.OutcomeSucceeded, r.Resources
+		}
+		return 20_000 + int64(r.Task)*7_919%20_000, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("small", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 1500, Idempotent: true})
+	c.advance(20_000)
+	c.mustSubmit("large", "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 1, Resources: amount(8, 16), Idempotent: true})
+	c.advance(85_000)
+	c.mustState("large", domain.JobQueued)
+	c.advance(55_000)
+	c.mustState("large", domain.JobRunning)
+	c.mustHoldNothing()
+}
+
+// Guards against the held room of the other tasks that is given up when one of them starts.
+func TestStartedTaskKeepsOtherHolds(t *testing.T) {
+	c := newCell(t, 16)
+	c.cfg.HoldMax = time.Hour
+	c.begin()
+	c.plan = func(r port.StartRequest) (int64, domain.Outcome, domain.Resources) {
+		if r.Job == "fill" {
+			// Ends are reported every 5 s, so the held workers become free in different reports.
+			return 110_000 + int64(r.Task)*6_000, domain.OutcomeSucceeded, r.Resources
+		}
+		return 1 << 40, domain.OutcomeSucceeded, r.Resources
+	}
+	c.mustSubmit("fill", "a", domain.JobSpec{Kind: domain.JobBatch, Tasks: 32, Resources: amount(4, 4), Idempotent: true})
+	c.advance(2_000)
+	c.mustSubmit("large", "b", domain.JobSpec{Kind: domain.JobBatch, Tasks: 2, Resources: amount(6, 4), Idempotent: true})
+	c.advance(100_000)
+	c.mustHold("large")
+	sinceMS := c.m.holds["large"].sinceMS
+	if n := len(c.m.holds["large"].workers); n != 2 {
+		t.Fatalf("room is held for %d of 2 tasks", n)
+	}
+	seen := false
+	for range 1_000 {
+		if s, _ := c.m.Status("large"); s.Running == 1 {
+			c.mustHold("large")
+			seen = true
+			h := c.m.holds["large"]
+			if len(h.workers) != 1 || c.m.held.Team("b") != h.size || h.sinceMS != sinceMS {
+				t.Fatalf("one task started, and room is held for %d others since %d ms with %+v counted",
+					len(h.workers), h.sinceMS-sinceMS, c.m.held.Team("b"))
+			}
+			// Any other job can have at most the 15 workers that are not held.
+			if _, ok := c.m.index.GangCandidates(placement.Request{Size: amount(8, 8)}, 16, true); ok {
+				t.Fatal("the index gave up the room of the second task")
+			}
+		}
+		c.advance(250)
+	}
+	if s, _ := c.m.Status("large"); s.Running != 2 || !seen {
+		t.Fatalf("%d of 2 large tasks run, one before the other: %v; %s", s.Running, seen, s.Reason)
+	}
+	c.mustHoldNothing()
+}
--- a/internal/core/sched/machine.go
+++ b/internal/core/sched/machine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"auburnpier/internal/core/holds"
 	"auburnpier/internal/core/placement"
 	"auburnpier/internal/core/policy"
 	"auburnpier/internal/domain"
@@ -59,7 +60,8 @@
 	formerStopped int64
 	stopping      []*attempt
 	touched       []*job
-	gangHold      *gangHold
+	holds         map[domain.JobID]*hold
+	held          holds.Ledger
 	preemptions   map[domain.JobID]*preemption
 	canaries      []domain.WorkerID
 	stats         Stats
@@ -91,6 +93,8 @@
 		workers:       make(map[domain.WorkerID]*worker),
 		racks:         make(map[rackKey][]*worker),
 		teams:         make(map[domain.TeamID]*team),
+		holds:         make(map[domain.JobID]*hold),
+		held:          holds.NewLedger(),
 		preemptions:   make(map[domain.JobID]*preemption),
 		pendingEnds:   make(map[domain.AttemptID]uint64),
 		stats:         Stats{Retries: make(map[metrics.RetryReason]uint64)},
--- a/internal/core/sched/preempt.go
+++ b/internal/core/sched/preempt.go
@@ -46,9 +46,7 @@
 	if s == nil || len(s.claims) == 0 {
 		return
 	}
-	if m.gangHold != nil && m.gangHold.j == j {
-		m.dropGangHold()
-	}
+	m.dropHold(j.ID)
 	p.claims = append(p.claims, s.claims...)
 	m.preemptions[j.ID] = p
 	m.preemptAll(s.victims)
--- a/internal/core/sched/queue.go
+++ b/internal/core/sched/queue.go
@@ -44,9 +44,7 @@
 
 // released drops what an ended job still holds.
 func (m *Machine) released(j *job) {
-	if m.gangHold != nil && m.gangHold.j == j {
-		m.dropGangHold()
-	}
+	m.dropHold(j.ID)
 	m.dropPreemption(j.ID)
 }
 
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -100,6 +100,7 @@
 		r.misses++
 		m.preempt(j, size, j.waiting(), err)
 		m.pass(r, j, m.missReason(j), waitDetail(err))
+		m.holdRoom(j, req, min(m.readyTasks(j), maxHeldTasks))
 		return
 	}
 	m.popTask(j, restart)
@@ -162,7 +163,7 @@
 	for _, id := range m.avoidedNext(j) {
 		b.WriteString("a" + string(id) + " ")
 	}
-	if m.gangHold != nil && m.gangHold.j == j {
+	if m.holds[j.ID] != nil {
 		b.WriteString("holds room for " + string(j.ID))
 	}
 	return b.String()
@@ -245,6 +246,7 @@
 	r.placed += len(tasks)
 	j.wait = ""
 	m.claimUsed(j, workers[0])
+	m.holdUsed(j, workers[0])
 	m.requeue(j)
 }
 
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -90,6 +90,8 @@
 	moving int
 	// preemptAfterMS is when the job may search for victims again.
 	preemptAfterMS int64
+	// holdAfterMS is when the job may search for workers to hold again.
+	holdAfterMS int64
 	// ceiling bounds learned reservations where one fitted no empty worker.
 	ceiling domain.Resources
 	// wait lists the rejections where the last search found no room.
