bench: count held room and expected starts with the code of the machine

Cause: the benchmark's driver had its own copy of the bound on held room and of the expected start, so a change of one would not change the other. Change: the driver uses holds.Ledger and holds.ExpectedStart, and both use holds.MaxTasks. The order of calls to the queue and the index is the same. What still differs is the choice of workers: the machine leaves out room behind replicas and workers that others hold, keeps the other held room of a job when one of its tasks starts, and lets one gang hold beyond the bound.

--- a/internal/bench/decisions/holds.go
+++ b/internal/bench/decisions/holds.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"auburnpier/internal/core/holds"
 	"auburnpier/internal/core/placement"
 	"auburnpier/internal/domain"
 )
@@ -11,40 +12,34 @@
 // holdAgain is the time after which workers are chosen anew.
 const holdAgain = 60 * time.Second
 
-// maxHeldTasks bounds the tasks of a job, other than a gang, that hold room at once.
-const maxHeldTasks = 8
-
-// holds keeps room for jobs that waited long, within bounds.
-type holds struct {
-	// held is the room that jobs hold, and heldBy its part by team.
-	held   domain.Resources
-	heldBy []domain.Resources
-	total  domain.Resources
+// heldRoom keeps room for jobs that waited long, within bounds.
+type heldRoom struct {
+	held  holds.Ledger
+	total domain.Resources
 	// ends are the expected ends of the tasks on each worker.
 	ends map[domain.WorkerID][]expectedEnd
 }
 
 // expectedEnd is when a task should end by its declared run time.
 type expectedEnd struct {
-	at   time.Time
-	job  domain.JobID
-	size domain.Resources
+	holds.End
+	job domain.JobID
 }
 
-func newHolds(w *Workload) holds {
-	return holds{
-		heldBy: make([]domain.Resources, len(w.Teams)),
-		total:  w.Total(),
-		ends:   make(map[domain.WorkerID][]expectedEnd),
+func newHeldRoom(w *Workload) heldRoom {
+	return heldRoom{
+		held:  holds.NewLedger(),
+		total: w.Total(),
+		ends:  make(map[domain.WorkerID][]expectedEnd),
 	}
 }
 
-func (h *holds) started(worker domain.WorkerID, j *Job, now time.Time) {
-	e := expectedEnd{at: now.Add(j.Declared), job: j.ID, size: j.Size}
+func (h *heldRoom) started(worker domain.WorkerID, j *Job, now time.Time) {
+	e := expectedEnd{End: holds.End{At: now.Add(j.Declared), Size: j.Size}, job: j.ID}
 	h.ends[worker] = append(h.ends[worker], e)
 }
 
-func (h *holds) ended(worker domain.WorkerID, job domain.JobID) {
+func (h *heldRoom) ended(worker domain.WorkerID, job domain.JobID) {
 	list := h.ends[worker]
 	if at := slices.IndexFunc(list, func(e expectedEnd) bool { return e.job == job }); at >= 0 {
 		h.ends[worker] = slices.Delete(list, at, at+1)
@@ -54,31 +49,13 @@
 // expectedStart returns when the workers should have room for the size, as
 // often as each is listed, or a zero time where that is unknown.
 func (s *scheduler) expectedStart(size domain.Resources, workers []domain.WorkerID) time.Time {
-	needs := make(map[domain.WorkerID]int64, len(workers))
-	start := s.now
-	for _, worker := range workers {
-		needs[worker]++
-		free, need := s.Free(worker), size.Scale(needs[worker])
-		if need.Fits(free) {
-			continue
-		}
-		list := slices.Clone(s.ends[worker])
-		slices.SortStableFunc(list, func(a, b expectedEnd) int { return a.at.Compare(b.at) })
-		at := time.Time{}
-		for _, e := range list {
-			if free = free.Add(e.size); need.Fits(free) {
-				at = e.at
-				break
-			}
-		}
-		if !at.After(s.now) {
-			return time.Time{}
+	return holds.ExpectedStart(s.now, size, workers, func(worker domain.WorkerID) holds.Room {
+		r := holds.Room{Free: s.Free(worker)}
+		for _, e := range s.ends[worker] {
+			r.Ends = append(r.Ends, e.End)
 		}
-		if at.After(start) {
-			start = at
-		}
-	}
-	return start
+		return r
+	})
 }
 
 // hold keeps room for a job that waited long.
@@ -90,7 +67,7 @@
 		s.unhold(p)
 	}
 	need := r.Size.Scale(int64(tasks))
-	if s.held.Add(need).DominantShare(s.total) > s.w.MaxHeld || !s.queue.MayHold(p.item.Job, s.heldBy[p.job.Team]) {
+	if !s.held.Allows(need, s.total, s.w.MaxHeld) || !s.queue.MayHold(p.item.Job, s.held.Team(p.item.Team)) {
 		return
 	}
 	workers, ok := s.index.GangCandidates(r, tasks, false)
@@ -99,8 +76,7 @@
 	}
 	s.index.HoldRoom(p.item.Job, r.Size, workers)
 	s.index.ExpectStart(p.item.Job, s.expectedStart(r.Size, workers))
-	s.held = s.held.Add(need)
-	s.heldBy[p.job.Team] = s.heldBy[p.job.Team].Add(need)
+	s.held.Add(p.item.Team, need)
 	p.holds, p.since = need, s.now
 	p.item.Constraint = "holds room for " + string(p.item.Job)
 	s.queue.Push(p.item)
@@ -116,8 +92,7 @@
 		return
 	}
 	p.holds = p.holds.Sub(p.item.Size)
-	s.held = s.held.Sub(p.item.Size)
-	s.heldBy[p.job.Team] = s.heldBy[p.job.Team].Sub(p.item.Size)
+	s.held.Remove(p.item.Team, p.item.Size)
 }
 
 // unhold gives back what the job holds.
@@ -126,8 +101,7 @@
 		return
 	}
 	s.index.Unhold(p.item.Job)
-	s.held = s.held.Sub(p.holds)
-	s.heldBy[p.job.Team] = s.heldBy[p.job.Team].Sub(p.holds)
+	s.held.Remove(p.item.Team, p.holds)
 	p.holds = domain.Resources{}
 	p.item.Constraint = constraintOf(p.job)
 }
--- a/internal/bench/decisions/scheduler.go
+++ b/internal/bench/decisions/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"auburnpier/internal/core/holds"
 	"auburnpier/internal/core/placement"
 	"auburnpier/internal/core/policy"
 	"auburnpier/internal/domain"
@@ -27,7 +28,7 @@
 	queue policy.Queue
 	index placement.Index
 	jobs  map[domain.JobID]*pending
-	holds
+	heldRoom
 	now time.Time
 }
 
@@ -43,11 +44,11 @@
 // newScheduler returns a scheduler over the fleet and the teams of w.
 func newScheduler(w *Workload) *scheduler {
 	s := &scheduler{
-		w:     w,
-		queue: policy.NewQueue(policy.Options{Weights: w.Weights, ReservationDelay: w.ReservationDelay}),
-		index: newFilledIndex(w),
-		jobs:  make(map[domain.JobID]*pending),
-		holds: newHolds(w),
+		w:        w,
+		queue:    policy.NewQueue(policy.Options{Weights: w.Weights, ReservationDelay: w.ReservationDelay}),
+		index:    newFilledIndex(w),
+		jobs:     make(map[domain.JobID]*pending),
+		heldRoom: newHeldRoom(w),
 	}
 	s.queue.SetTotal(w.Total())
 	s.queue.SetTeams(w.Teams)
@@ -108,7 +109,7 @@
 	}
 	worker, err := s.index.Place(r)
 	if err != nil {
-		s.hold(p, r, min(p.item.Tasks, maxHeldTasks))
+		s.hold(p, r, min(p.item.Tasks, holds.MaxTasks))
 		s.queue.Pass(p.item.Job, policy.WaitNoRoom)
 		s.end()
 		return
--- a/internal/core/holds/holds.go
+++ b/internal/core/holds/holds.go
@@ -9,6 +9,9 @@
 	"auburnpier/internal/domain"
 )
 
+// MaxTasks bounds the tasks of a job, other than a gang, that hold room at once.
+const MaxTasks = 8
+
 // Ledger counts what jobs hold, in all and by team. Held room is idle until
 // enough of it is free, so the sum is bounded.
 type Ledger struct {
--- a/internal/core/sched/hold.go
+++ b/internal/core/sched/hold.go
@@ -10,9 +10,6 @@
 	"auburnpier/internal/domain"
 )
 
-// maxHeldTasks bounds the tasks of a job, other than a gang, that hold room at once.
-const maxHeldTasks = 8
-
 // holdPauseMS is the least time between two searches for workers to hold by one
 // job: a search without result looks at every worker.
 const holdPauseMS = 1000
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"auburnpier/internal/core/holds"
 	"auburnpier/internal/core/placement"
 	"auburnpier/internal/core/policy"
 	"auburnpier/internal/domain"
@@ -100,7 +101,7 @@
 		r.misses++
 		m.preempt(j, size, j.waiting(), err)
 		m.pass(r, j, m.missReason(j), waitDetail(err))
-		m.holdRoom(j, req, min(m.readyTasks(j), maxHeldTasks))
+		m.holdRoom(j, req, min(m.readyTasks(j), holds.MaxTasks))
 		return
 	}
 	m.popTask(j, restart)
