sched: leave the searches of a round to jobs that hold no room

Jobs behind the holders were not offered. Change: a miss of a holder does not count towards MaxMisses, and no job begins a hold within MaxHeld while MaxMisses jobs hold room. Before: in TestHoldersLeaveSearchesToOthers the small job is queued after 15 s beside a free worker. After: it runs. Trial mutations of both parts of the change fail the test.

--- a/internal/core/sched/config.go
+++ b/internal/core/sched/config.go
@@ -20,7 +20,8 @@
 	MemoryHeadroomPercent int64
 	// MaxPlacements bounds the tasks placed in one round, and so the time of one Step.
 	MaxPlacements int
-	// MaxMisses bounds the jobs that find no room in one round.
+	// MaxMisses bounds the jobs that find no room in one round, and apart from them
+	// the jobs that hold room.
 	MaxMisses int
 	// MaxPasses bounds the jobs that one round passes over without a search,
 	// because a smaller request found no room or restarts are at their rate.
--- a/internal/core/sched/gang.go
+++ b/internal/core/sched/gang.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if err != nil {
-		r.misses++
+		m.missed(r, j)
 		m.preempt(j, size, n, err)
 		m.pass(r, j, m.missReason(j), waitDetail(err))
 		m.holdRoom(j, req, n)
--- a/internal/core/sched/hold.go
+++ b/internal/core/sched/hold.go
@@ -73,7 +73,7 @@
 			return true, true
 		}
 	}
-	if j.urgent() || !m.held.Allows(need, m.index.Total(), m.cfg.MaxHeld) {
+	if j.urgent() || len(m.holds) >= m.cfg.MaxMisses || !m.held.Allows(need, m.index.Total(), m.cfg.MaxHeld) {
 		return false, false
 	}
 	return false, m.queue.MayHold(j.ID, m.held.Team(j.Team))
--- a/internal/core/sched/hold_test.go
+++ b/internal/core/sched/hold_test.go
@@ -96,6 +96,22 @@
 	c.mustHold("now")
 }
 
+// Guards against holders that use up the searches of every round, so that a job
+// with room is never offered, and against more holders than a round may search for.
+func TestHoldersLeaveSearchesToOthers(t *testing.T) {
+	c := holdingCell(t, 0.2)
+	c.m.cfg.MaxMisses = 2
+	c.mustHold("gang1", "gang2", "large")
+	c.workers = append(c.workers, newFakeWorker("w900", "z0", "rack9", amount(2, 40)))
+	c.listed["w900"] = true
+	c.mustSubmit("small", "a", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(2, 2)})
+	c.advance(15_000)
+	c.mustState("small", domain.JobRunning)
+	c.mustSubmit("more", "c", domain.JobSpec{Kind: domain.JobBatch, Resources: amount(5, 8)})
+	c.advance(100_000)
+	c.mustHold("gang1", "gang2", "large")
+}
+
 // Guards against holds on a lost worker, and against holds that outlive HoldMax.
 func TestHoldsEnd(t *testing.T) {
 	c := holdingCell(t, 0.2)
--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// missed counts a search without result. Holders are searched for in every round and
+// their number is bounded, so they leave MaxMisses to the other jobs.
+func (m *Machine) missed(r *round, j *job) {
+	if m.holds[j.ID] == nil {
+		r.misses++
+	}
+}
+
 // pass leaves the job out of the rest of the round. The detail is kept for explain.
 func (m *Machine) pass(r *round, j *job, reason policy.WaitReason, detail string) {
 	r.passes++
@@ -98,7 +106,7 @@
 		return
 	}
 	if err != nil {
-		r.misses++
+		m.missed(r, j)
 		m.preempt(j, size, j.waiting(), err)
 		m.pass(r, j, m.missReason(j), waitDetail(err))
 		m.holdRoom(j, req, min(m.readyTasks(j), holds.MaxTasks))
