--- a/internal/core/sched/round.go
+++ b/internal/core/sched/round.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"auburnpier/internal/core/holds"
 	"auburnpier/internal/core/placement"
 	"auburnpier/internal/core/policy"
 	"auburnpier/internal/domain"
@@ -71,6 +72,14 @@
 	}
 }
 
+// missed counts a search without result. Holders are searched for in every round and
+// their number is bounded, so they leave MaxMisses to the other jobs.
+func (m *Machine) missed(r *round, j *job) {
+	if m.holds[j.ID] == nil {
+		r.misses++
+	}
+}
+
 // pass leaves the job out of the rest of the round. The detail is kept for explain.
 func (m *Machine) pass(r *round, j *job, reason policy.WaitReason, detail string) {
 	r.passes++
@@ -97,9 +106,10 @@
 		return
 	}
 	if err != nil {
-		r.misses++
+		m.missed(r, j)
 		m.preempt(j, size, j.waiting(), err)
 		m.pass(r, j, m.missReason(j), waitDetail(err))
+		m.holdRoom(j, req, min(m.readyTasks(j), holds.MaxTasks))
 		return
 	}
 	m.popTask(j, restart)
@@ -140,7 +150,8 @@
 }
 
 // constraint names what restricts the workers of a job's next task, so that the
-// queue skips jobs of the same restrictions after one of them found no room.
+// queue skips jobs of the same restrictions after one of them found no room. A job
+// that holds room finds it where equal jobs do not, so its constraint is its own.
 func (m *Machine) constraint(j *job) string {
 	var b strings.Builder
 	for _, z := range j.Spec.Zones {
@@ -161,6 +172,9 @@
 	for _, id := range m.avoidedNext(j) {
 		b.WriteString("a" + string(id) + " ")
 	}
+	if m.holds[j.ID] != nil {
+		b.WriteString("holds room for " + string(j.ID))
+	}
 	return b.String()
 }
 
@@ -241,6 +255,7 @@
 	r.placed += len(tasks)
 	j.wait = ""
 	m.claimUsed(j, workers[0])
+	m.holdUsed(j, workers[0])
 	m.requeue(j)
 }
 
