--- a/internal/app/taskplane/options.go
+++ b/internal/app/taskplane/options.go
@@ -61,8 +61,12 @@
 	Allotments Allotments
 	Clock      port.Clock
 	Weights    policy.Weights
-	Log        *zap.Logger
-	Metrics    *metrics.Registry
+	// MaxHeld is the part of a partition that waiting jobs may hold.
+	MaxHeld float64
+	// ReservationDelay is how long a job waits until room is held for it.
+	ReservationDelay time.Duration
+	Log              *zap.Logger
+	Metrics          *metrics.Registry
 	// NewID returns unique IDs of 26 characters or fewer without a dot.
 	NewID func() string
 	// Copies tells whether a deputy may renew a lease of this instance. It may
--- a/internal/app/taskplane/partition.go
+++ b/internal/app/taskplane/partition.go
@@ -94,8 +94,11 @@
 	cfg.Partition = id
 	cfg.LeaseTTL = leaseTTL
 	cfg.ListLag = o.ListLag
+	if o.MaxHeld > 0 {
+		cfg.MaxHeld = o.MaxHeld
+	}
 	index := placement.NewIndex(placement.Options{Packing: o.Weights.Packing})
-	queue := policy.NewQueue(policy.Options{Weights: o.Weights})
+	queue := policy.NewQueue(policy.Options{Weights: o.Weights, ReservationDelay: o.ReservationDelay})
 	return &Partition{
 		id:       id,
 		o:        o,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -97,6 +97,11 @@
 	WaitingWeight float64 `json:"waiting_weight"`
 	// PackingWeight is 0 to spread tasks evenly, 1 to fill the fullest worker that has room.
 	PackingWeight float64 `json:"packing_weight"`
+	// MaxHeld is the part of a partition, by its dominant resource, that gangs
+	// and large tasks may hold while they wait.
+	MaxHeld float64 `json:"max_held"`
+	// ReservationDelayMS is how long a job waits until room is held for it.
+	ReservationDelayMS int64 `json:"reservation_delay_ms"`
 }
 
 // Requests bounds what callers may send.
@@ -132,7 +137,10 @@
 	return Settings{
 		Store:  Store{Adapter: "http", TimeoutMS: 1500},
 		VMList: VMList{PollMS: 1000, LagMS: 30000},
-		Policy: Policy{ShareWeight: 1, WaitingWeight: 0.02, PackingWeight: 0.8},
+		Policy: Policy{
+			ShareWeight: 1, WaitingWeight: 0.02, PackingWeight: 0.8,
+			MaxHeld: 0.12, ReservationDelayMS: 90_000,
+		},
 		Requests: Requests{
 			MaxBodyBytes:    64 << 20,
 			MaxHeaderBytes:  32 << 10,
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -47,6 +47,8 @@
 	v.weight("policy.share_weight", s.Policy.ShareWeight, maxWeight)
 	v.weight("policy.waiting_weight", s.Policy.WaitingWeight, maxWeight)
 	v.weight("policy.packing_weight", s.Policy.PackingWeight, 1)
+	v.between("policy.reservation_delay_ms", s.Policy.ReservationDelayMS, 1_000, 3_600_000)
+	v.fraction("policy.max_held", s.Policy.MaxHeld)
 	s.validateRequests(v)
 	v.between("shutdown.balancer_delay_ms", s.Shutdown.BalancerDelayMS, 0, 60_000)
 	v.between("shutdown.bound_ms", s.Shutdown.BoundMS, 100, 600_000)
@@ -103,6 +105,15 @@
 	}
 }
 
+// minHeld keeps the part from being zero, which the scheduler takes as its default.
+const minHeld = 0.01
+
+func (v *validator) fraction(path string, value float64) {
+	if !(value >= minHeld && value <= 1) {
+		v.add(path, fmt.Sprint(value), fmt.Sprintf("%g to 1", minHeld), "set a part of the partition in that range or remove the field for the default")
+	}
+}
+
 func (v *validator) oneOf(path, value string, allowed ...string) {
 	if !slices.Contains(allowed, value) {
 		v.add(path, fmt.Sprintf("%q", value), fmt.Sprintf("one of %q", allowed), "choose one of them")
