--- a/internal/app/journal/group.go
+++ b/internal/app/journal/group.go
@@ -20,6 +20,9 @@
 	RingSlots = 256
 	// MaxChunkBytes bounds one chunk of a snapshot.
 	MaxChunkBytes = 512 << 10
+	// maxChunks bounds a snapshot to 512 MB, so that a damaged manifest cannot
+	// ask for any amount of memory.
+	maxChunks = 1024
 	// MaxGroupBytes bounds the records of one group. The store holds values up
 	// to 1 MB; the rest is room for the group's own fields.
 	MaxGroupBytes = 900 << 10
--- a/internal/app/journal/recover.go
+++ b/internal/app/journal/recover.go
@@ -216,6 +216,9 @@
 
 func (l *Log) assemble(v *view) ([]byte, error) {
 	m := v.manifest
+	if m.Chunks > maxChunks || m.Length < 0 || m.Length > m.Chunks*MaxChunkBytes {
+		return nil, &CorruptError{Partition: l.partition, Detail: "the manifest names an impossible size"}
+	}
 	state := make([]byte, 0, m.Length)
 	for i := range m.Chunks {
 		e, ok := v.chunks[chunkKey(l.partition, m.Generation, i)]
