--- a/internal/app/journal/journal_test.go
+++ b/internal/app/journal/journal_test.go
@@ -177,8 +177,11 @@
 				successor.mustTakeOver()
 				successor.mustAppend(2)
 				var deposed *DeposedError
-				if err := c.act(paused); !errors.As(err, &deposed) {
-					t.Fatalf("error is %v, want a deposition", err)
+				// A second try must not succeed where the first one was refused.
+				for range 2 {
+					if err := c.act(paused); !errors.As(err, &deposed) {
+						t.Fatalf("error is %v, want a deposition", err)
+					}
 				}
 				checkSequence(t, values(t, newOwner(t, base, "third").mustTakeOver()), 3)
 			})
--- a/internal/app/journal/log.go
+++ b/internal/app/journal/log.go
@@ -38,6 +38,9 @@
 	manifest         manifest
 	manifestRevision int64
 	chunkRevisions   map[string]int64
+
+	// deposed is returned by every call after the first deposition.
+	deposed *DeposedError
 }
 
 // Epoch returns the epoch of this owner.
@@ -54,17 +57,26 @@
 // the group is then unknown, and the log must not be used again. It returns a
 // *DeposedError where another owner took over.
 func (l *Log) Append(ctx context.Context, records []cbor.RawMessage) (uint64, error) {
+	if l.deposed != nil {
+		return 0, l.deposed
+	}
 	if l.next-l.manifest.Covered > RingSlots-takeoverReserve {
 		return 0, &RingFullError{Partition: l.partition, Number: l.next, Covered: l.manifest.Covered}
 	}
 	g := Group{Epoch: l.epoch, Number: l.next, ID: l.newID(), Records: records}
 	if err := l.put(ctx, &g); err != nil {
-		return 0, err
+		return 0, l.note(err)
 	}
 	l.next++
 	return g.Number, nil
 }
 
+// note remembers a deposition.
+func (l *Log) note(err error) error {
+	errors.As(err, &l.deposed)
+	return err
+}
+
 // put writes the group into its slot, reading back where the outcome is unknown.
 func (l *Log) put(ctx context.Context, g *Group) error {
 	value, err := cbor.Marshal(g)
@@ -106,9 +118,6 @@
 		l.revisions[g.Number%RingSlots] = found.Revision
 		return nil
 	}
-	if other.Number == g.Number {
-		l.revisions[g.Number%RingSlots] = found.Revision
-	}
 	return &DeposedError{Partition: l.partition, Epoch: l.epoch, By: other}
 }
 
@@ -139,6 +148,9 @@
 // still the last one, a *DeposedError where a successor wrote there, or a
 // store error where neither is known.
 func (l *Log) Confirm(ctx context.Context) error {
+	if l.deposed != nil {
+		return l.deposed
+	}
 	e, err := l.store.Get(ctx, slotKey(l.partition, l.next%RingSlots))
 	var notFound *port.NotFoundError
 	if errors.As(err, &notFound) {
@@ -152,7 +164,7 @@
 		return &CorruptError{Partition: l.partition, Detail: e.Key + ": " + err.Error()}
 	}
 	if g.Number >= l.next {
-		return &DeposedError{Partition: l.partition, Epoch: l.epoch, By: g}
+		return l.note(&DeposedError{Partition: l.partition, Epoch: l.epoch, By: g})
 	}
 	return nil
 }
--- a/internal/app/journal/snapshot.go
+++ b/internal/app/journal/snapshot.go
@@ -12,6 +12,9 @@
 // WriteSnapshot makes state the snapshot that covers all groups up to covered.
 // The former snapshot stays in force until the manifest is rewritten.
 func (l *Log) WriteSnapshot(ctx context.Context, covered uint64, state []byte) error {
+	if l.deposed != nil {
+		return l.deposed
+	}
 	m := manifest{
 		Epoch:      l.epoch,
 		Generation: l.manifest.Generation + 1,
@@ -26,7 +29,7 @@
 			return err
 		}
 	}
-	return l.putManifest(ctx, m)
+	return l.note(l.putManifest(ctx, m))
 }
 
 // putChunk writes a chunk of the generation that is not in force. A former
