--- a/internal/daemon/allotments.go
+++ b/internal/daemon/allotments.go
@@ -243,7 +243,7 @@
 	go func() {
 		err := a.reclaimer.Reclaim(ctx, id, holder)
 		if err == nil {
-			err = a.i.records.remove(ctx, id, incarnation)
+			err = a.i.registry.remove(ctx, id, incarnation)
 		}
 		a.i.log.Info("reclaim ended", zap.String("holder", holder), zap.Error(err))
 		a.mu.Lock()
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -37,7 +37,7 @@
 		case <-ctx.Done():
 			return
 		case snapshot := <-versions:
-			i.amounts.setConfig(snapshot.Doc)
+			i.allotments.setConfig(snapshot.Doc)
 			i.manager.SetInputs(inputs(snapshot.Doc))
 			i.log.Info("configuration in force", zap.Uint64("version", snapshot.Version()))
 		}
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -47,18 +47,18 @@
 	clock    port.Clock
 	started  time.Time
 
-	store   port.Store
-	watch   *sharedwatch.Watcher
-	peers   *peering.Service
-	config  *confsync.Sync
-	manager *taskplane.Manager
-	deputy  *deputy.Deputy
-	sharer  *deputy.Sharer
-	router  *taskplane.Router
-	plane   *requestplane.Plane
-	amounts *allotments
-	records *registry
-	vms     *vmlisthttp.Poller
+	store      port.Store
+	watch      *sharedwatch.Watcher
+	peers      *peering.Service
+	config     *confsync.Sync
+	manager    *taskplane.Manager
+	deputy     *deputy.Deputy
+	sharer     *deputy.Sharer
+	router     *taskplane.Router
+	plane      *requestplane.Plane
+	allotments *allotments
+	registry   *registry
+	vms        *vmlisthttp.Poller
 
 	listener net.Listener
 	server   *http.Server
@@ -90,8 +90,8 @@
 		Peers:    configPeers{peers: i.peers, applied: i.appliedVersion},
 		Announce: i.announce,
 	})
-	i.amounts = newAllotments(i)
-	i.records = newRegistry(i)
+	i.allotments = newAllotments(i)
+	i.registry = newRegistry(i)
 	i.newTaskPlane()
 	i.newRequestPlane()
 	i.vms = vmlisthttp.NewPoller(vmlisthttp.NewClient(s.VMList.Address), i.clock, i.deliverVMs)
@@ -170,7 +170,7 @@
 		Store:            i.store,
 		Workers:          workers,
 		Copies:           i.sharer,
-		Allotments:       i.amounts.tasks,
+		Allotments:       i.allotments.tasks,
 		Clock:            i.clock,
 		Weights:          policy.Weights{Share: p.ShareWeight, Waiting: p.WaitingWeight, Packing: p.PackingWeight},
 		MaxHeld:          p.MaxHeld,
@@ -197,8 +197,8 @@
 	i.plane = requestplane.New(requestplane.Options{
 		Location:        domain.Location{Region: s.Location.Region, Zone: s.Location.Zone},
 		Admission:       admission{config: i.config},
-		Slots:           allotment.ServerSlots{Ledger: i.amounts.slots},
-		Teams:           allotment.TeamRequests{Ledger: i.amounts.teams},
+		Slots:           allotment.ServerSlots{Ledger: i.allotments.slots},
+		Teams:           allotment.TeamRequests{Ledger: i.allotments.teams},
 		Peers:           newOverflow(i.peers, i.clock.Now),
 		Clock:           i.clock,
 		Metrics:         i.metrics,
@@ -212,7 +212,7 @@
 	if err := i.peers.ObserveVMs(context.Background(), vms); err != nil {
 		i.log.Warn("the platform's list was not compared with the members", zap.Error(err))
 	}
-	i.amounts.setVMs(vms)
+	i.allotments.setVMs(vms)
 	i.manager.SetVMs(vms)
 	i.plane.UpdateVMs(vms)
 }
@@ -281,8 +281,8 @@
 	group.Go(func() { i.runPeers(parts) })
 	group.Go(func() { i.feedConfig(parts) })
 	group.Go(func() { i.vms.Run(parts) })
-	group.Go(func() { i.amounts.run(parts) })
-	group.Go(func() { i.records.run(parts) })
+	group.Go(func() { i.allotments.run(parts) })
+	group.Go(func() { i.registry.run(parts) })
 	group.Go(func() { i.plane.Run(parts) })
 	group.Go(func() { i.deputy.Run(parts) })
 	group.Go(func() { i.sharer.Run(parts) })
@@ -325,8 +325,8 @@
 	case <-managed:
 	case <-ctx.Done():
 	}
-	err = errors.CombineErrors(err, i.amounts.leave(ctx))
-	err = errors.CombineErrors(err, i.records.remove(ctx, i.settings.Instance, uint64(i.started.UnixMilli())))
+	err = errors.CombineErrors(err, i.allotments.leave(ctx))
+	err = errors.CombineErrors(err, i.registry.remove(ctx, i.settings.Instance, uint64(i.started.UnixMilli())))
 	i.log.Info("graceful shutdown ends", zap.Duration("took", i.clock.Now().Sub(start)), zap.Error(err))
 	return err
 }
--- a/internal/e2e/requests_test.go
+++ b/internal/e2e/requests_test.go
@@ -12,7 +12,9 @@
 
 	"auburnpier/internal/adapter/apiclient"
 	"auburnpier/internal/core/confdoc"
+	"auburnpier/internal/domain"
 	"auburnpier/internal/refusal"
+	"auburnpier/internal/standin/backend"
 )
 
 // balancer sends requests to instances that are ready, as the platform's
@@ -261,3 +263,61 @@
 	}
 	return nil
 }
+
+// ranAt returns how many requests the server has run.
+func (c *cell) ranAt(id domain.BackendID) int {
+	n := 0
+	for _, times := range c.stands.Backends[id].Ran() {
+		n += times
+	}
+	return n
+}
+
+// Guards against new work for a backend server that the platform lists as leaving.
+func TestLeavingBackendServer(t *testing.T) {
+	c := startCell(t, 3)
+	l := c.startLoad(c.startBalancer(), 8)
+	time.Sleep(2 * time.Second)
+	const leaving = domain.BackendID("backend-01")
+	before := c.ranAt(leaving)
+	c.stands.VMs.SetLeaving(string(leaving))
+	begun := time.Now()
+	last, seen := begun, before
+	for time.Since(begun) < 8*time.Second {
+		time.Sleep(20 * time.Millisecond)
+		if now := c.ranAt(leaving); now != seen {
+			last, seen = time.Now(), now
+		}
+	}
+	l.end()
+	t.Logf("the last request was %d ms after the server was listed as leaving", last.Sub(begun).Milliseconds())
+	if before == 0 {
+		t.Error("the server had no request before, so nothing was checked")
+	}
+	if last.Sub(begun) > 5*time.Second {
+		t.Errorf("the server got new work %s after it was listed as leaving, 5 s are allowed", last.Sub(begun))
+	}
+	if l.answered.Load() != l.sent.Load() {
+		t.Errorf("%d of %d requests were not answered: %v %v", l.sent.Load()-l.answered.Load(), l.sent.Load(), l.refused, l.broken)
+	}
+}
+
+// Guards against a second signal that is ignored while an instance drains.
+func TestSecondSignal(t *testing.T) {
+	c := startCell(t, 2)
+	i := c.all()[0]
+	c.stands.Backends["backend-00"].SetFault(backend.Fault{Kind: backend.Slow, Delay: 20 * time.Second})
+	c.signal(i, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	c.signal(i, syscall.SIGTERM)
+	select {
+	case <-i.exited:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the process goes on draining after the second signal")
+	}
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("the process ended %s after the second signal", took)
+	}
+	c.forget(i)
+}
