Wait for requests in flight before a dead holder's slots are used again

Cause: found by reading. A holder's authority ends 6 s after its last proof, and its slots were claimed 2 s later, while a backend server may go on with requests that the holder had sent.

--- a/internal/app/allotment/reclaim.go
+++ b/internal/app/allotment/reclaim.go
@@ -84,11 +84,16 @@
 	ledgers []*Ledger
 	bars    *Bars
 	peers   Peers
+	// inFlight is how long work that began under the authority may go on.
+	inFlight time.Duration
 }
 
-// NewReclaimer returns a reclaimer for the ledgers of the region.
-func NewReclaimer(bars *Bars, peers Peers, ledgers ...*Ledger) *Reclaimer {
-	return &Reclaimer{ledgers: ledgers, bars: bars, peers: peers}
+// NewReclaimer returns a reclaimer for the ledgers of the region. Work that
+// began just before the authority ended may go on for the time in flight: a
+// backend server goes on with a request whose instance died, so its slot is
+// given to another holder only after that time too.
+func NewReclaimer(bars *Bars, peers Peers, inFlight time.Duration, ledgers ...*Ledger) *Reclaimer {
+	return &Reclaimer{ledgers: ledgers, bars: bars, peers: peers, inFlight: inFlight}
 }
 
 // Reclaim takes back what the holder, a process of the instance, has in each
@@ -102,7 +107,7 @@
 	if err := r.barEverywhere(ctx, instance, holder); err != nil {
 		return err
 	}
-	if !sleep(ctx, reclaimWait) {
+	if !sleep(ctx, reclaimWait+r.inFlight) {
 		return ctx.Err()
 	}
 	return r.each(ctx, func(l *Ledger) error { return l.reclaim(ctx, holder) })
--- a/internal/app/allotment/reclaim_test.go
+++ b/internal/app/allotment/reclaim_test.go
@@ -65,7 +65,7 @@
 				// The polls that began before the fault end. They would show the
 				// holder its revocation.
 				time.Sleep(2100 * time.Millisecond)
-				r := NewReclaimer(cell.nodes[1].bars, cell.nodes[1], cell.nodes[1].Ledger)
+				r := NewReclaimer(cell.nodes[1].bars, cell.nodes[1], 0, cell.nodes[1].Ledger)
 				done := make(chan error, 1)
 				call, cancel := context.WithTimeout(ctx, 30*time.Second)
 				defer cancel()
@@ -107,6 +107,25 @@
 	return got
 }
 
+// Work that a dead holder began may go on at a backend server, so its amounts
+// must not reach another holder before the time in flight has passed too.
+func TestReclaimWaitsForWorkInFlight(t *testing.T) {
+	const inFlight = 20 * time.Second
+	inCell(t, 3, 30, func(t *testing.T, ctx context.Context, c *cell) {
+		fill(c.nodes[0], 30)
+		holder := c.nodes[0].name
+		c.isolate(0)
+		begun := time.Now()
+		r := NewReclaimer(c.nodes[1].bars, c.nodes[1], inFlight, c.nodes[1].Ledger)
+		if err := r.Reclaim(ctx, domain.InstanceID(holder), holder); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took < AuthorityTime+inFlight {
+			t.Fatalf("reclaimed after %s, work of the holder may go on for %s after its authority", took, inFlight)
+		}
+	})
+}
+
 // A holder of another region is not reclaimed from here: its peers would not
 // be asked for bars.
 func TestReclaimOtherRegion(t *testing.T) {
@@ -114,7 +133,7 @@
 		c.nodes[1].mu.Lock()
 		c.nodes[1].region = "mora"
 		c.nodes[1].mu.Unlock()
-		err := NewReclaimer(c.nodes[1].bars, c.nodes[1], c.nodes[1].Ledger).Reclaim(ctx, domain.InstanceID(c.nodes[0].name), c.nodes[0].name)
+		err := NewReclaimer(c.nodes[1].bars, c.nodes[1], 0, c.nodes[1].Ledger).Reclaim(ctx, domain.InstanceID(c.nodes[0].name), c.nodes[0].name)
 		if !errors.Is(err, ErrOtherRegion) {
 			t.Fatalf("got %v", err)
 		}
