Run the process tests whenever the daemon changed

The process tests start a binary that they build, so the cache of test results did not see that the daemon had changed and repeated the old verdict.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -24,6 +24,9 @@
 	"auburnpier/internal/adapter/storehttp"
 	"auburnpier/internal/core/confdoc"
 	"auburnpier/internal/core/teamkey"
+	// The daemon is built and started as a process. This import makes a change
+	// of its code end the cached result of these tests.
+	_ "auburnpier/internal/daemon"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/settings"
 	"auburnpier/internal/standin/platform"
