--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -307,21 +307,30 @@
 	}
 }
 
+// any tries the call at one instance after the other until it succeeds, and
+// returns the last error.
+func (c *cell) any(bound time.Duration, call func(context.Context, *instance) error) error {
+	err := fmt.Errorf("there is no instance")
+	for _, i := range c.all() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		err = call(ctx, i)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // edit applies an edit through any ready instance.
 func (c *cell) edit(e confdoc.Edit) {
 	c.t.Helper()
 	e.ID = rand.Text()
 	c.eventually(10*time.Second, "edit", func() error {
-		var last error
-		for _, i := range c.all() {
-			ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
-			_, last = c.client(i, c.operator).Edit(ctx, e)
-			cancel()
-			if last == nil {
-				return nil
-			}
-		}
-		return last
+		return c.any(8*time.Second, func(ctx context.Context, i *instance) error {
+			_, err := c.client(i, c.operator).Edit(ctx, e)
+			return err
+		})
 	})
 }
 
@@ -373,16 +382,11 @@
 	}
 	var status domain.JobStatus
 	c.eventually(20*time.Second, "submit "+spec.Name, func() error {
-		var last error
-		for _, i := range c.all() {
-			ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
-			status, last = c.client(i, c.team).Submit(ctx, spec)
-			cancel()
-			if last == nil {
-				return nil
-			}
-		}
-		return last
+		return c.any(15*time.Second, func(ctx context.Context, i *instance) error {
+			var err error
+			status, err = c.client(i, c.team).Submit(ctx, spec)
+			return err
+		})
 	})
 	return status
 }
@@ -390,16 +394,12 @@
 // job returns the state of a job as any instance tells it.
 func (c *cell) job(id domain.JobID) (domain.JobStatus, error) {
 	var status domain.JobStatus
-	var last error
-	for _, i := range c.all() {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		status, last = c.client(i, c.team).Job(ctx, id)
-		cancel()
-		if last == nil {
-			return status, nil
-		}
-	}
-	return status, last
+	err := c.any(10*time.Second, func(ctx context.Context, i *instance) error {
+		var err error
+		status, err = c.client(i, c.team).Job(ctx, id)
+		return err
+	})
+	return status, err
 }
 
 // awaitState waits until the job is in the state.
