Count a refused key once, drop a wrapper without a job

Found in the last read-through: the configuration counted each refusal of a key, and so did the part that answered the caller, so refusal.key_unknown, refusal.not_ready and refusal.configuration_stale grew by two. The part that answers counts now; a test guards it. keeper.restore only called acknowledge.

--- a/internal/app/confsync/gate.go
+++ b/internal/app/confsync/gate.go
@@ -14,7 +14,8 @@
 const staleRetryAfter = 2 * time.Second
 
 // Resolve returns what the key proves. It refuses with configuration_stale,
-// not_ready or key_unknown. The team of a request comes from here only.
+// not_ready or key_unknown. The team of a request comes from here only. The
+// part that answers the caller counts the refusal.
 func (s *Sync) Resolve(key teamkey.Key) (Identity, error) {
 	// Freshness is read first: a version is installed before it is confirmed,
 	// so the snapshot read afterwards is at least the confirmed one.
@@ -22,13 +23,13 @@
 		return Identity{}, err
 	}
 	if key.IsZero() {
-		return Identity{}, s.refuse(refusal.New(http.StatusUnauthorized, refusal.KeyMissing,
-			"the call carries no key", "present the team's key as a bearer token"))
+		return Identity{}, refusal.New(http.StatusUnauthorized, refusal.KeyMissing,
+			"the call carries no key", "present the team's key as a bearer token")
 	}
 	identity, ok := s.current.Load().Lookup(key)
 	if !ok {
-		return Identity{}, s.refuse(refusal.New(http.StatusUnauthorized, refusal.KeyUnknown,
-			"the key is not known or was withdrawn", "ask an operator of the cell for a key"))
+		return Identity{}, refusal.New(http.StatusUnauthorized, refusal.KeyUnknown,
+			"the key is not known or was withdrawn", "ask an operator of the cell for a key")
 	}
 	return identity, nil
 }
@@ -39,17 +40,12 @@
 		return nil
 	}
 	if s.current.Load() == nil {
-		return s.refuse(refusal.New(http.StatusServiceUnavailable, refusal.NotReady,
-			"the instance holds no configuration yet", "repeat the call, another instance may be ready").After(staleRetryAfter))
+		return refusal.New(http.StatusServiceUnavailable, refusal.NotReady,
+			"the instance holds no configuration yet", "repeat the call, another instance may be ready").After(staleRetryAfter)
 	}
-	return s.refuse(refusal.New(http.StatusServiceUnavailable, refusal.ConfigurationStale,
+	return refusal.New(http.StatusServiceUnavailable, refusal.ConfigurationStale,
 		fmt.Sprintf("the instance could not confirm its configuration for %s", MaxAge),
-		"repeat the call, another instance may have contact").After(staleRetryAfter))
-}
-
-func (s *Sync) refuse(r *refusal.Refusal) *refusal.Refusal {
-	s.metrics.Refused(r.Reason)
-	return r
+		"repeat the call, another instance may have contact").After(staleRetryAfter)
 }
 
 // Fresh reports whether keyed work may be accepted.
--- /dev/null
+++ b/internal/app/confsync/gate_test.go
@@ -0,0 +1,30 @@
+package confsync
+
+import (
+	"testing"
+
+	"auburnpier/internal/app/sharedwatch"
+	"auburnpier/internal/core/teamkey"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/refusal"
+	"auburnpier/internal/standin/store"
+)
+
+// Guards against refusals that are counted here and again by the part that
+// answers the caller.
+func TestRefusalsAreCountedWhereTheyAreAnswered(t *testing.T) {
+	m := metrics.New()
+	base := store.New()
+	s := New(Config{
+		Store: base, Clock: port.SystemClock{}, Metrics: m,
+		Watch: sharedwatch.New(base, port.SystemClock{}, m, sharedwatch.Prefix),
+	})
+	_, err := s.Resolve(teamkey.Key{})
+	if got := refusal.From(err).Reason; got != refusal.NotReady {
+		t.Fatalf("refused as %s", got)
+	}
+	if n := m.Counter("refusal." + string(refusal.NotReady)).Count(); n != 0 {
+		t.Fatalf("counted %d times before it was answered", n)
+	}
+}
--- a/internal/app/taskplane/keeper.go
+++ b/internal/app/taskplane/keeper.go
@@ -212,9 +212,9 @@
 		k.renewed(ctx, lease)
 	case ctx.Err() != nil:
 	case interrupted:
-		k.restore(ids)
+		k.acknowledge(ids)
 	default:
-		k.restore(ids)
+		k.acknowledge(ids)
 		k.renewFailed(ctx, err)
 	}
 }
@@ -243,8 +243,6 @@
 	return k.acquire
 }
 
-func (k *keeper) restore(ids []domain.AttemptID) { k.acknowledge(ids) }
-
 func (k *keeper) renewed(ctx context.Context, lease port.Lease) {
 	k.failures = 0
 	k.lease = lease
