--- a/cmd/auburnpierd/main.go
+++ b/cmd/auburnpierd/main.go
@@ -10,9 +10,11 @@
 
 	"github.com/alecthomas/kong"
 
+	"auburnpier/internal/celld"
 	"auburnpier/internal/daemon"
 	"auburnpier/internal/demo"
 	"auburnpier/internal/settings"
+	"auburnpier/platform"
 )
 
 const description = `Daemon of the auburnpier cluster scheduler.
@@ -28,6 +30,7 @@
 
 type commands struct {
 	Serve       serveCommand   `cmd:"" help:"Run one instance."`
+	Cell        cellCommand    `cmd:"" help:"Run one instance on the users' platform."`
 	CheckConfig checkCommand   `cmd:"" help:"Check a settings file and report every fault."`
 	Demo        demoCommand    `cmd:"" help:"Run an instance with small stand-ins of the platform and drive example work through it."`
 	Version     versionCommand `cmd:"" help:"Print the version."`
@@ -61,6 +64,34 @@
 	return instance.Run(ctx)
 }
 
+type cellCommand struct {
+	Settings string `help:"Settings file, JSON with comments." type:"path" env:"AUBURNPIER_SETTINGS" required:""`
+	Check    bool   `help:"Check the settings file and exit."`
+}
+
+// Run implements the command.
+func (c *cellCommand) Run() error {
+	s, err := settings.LoadCell(c.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "auburnpierd:", err)
+		os.Exit(exitWrongSettings)
+	}
+	if c.Check {
+		fmt.Printf("%s: no faults\n", c.Settings)
+		return nil
+	}
+	log, err := celld.NewLog(s)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signals()
+	defer stop()
+	// Addresses and bounds do not change while a VM lives, so a change of the
+	// file needs no action; the signal must not end the process.
+	signal.Ignore(syscall.SIGHUP)
+	return platform.NewInstance(s, log).Run(ctx)
+}
+
 // signals returns a context that ends at the first signal. A second signal ends the process at once.
 func signals() (context.Context, context.CancelFunc) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
--- /dev/null
+++ b/internal/adapter/cellhttp/client.go
@@ -0,0 +1,127 @@
+package cellhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Bounds of connections between instances.
+const (
+	dialTimeout = 600 * time.Millisecond
+	idleTimeout = 30 * time.Second
+	maxIdle     = 32
+)
+
+// Dialer reaches other instances.
+type Dialer struct{ client *http.Client }
+
+// NewDialer returns a dialer with its own connections.
+func NewDialer() *Dialer {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second}
+	return &Dialer{&http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
+		DisableCompression: true, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
+	}}}
+}
+
+// Owner implements entry.Dialer.
+func (d *Dialer) Owner(address string) port.OwnerCalls { return &peer{d.client, address} }
+
+// Approver implements owner.ApproverDirectory.
+func (d *Dialer) Approver(h port.Hello) port.Approver { return &peer{d.client, h.Address} }
+
+// peer is another instance.
+type peer struct {
+	client  *http.Client
+	address string
+}
+
+// call sends one call and decodes the answer.
+func call[T any](ctx context.Context, p *peer, path string, body any) (T, error) {
+	var result T
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return result, fmt.Errorf("encode call %s: %w", path, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.address+path, bytes.NewReader(raw))
+	if err != nil {
+		return result, err
+	}
+	req.Header.Set("Content-Type", "application/cbor")
+	// A repeat by the transport could follow a call that took effect.
+	req.GetBody = nil
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return result, &port.OwnerUnreachableError{Address: p.address, NotSent: notSent(err), Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	if err != nil {
+		return result, &port.OwnerUnreachableError{Address: p.address, Err: err}
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		if err := cbor.Unmarshal(answer, &result); err != nil {
+			return result, &port.OwnerUnreachableError{Address: p.address, Err: err}
+		}
+		return result, nil
+	case http.StatusMisdirectedRequest:
+		return result, &port.NotOwnerError{Instance: domain.InstanceID(p.address)}
+	}
+	return result, &port.OwnerUnreachableError{Address: p.address, Err: fmt.Errorf("status %d: %.200s", resp.StatusCode, answer)}
+}
+
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// Submit implements port.OwnerCalls.
+func (p *peer) Submit(ctx context.Context, c port.SubmitCall) (port.SubmitReply, error) {
+	return call[port.SubmitReply](ctx, p, pathSubmit, c)
+}
+
+// Cancel implements port.OwnerCalls.
+func (p *peer) Cancel(ctx context.Context, c port.JobCall) (port.CancelReply, error) {
+	return call[port.CancelReply](ctx, p, pathCancel, c)
+}
+
+// State implements port.OwnerCalls.
+func (p *peer) State(ctx context.Context, c port.JobCall) (port.StateReply, error) {
+	return call[port.StateReply](ctx, p, pathState, c)
+}
+
+// Waiting implements port.OwnerCalls.
+func (p *peer) Waiting(ctx context.Context, queue domain.QueueID) (int, error) {
+	return call[int](ctx, p, pathWaiting, queue)
+}
+
+// Hello implements port.OwnerCalls.
+func (p *peer) Hello(ctx context.Context, h port.Hello) error {
+	_, err := call[struct{}](ctx, p, pathHello, h)
+	return err
+}
+
+// approveCall asks an instance to ask the approval service.
+type approveCall struct {
+	Step    jobs.StepID       `cbor:"1,keyasint"`
+	Workers []domain.WorkerID `cbor:"2,keyasint"`
+}
+
+// Approve implements port.Approver.
+func (p *peer) Approve(ctx context.Context, step jobs.StepID, workers []domain.WorkerID) (port.ApprovalAnswer, error) {
+	return call[port.ApprovalAnswer](ctx, p, pathApprove, approveCall{step, workers})
+}
--- /dev/null
+++ b/internal/adapter/cellhttp/doc.go
@@ -0,0 +1,18 @@
+// Package cellhttp carries calls between the instances of a cell: CBOR bodies
+// over HTTP/1.1. net/http closes a connection whose call ran out of time, so a
+// connection that went silent is never used again; grpc-go would keep it for
+// at least 10 s, the shortest keepalive that it permits.
+package cellhttp
+
+// Paths of the calls.
+const (
+	pathSubmit  = "/cell/submit"
+	pathCancel  = "/cell/cancel"
+	pathState   = "/cell/state"
+	pathWaiting = "/cell/waiting"
+	pathHello   = "/cell/hello"
+	pathApprove = "/cell/approve"
+)
+
+// maxBodyBytes is above the largest submission.
+const maxBodyBytes = 2 << 20
--- /dev/null
+++ b/internal/adapter/cellhttp/server.go
@@ -0,0 +1,82 @@
+package cellhttp
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Local is what an instance serves to the others.
+type Local struct {
+	// Owner returns the local owner, nil where another instance owns the cell.
+	Owner func() port.OwnerCalls
+	// Approver asks the approval service from this instance.
+	Approver port.Approver
+	Instance domain.InstanceID
+}
+
+// NewHandler serves the calls of other instances.
+func NewHandler(l Local) http.Handler {
+	mux := http.NewServeMux()
+	handle(mux, pathSubmit, ownerCall(l, port.OwnerCalls.Submit))
+	handle(mux, pathCancel, ownerCall(l, port.OwnerCalls.Cancel))
+	handle(mux, pathState, ownerCall(l, port.OwnerCalls.State))
+	handle(mux, pathWaiting, ownerCall(l, port.OwnerCalls.Waiting))
+	handle(mux, pathHello, ownerCall(l, func(o port.OwnerCalls, ctx context.Context, h port.Hello) (struct{}, error) {
+		return struct{}{}, o.Hello(ctx, h)
+	}))
+	handle(mux, pathApprove, func(ctx context.Context, c approveCall) (port.ApprovalAnswer, error) {
+		return l.Approver.Approve(ctx, c.Step, c.Workers)
+	})
+	return mux
+}
+
+func ownerCall[C, R any](l Local, f func(port.OwnerCalls, context.Context, C) (R, error)) func(context.Context, C) (R, error) {
+	return func(ctx context.Context, c C) (R, error) {
+		o := l.Owner()
+		if o == nil {
+			var none R
+			return none, &port.NotOwnerError{Instance: l.Instance}
+		}
+		return f(o, ctx, c)
+	}
+}
+
+func handle[C, R any](mux *http.ServeMux, path string, f func(context.Context, C) (R, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		var c C
+		if err := cbor.Unmarshal(raw, &c); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		result, err := f(r.Context(), c)
+		var notOwner *port.NotOwnerError
+		switch {
+		case errors.As(err, &notOwner):
+			http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+			return
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		answer, err := cbor.Marshal(result)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/cbor")
+		// A caller that left has no use for the answer.
+		_, _ = w.Write(answer)
+	})
+}
--- /dev/null
+++ b/internal/app/entry/directory.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"auburnpier/internal/app/owner"
+	"auburnpier/internal/port"
+)
+
+// Dialer reaches the owner at another instance.
+type Dialer interface {
+	Owner(address string) port.OwnerCalls
+}
+
+// Directory knows the owner of the cell.
+type Directory struct {
+	dialer Dialer
+
+	mu      sync.Mutex
+	seat    owner.Seat
+	calls   port.OwnerCalls
+	changed chan struct{}
+}
+
+// NewDirectory returns a directory that knows no owner.
+func NewDirectory(dialer Dialer) *Directory {
+	return &Directory{dialer: dialer, changed: make(chan struct{})}
+}
+
+// Publish sets the seat.
+func (d *Directory) Publish(s owner.Seat) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	same := s.Local == d.seat.Local && (s.Claim == nil) == (d.seat.Claim == nil) &&
+		(s.Claim == nil || *s.Claim == *d.seat.Claim)
+	if same {
+		return
+	}
+	d.seat = s
+	switch {
+	case s.Local != nil:
+		d.calls = s.Local
+	case s.Claim != nil:
+		d.calls = d.dialer.Owner(s.Claim.Address)
+	default:
+		d.calls = nil
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Seat returns the present seat.
+func (d *Directory) Seat() owner.Seat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seat
+}
+
+// Owner returns the calls to the present owner, nil where none is known, and a
+// channel that is closed at the next change.
+func (d *Directory) Owner() (port.OwnerCalls, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls, d.changed
+}
+
+// await returns the owner once one other than former is known, or nil when ctx ends or the wait is over.
+func (d *Directory) await(ctx context.Context, former port.OwnerCalls, wait time.Duration) port.OwnerCalls {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		calls, changed := d.Owner()
+		if calls != nil && calls != former {
+			return calls
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/owner/campaign.go
@@ -0,0 +1,115 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/port"
+)
+
+// Figures of the campaign for the cell.
+const (
+	// claimWatchWait is how long a watch of the claim waits.
+	claimWatchWait = 20 * time.Second
+	// claimRetry is the pause after a store call without an answer.
+	claimRetry = 200 * time.Millisecond
+	// claimJitter spreads the claims of instances that see the cell free at once.
+	claimJitter = 60 * time.Millisecond
+	// resignTimeout bounds the end of a reign at a shutdown.
+	resignTimeout = 1500 * time.Millisecond
+)
+
+// Seat is who owns the cell, as far as this instance knows.
+type Seat struct {
+	// Claim is nil where no owner is known.
+	Claim *Claim
+	// Local is set where this instance owns the cell.
+	Local *Cell
+}
+
+// Campaign follows the claim and takes the cell when it is free, until ctx
+// ends. Config returns the present configuration or nil; publish is told each
+// change of the seat.
+func (o *Owner) Campaign(ctx context.Context, config func() *port.CellConfig, publish func(Seat)) {
+	for ctx.Err() == nil {
+		current, revision, after, err := FindClaim(ctx, o.store)
+		if err != nil {
+			o.pause(ctx, claimRetry)
+			continue
+		}
+		if current == nil || sameVM(current, o.options.Instance, o.options.Address) {
+			// A claim of this address is that of a process that has ended.
+			publish(Seat{})
+			o.pause(ctx, rand.N(claimJitter))
+			o.tryReign(ctx, revision, config, publish)
+			continue
+		}
+		publish(Seat{Claim: current})
+		o.awaitChange(ctx, after)
+	}
+}
+
+// awaitChange returns once the claim may have changed.
+func (o *Owner) awaitChange(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		changed, revision, err := WatchClaim(ctx, o.store, after, claimWatchWait)
+		if err != nil {
+			o.pause(ctx, claimRetry)
+			continue
+		}
+		if changed {
+			return
+		}
+		after = revision
+	}
+}
+
+// tryReign claims the cell and runs it until the reign ends.
+func (o *Owner) tryReign(ctx context.Context, former int64, config func() *port.CellConfig, publish func(Seat)) {
+	r, err := o.claim(ctx, former)
+	if err != nil {
+		if !errors.Is(err, errNotClaimed) {
+			o.log.Warn("cell not claimed", zap.Error(err))
+			o.pause(ctx, claimRetry)
+		}
+		return
+	}
+	o.log.Info("reign begins", zap.Int64("epoch", r.epoch))
+	// The reign outlives ctx by the time that it takes to resign.
+	cell := o.newCell(context.WithoutCancel(ctx), r, config())
+	defer o.endClaim(r)
+	if err := cell.recover(ctx); err != nil {
+		o.log.Warn("cell not recovered", zap.Error(err))
+		cell.end("not recovered")
+		return
+	}
+	stop := context.AfterFunc(ctx, func() {
+		cell.Resign()
+		time.AfterFunc(resignTimeout, func() { cell.end("resigning took too long") })
+	})
+	defer stop()
+	publish(Seat{Claim: &Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token}, Local: cell})
+	cell.configure(config())
+	cell.run()
+	publish(Seat{})
+}
+
+// endClaim frees the cell at once, so that another instance need not wait for the claim to expire.
+func (o *Owner) endClaim(r *reign) {
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	if err := o.store.EndLease(ctx, r.lease); err != nil {
+		o.log.Info("claim not ended, it expires by itself", zap.Int64("epoch", r.epoch), zap.Error(err))
+	}
+}
+
+func (o *Owner) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/app/owner/cell.go
@@ -0,0 +1,295 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// Cell is one reign: the machine and the goroutines that serve it.
+type Cell struct {
+	*Owner
+	reign   *reign
+	machine *jobs.Machine
+	events  chan func()
+	orders  chan struct{}
+	cancel  context.CancelFunc
+	ctx     context.Context
+
+	// confirmedMS is the steady time up to which the claim certainly holds.
+	confirmedMS atomic.Int64
+
+	// The rest is used by the loop only.
+	config     *port.CellConfig
+	submitters map[domain.JobID][]func(port.SubmitReply)
+	cancellers map[domain.JobID][]func(port.CancelReply)
+	looks      map[domain.WorkerID]*look
+	relays     relays
+	writing    bool
+	writeFrom  int64
+	lastWrite  int64
+	acked      map[domain.WorkerID]int64
+	processed  map[domain.WorkerID]int64
+	// resigning tells that the instance hands the cell over.
+	resigning bool
+}
+
+// errCellClosed tells that the reign has ended.
+var errCellClosed = errors.New("the reign has ended")
+
+func (o *Owner) newCell(parent context.Context, r *reign, config *port.CellConfig) *Cell {
+	ctx, cancel := context.WithCancel(parent)
+	mc := o.options.Machine
+	mc.Epoch = r.epoch
+	now := steady.NowMS()
+	c := &Cell{
+		Owner: o, reign: r, machine: jobs.New(mc, now, time.Now().UnixMilli()),
+		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel,
+		config:     config,
+		submitters: make(map[domain.JobID][]func(port.SubmitReply)),
+		cancellers: make(map[domain.JobID][]func(port.CancelReply)),
+		looks:      make(map[domain.WorkerID]*look),
+		acked:      make(map[domain.WorkerID]int64),
+		processed:  make(map[domain.WorkerID]int64),
+	}
+	c.confirmedMS.Store(r.claimedMS + r.ttl.Milliseconds())
+	return c
+}
+
+// post hands an event to the loop. It reports false once the reign has ended.
+func (c *Cell) post(event func()) bool {
+	select {
+	case c.events <- event:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// end ends the reign.
+func (c *Cell) end(why string) {
+	if c.ctx.Err() == nil {
+		c.log.Info("reign ends", zap.Int64("epoch", c.reign.epoch), zap.String("reason", why))
+	}
+	c.cancel()
+}
+
+// mayOrder reports whether the owner may still speak to workers.
+func (c *Cell) mayOrder(nowMS int64) bool {
+	return nowMS < c.confirmedMS.Load()+c.options.UnconfirmedTTL.Milliseconds()
+}
+
+// confirmed reports whether the claim certainly holds.
+func (c *Cell) confirmed() bool { return steady.NowMS() < c.confirmedMS.Load() }
+
+// run serves the cell until the reign ends.
+func (c *Cell) run() {
+	c.configure(c.config)
+	go c.keep(c.ctx, c.reign, c.confirmedMS.Store, func() { c.end("claim expired") })
+	go c.followRegistry()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			c.failWaiters()
+			return
+		case event := <-c.events:
+			c.advance()
+			event()
+			c.drainEvents()
+		case <-ticker.C:
+			c.advance()
+		}
+		c.settle()
+		if c.resigning && !c.writing && !c.machine.HasChanges() {
+			c.end("resigned")
+		}
+	}
+}
+
+// Resign stores what is confirmed and ends the reign. New submissions are sent elsewhere.
+func (c *Cell) Resign() {
+	c.post(func() { c.resigning = true })
+}
+
+// maxEventsPerPass bounds the events between two placement passes.
+const maxEventsPerPass = 512
+
+func (c *Cell) drainEvents() {
+	for range maxEventsPerPass {
+		select {
+		case event := <-c.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+func (c *Cell) advance() {
+	c.machine.Advance(steady.NowMS(), time.Now().UnixMilli())
+}
+
+// settle turns what the machine decided into calls.
+func (c *Cell) settle() {
+	now := steady.NowMS()
+	if c.mayOrder(now) {
+		c.machine.Schedule()
+		c.dispatch(c.machine.Drain())
+		c.sendLooks(now)
+	}
+	c.write(now)
+}
+
+func (c *Cell) configure(config *port.CellConfig) {
+	if config == nil {
+		return
+	}
+	c.config = config
+	queues := make([]jobs.Queue, 0, len(config.Routes))
+	for _, r := range config.Routes {
+		queues = append(queues, r.Queue)
+	}
+	teams := make([]jobs.Team, 0, len(config.Teams))
+	for _, t := range config.Teams {
+		teams = append(teams, t.Team)
+	}
+	c.machine.Configure(queues, teams)
+}
+
+// Configure takes a newer configuration.
+func (c *Cell) Configure(config *port.CellConfig) {
+	c.post(func() { c.configure(config) })
+}
+
+// dispatch sends the orders of a pass.
+func (c *Cell) dispatch(out jobs.Output) {
+	c.logNotes(out.Notes)
+	for _, o := range out.Starts {
+		c.send(func() { c.sendStart(o) })
+	}
+	for _, o := range out.Stops {
+		c.send(func() { c.sendStop(o) })
+	}
+	for _, r := range out.Approvals {
+		c.askApproval(r)
+	}
+	for _, id := range out.Forgotten {
+		delete(c.looks, id)
+		delete(c.acked, id)
+		delete(c.processed, id)
+	}
+}
+
+// send runs a call of its own once the bound on calls under way permits it.
+func (c *Cell) send(call func()) {
+	go func() {
+		select {
+		case c.orders <- struct{}{}:
+		case <-c.ctx.Done():
+			return
+		}
+		defer func() { <-c.orders }()
+		call()
+	}()
+}
+
+func (c *Cell) sendStart(o jobs.StartOrder) {
+	begun := time.Now()
+	outcome, err := c.workers.Start(c.ctx, c.reign.epoch, o)
+	c.metrics.Timer("task.start_order").UpdateSince(begun)
+	c.metrics.Counter("task.start." + outcome.String()).Inc(1)
+	if err != nil && c.ctx.Err() == nil {
+		c.log.Info("start not accepted", zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step),
+			zap.Int("task", o.Task.Index), zap.Int("run", o.Run), zap.String("worker", string(o.Worker)),
+			zap.String("outcome", outcome.String()), zap.Error(err))
+	}
+	if outcome == jobs.StartFenced {
+		c.end("worker " + string(o.Worker) + " has seen a higher fence")
+		return
+	}
+	c.post(func() { c.machine.StartAnswered(o.Worker, o.Task, o.Run, outcome) })
+}
+
+func (c *Cell) sendStop(o jobs.StopOrder) {
+	err := c.workers.Stop(c.ctx, c.reign.epoch, o)
+	if err != nil && c.ctx.Err() == nil {
+		c.metrics.Counter("task.stop.unanswered").Inc(1)
+		c.log.Info("stop not answered", zap.String("job", string(o.Task.Job)), zap.Int("task", o.Task.Index),
+			zap.Int("run", o.Run), zap.String("worker", string(o.Worker)), zap.Error(err))
+	}
+	c.post(func() { c.machine.StopAnswered(o.Worker, o.Task, o.Run, err == nil) })
+}
+
+// followRegistry reads the workers and follows their changes.
+func (c *Cell) followRegistry() {
+	for c.ctx.Err() == nil {
+		list, unreadable, revision, err := c.registry.Workers(c.ctx)
+		if err != nil {
+			c.pause(registryRetry)
+			continue
+		}
+		if unreadable > 0 {
+			c.log.Warn("registry has entries that name no worker", zap.Int("entries", unreadable))
+		}
+		known := make(map[domain.WorkerID]jobs.WorkerInfo, len(list))
+		for _, w := range list {
+			known[w.ID] = w
+		}
+		c.listWorkers(known)
+		c.followChanges(known, revision)
+	}
+}
+
+// followChanges applies changes until one is missed.
+func (c *Cell) followChanges(known map[domain.WorkerID]jobs.WorkerInfo, revision int64) {
+	for c.ctx.Err() == nil {
+		changes, err := c.registry.Changes(c.ctx, revision, registryWait)
+		if err != nil {
+			c.pause(registryRetry)
+			continue
+		}
+		if changes.Gap {
+			return
+		}
+		revision = changes.Revision
+		for _, id := range changes.Removed {
+			delete(known, id)
+		}
+		for _, w := range changes.Set {
+			known[w.ID] = w
+		}
+		if len(changes.Removed)+len(changes.Set) > 0 {
+			c.listWorkers(known)
+		}
+	}
+}
+
+func (c *Cell) listWorkers(known map[domain.WorkerID]jobs.WorkerInfo) {
+	list := make([]jobs.WorkerInfo, 0, len(known))
+	for _, w := range known {
+		list = append(list, w)
+	}
+	c.post(func() {
+		c.machine.ListWorkers(list)
+		for _, w := range list {
+			c.lookAt(w)
+		}
+	})
+}
+
+func (c *Cell) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-c.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/app/owner/claim.go
@@ -0,0 +1,191 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// reign is the right to act for the cell.
+type reign struct {
+	epoch int64
+	lease int64
+	ttl   time.Duration
+	// ownerRevision fences transactions, sequenceRevision orders them.
+	ownerRevision    int64
+	sequenceRevision int64
+	sequenceNumber   int64
+	token            string
+	claimedMS        int64
+}
+
+// errNotClaimed tells that another instance holds the claim.
+var errNotClaimed = errors.New("another instance owns the cell")
+
+// DecodeClaim reads the value of the owner's key.
+func DecodeClaim(value []byte) (Claim, error) {
+	var c Claim
+	if err := cbor.Unmarshal(value, &c); err != nil {
+		return c, fmt.Errorf("owner's claim cannot be read: %w", err)
+	}
+	return c, nil
+}
+
+// claim takes the cell. Former is the revision of the claim to replace; zero
+// means that there must be none.
+func (o *Owner) claim(ctx context.Context, former int64) (*reign, error) {
+	lease, ttl, err := o.store.GrantLease(ctx, o.options.ClaimTTL)
+	if err != nil {
+		return nil, err
+	}
+	r := &reign{lease: lease, ttl: ttl, token: newToken(), epoch: 1}
+	sentMS := steady.NowMS()
+	entry, err := o.store.Get(ctx, sequenceKey)
+	var missing *port.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return nil, err
+	}
+	if err == nil {
+		var last sequence
+		if err := cbor.Unmarshal(entry.Value, &last); err != nil {
+			return nil, fmt.Errorf("value of %s cannot be read: %w", sequenceKey, err)
+		}
+		r.epoch = last.Epoch + 1
+	}
+	txn, err := o.claimTxn(r, former, entry.Revision)
+	if err != nil {
+		return nil, err
+	}
+	revision, err := o.store.Commit(ctx, txn)
+	if err != nil {
+		revision, err = o.confirmClaim(ctx, r, err)
+	}
+	if err != nil {
+		if endErr := o.store.EndLease(ctx, lease); endErr != nil {
+			o.log.Info("unused lease not ended, it expires by itself", zap.Error(endErr))
+		}
+		return nil, err
+	}
+	r.ownerRevision, r.sequenceRevision = revision, revision
+	r.claimedMS = sentMS
+	return r, nil
+}
+
+func (o *Owner) claimTxn(r *reign, former, sequenceRevision int64) (port.Txn, error) {
+	value, err := cbor.Marshal(Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token})
+	if err != nil {
+		return port.Txn{}, err
+	}
+	seq, err := cbor.Marshal(sequence{Epoch: r.epoch, Token: r.token})
+	if err != nil {
+		return port.Txn{}, err
+	}
+	return port.Txn{
+		If:   []port.Condition{{Key: ownerKey, Revision: former}, {Key: sequenceKey, Revision: sequenceRevision}},
+		Puts: []port.Put{{Key: ownerKey, Value: value, Lease: r.lease}, {Key: sequenceKey, Value: seq}},
+	}, nil
+}
+
+// confirmClaim finds out whether a claim without a clear answer took effect.
+func (o *Owner) confirmClaim(ctx context.Context, r *reign, cause error) (int64, error) {
+	var conflict *port.TxnConflictError
+	if errors.As(cause, &conflict) {
+		return 0, errNotClaimed
+	}
+	var unknown *port.OutcomeUnknownError
+	if !errors.As(cause, &unknown) {
+		return 0, cause
+	}
+	entry, err := o.store.Get(ctx, ownerKey)
+	if err != nil {
+		return 0, err
+	}
+	c, err := DecodeClaim(entry.Value)
+	if err != nil {
+		return 0, err
+	}
+	if c.Token != r.token {
+		return 0, errNotClaimed
+	}
+	return entry.Revision, nil
+}
+
+// keep renews the claim until ctx ends. Renewed is called with the steady time
+// up to which the claim certainly holds; lost once it has ended.
+func (o *Owner) keep(ctx context.Context, r *reign, renewed func(untilMS int64), lost func()) {
+	ticker := time.NewTicker(r.ttl / claimRenewals)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		sentMS := steady.NowMS()
+		callCtx, cancel := context.WithTimeout(ctx, r.ttl/2)
+		err := o.store.KeepLease(callCtx, r.lease)
+		cancel()
+		var missing *port.NotFoundError
+		switch {
+		case err == nil:
+			renewed(sentMS + r.ttl.Milliseconds())
+		case errors.As(err, &missing):
+			lost()
+			return
+		case ctx.Err() == nil:
+			o.log.Warn("claim not renewed", zap.Int64("epoch", r.epoch), zap.Error(err))
+		}
+	}
+}
+
+// claimRenewals is how often a claim is renewed in its time to live.
+const claimRenewals = 4
+
+// FindClaim returns the present claim with its revision, and the store's revision to follow changes from.
+func FindClaim(ctx context.Context, store port.LeaseStore) (*Claim, int64, int64, error) {
+	entries, revision, err := store.List(ctx, ownerKey)
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	for _, e := range entries {
+		if e.Key != ownerKey {
+			continue
+		}
+		c, err := DecodeClaim(e.Value)
+		if err != nil {
+			return nil, 0, 0, err
+		}
+		return &c, e.Revision, revision, nil
+	}
+	return nil, 0, revision, nil
+}
+
+// WatchClaim waits for a change of the claim. Changed is false where there was none.
+func WatchClaim(ctx context.Context, store port.LeaseStore, after int64, wait time.Duration) (changed bool, revision int64, err error) {
+	got, err := store.Watch(ctx, ownerKey, after, wait)
+	if err != nil {
+		return false, after, err
+	}
+	if got.Gap {
+		return true, after, nil
+	}
+	for _, e := range got.Events {
+		if e.Entry.Key == ownerKey {
+			return true, got.Revision, nil
+		}
+	}
+	return false, got.Revision, nil
+}
+
+// Instance names of claims are compared to find a former process of this VM.
+func sameVM(c *Claim, instance domain.InstanceID, address string) bool {
+	return c.Instance == instance && c.Address == address
+}
--- /dev/null
+++ b/internal/app/owner/keys.go
@@ -0,0 +1,35 @@
+package owner
+
+import "auburnpier/internal/domain"
+
+// Keys of the cell in the store.
+const (
+	keyPrefix   = "auburnpier/"
+	ownerKey    = keyPrefix + "owner"
+	sequenceKey = keyPrefix + "sequence"
+	membersKey  = keyPrefix + "workers"
+	jobPrefix   = keyPrefix + "job/"
+	statePrefix = keyPrefix + "state/"
+)
+
+func jobKey(id domain.JobID) string { return jobPrefix + string(id) }
+
+// StateKey is the key of a job's progress.
+func StateKey(id domain.JobID) string { return statePrefix + string(id) }
+
+// Claim is the value of the owner's key.
+type Claim struct {
+	Instance domain.InstanceID `cbor:"1,keyasint"`
+	Address  string            `cbor:"2,keyasint"`
+	Epoch    int64             `cbor:"3,keyasint"`
+	// Token is unique to the process, so that a claim whose answer was lost is recognized.
+	Token string `cbor:"4,keyasint"`
+}
+
+// sequence is the value of the key that each transaction of an owner rewrites.
+// A transaction that takes effect late finds another revision and changes nothing.
+type sequence struct {
+	Epoch  int64  `cbor:"1,keyasint"`
+	Number int64  `cbor:"2,keyasint"`
+	Token  string `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/app/owner/looks.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"errors"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// look is the state of the looks at one worker. At most one is under way.
+type look struct {
+	id        domain.WorkerID
+	address   string
+	underWay  bool
+	notBefore int64
+	retryMS   int64
+	// reported tells that the worker answered once under this epoch.
+	reported bool
+	bornMS   int64
+}
+
+// lookAt begins or redirects the looks at a worker.
+func (c *Cell) lookAt(w jobs.WorkerInfo) {
+	l, ok := c.looks[w.ID]
+	if !ok {
+		l = &look{id: w.ID}
+		c.looks[w.ID] = l
+	}
+	l.address = w.Address
+}
+
+// sendLooks starts the looks that are due. A look acknowledges only ends whose
+// effects are stored, so after an end the next look waits for the write.
+func (c *Cell) sendLooks(now int64) {
+	for id, l := range c.looks {
+		if l.underWay || now < l.notBefore || c.processed[id] > c.acked[id] {
+			continue
+		}
+		r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: c.acked[id]}
+		if l.reported {
+			limit, ok := c.machine.LeaseLimit(id, c.options.WorkerLease.Milliseconds())
+			if ok {
+				r.LimitClockMS = limit
+				r.Wait = lookWait
+			}
+		}
+		l.underWay = true
+		go c.look(*l, r)
+	}
+}
+
+func (c *Cell) look(l look, r port.LookRequest) {
+	sentMS := steady.NowMS()
+	report, err := c.workers.Look(c.ctx, l.id, l.address, r)
+	var fenced *port.FencedError
+	if errors.As(err, &fenced) {
+		c.end(err.Error())
+		return
+	}
+	report.SentMS, report.ReceivedMS = sentMS, steady.NowMS()
+	c.post(func() { c.looked(l.id, report, err) })
+}
+
+func (c *Cell) looked(id domain.WorkerID, report jobs.WorkerReport, err error) {
+	l, ok := c.looks[id]
+	if !ok {
+		return
+	}
+	l.underWay = false
+	if err != nil {
+		if l.retryMS == 0 {
+			c.log.Info("worker does not answer", zap.String("worker", string(id)), zap.Error(err))
+		}
+		c.metrics.Counter("worker.look.unanswered").Inc(1)
+		l.retryMS = min(max(2*l.retryMS, lookRetry.Milliseconds()), lookRetryMax.Milliseconds())
+		l.notBefore = steady.NowMS() + l.retryMS
+		return
+	}
+	if l.retryMS > 0 {
+		c.log.Info("worker answers again", zap.String("worker", string(id)))
+	}
+	l.retryMS = 0
+	l.reported = true
+	if l.bornMS != report.BornMS {
+		l.bornMS = report.BornMS
+		c.acked[id], c.processed[id] = 0, 0
+	}
+	c.machine.Report(report)
+	for _, e := range report.Ends {
+		c.processed[id] = max(c.processed[id], e.Number)
+	}
+}
+
+// logNotes writes one line for each decision.
+func (c *Cell) logNotes(notes []jobs.Note) {
+	for _, n := range notes {
+		c.metrics.Counter("decision." + n.Kind).Inc(1)
+		c.log.Info(n.Kind, zap.String("job", string(n.Task.Job)), zap.Int("occurrence", n.Task.Occurrence),
+			zap.Int("step", n.Task.Step), zap.Int("task", n.Task.Index), zap.Int("run", n.Run),
+			zap.String("worker", string(n.Worker)), zap.String("detail", n.Detail), zap.Int64("epoch", c.reign.epoch))
+	}
+}
--- /dev/null
+++ b/internal/app/owner/options.go
@@ -0,0 +1,97 @@
+// Package owner runs the decisions of internal/core/jobs for a cell. One
+// instance owns the cell at a time: it holds a claim in the store, whose
+// revision fences every write, and an epoch, which fences every order to a
+// worker. Jobs and their progress are in the store before they are confirmed;
+// what runs is read back from the workers.
+package owner
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// Options are the constants of an owner, filled from the settings.
+type Options struct {
+	Instance domain.InstanceID
+	// Address is where other instances reach this one.
+	Address string
+	// ClaimTTL is the time to live of the claim.
+	ClaimTTL time.Duration
+	// UnconfirmedTTL is how long after the claim's last proof the owner still speaks to workers.
+	UnconfirmedTTL time.Duration
+	// WorkerLease is how far ahead leases of workers are extended.
+	WorkerLease time.Duration
+	Machine     jobs.Config
+}
+
+// Figures of the owner's loop.
+const (
+	// tickInterval bounds how late a due decision is.
+	tickInterval = 25 * time.Millisecond
+	// writeInterval collects changes into one transaction; each write is priced.
+	writeInterval = 25 * time.Millisecond
+	// lookWait is how long a look at a worker waits for an end.
+	lookWait = time.Second
+	// lookRetry and lookRetryMax bound the pause after a look without an answer.
+	lookRetry    = 150 * time.Millisecond
+	lookRetryMax = time.Second
+	// eventRing bounds the events that wait for the loop.
+	eventRing = 8192
+	// maxOrders bounds the orders under way.
+	maxOrders = 512
+	// writeRetry is the pause after a write that had no effect.
+	writeRetry = 60 * time.Millisecond
+	// storeDown is how long a write may be under way before submissions are refused at once.
+	storeDown = 450 * time.Millisecond
+	// registryWait is how long a watch of the registry waits.
+	registryWait = 15 * time.Second
+	// registryRetry is the pause after a registry call without an answer.
+	registryRetry = 150 * time.Millisecond
+)
+
+// Ports are what the owner reaches the outside through.
+type Ports struct {
+	Store    port.LeaseStore
+	Workers  port.WorkerCalls
+	Registry port.WorkerRegistry
+	// Approve asks the approval service through the named instance.
+	Approvers ApproverDirectory
+}
+
+// ApproverDirectory reaches the approval service through an instance. The
+// service serves one call at a time for each instance.
+type ApproverDirectory interface {
+	Approver(h port.Hello) port.Approver
+}
+
+// Owner takes the cell when it is free and runs it.
+type Owner struct {
+	options   Options
+	store     port.LeaseStore
+	workers   port.WorkerCalls
+	registry  port.WorkerRegistry
+	approvers ApproverDirectory
+	log       *zap.Logger
+	metrics   *metrics.Registry
+}
+
+// New returns an owner.
+func New(options Options, ports Ports, log *zap.Logger, registry *metrics.Registry) *Owner {
+	return &Owner{options: options, store: ports.Store, workers: ports.Workers, registry: ports.Registry,
+		approvers: ports.Approvers, log: log, metrics: registry}
+}
+
+func newToken() string {
+	var b [12]byte
+	// crypto/rand never fails on supported kernels.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/internal/app/owner/serve.go
@@ -0,0 +1,128 @@
+package owner
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Reasons of refusals, as counters and callers see them.
+const (
+	reasonStore       = "store_unavailable"
+	reasonOwnerChange = "owner_changes"
+	reasonOverload    = "objective_out_of_reach"
+	reasonNeverFits   = "never_fits"
+	reasonTaken       = "id_of_another_team"
+)
+
+var refusalReasons = map[jobs.Refusal]string{
+	jobs.RefusedNeverFits: reasonNeverFits, jobs.RefusedOverload: reasonOverload, jobs.RefusedTaken: reasonTaken,
+}
+
+// ask runs f on the loop and waits for its answer.
+func ask[T any](ctx context.Context, c *Cell, f func(reply func(T))) (T, error) {
+	var zero T
+	answers := make(chan T, 1)
+	reply := func(v T) {
+		select {
+		case answers <- v:
+		default:
+		}
+	}
+	if !c.post(func() { f(reply) }) {
+		return zero, &port.NotOwnerError{Instance: c.options.Instance}
+	}
+	select {
+	case v := <-answers:
+		return v, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-c.ctx.Done():
+		select {
+		case v := <-answers:
+			return v, nil
+		default:
+			return zero, errCellClosed
+		}
+	}
+}
+
+// Submit implements port.OwnerCalls.
+func (c *Cell) Submit(ctx context.Context, s port.SubmitCall) (port.SubmitReply, error) {
+	if !c.confirmed() {
+		return port.SubmitReply{Reason: reasonStore, RetryAfterMS: storeRetryMS}, nil
+	}
+	reply, err := ask(ctx, c, func(reply func(port.SubmitReply)) { c.submit(s, reply) })
+	if err != nil {
+		return port.SubmitReply{Unknown: true}, nil
+	}
+	return reply, nil
+}
+
+func (c *Cell) submit(s port.SubmitCall, reply func(port.SubmitReply)) {
+	if c.resigning {
+		reply(port.SubmitReply{Reason: reasonOwnerChange, RetryAfterMS: storeRetryMS})
+		return
+	}
+	result := c.machine.Submit(s.Job, &s.Queue, s.Team, &s.Spec)
+	switch {
+	case result.Refusal != jobs.NotRefused:
+		reason := refusalReasons[result.Refusal]
+		c.metrics.Counter("refusal." + reason).Inc(1)
+		c.log.Info("job_refused", zap.String("job", string(s.Job)), zap.String("team", string(s.Team)),
+			zap.String("queue", string(s.Queue.Name)), zap.String("reason", reason), zap.Int64("retry_after_ms", result.RetryAfterMS))
+		reply(port.SubmitReply{Reason: reason, RetryAfterMS: result.RetryAfterMS})
+	case result.Durable:
+		reply(port.SubmitReply{Accepted: true})
+	default:
+		c.submitters[s.Job] = append(c.submitters[s.Job], reply)
+	}
+}
+
+// Cancel implements port.OwnerCalls.
+func (c *Cell) Cancel(ctx context.Context, j port.JobCall) (port.CancelReply, error) {
+	if !c.confirmed() {
+		return port.CancelReply{}, &port.NotOwnerError{Instance: c.options.Instance}
+	}
+	reply, err := ask(ctx, c, func(reply func(port.CancelReply)) {
+		known, stored := c.machine.Cancel(j.Job, j.Team)
+		if !known || stored {
+			reply(port.CancelReply{Known: known, Done: stored})
+			return
+		}
+		c.cancellers[j.Job] = append(c.cancellers[j.Job], reply)
+	})
+	if err != nil {
+		return port.CancelReply{Known: true}, nil
+	}
+	return reply, nil
+}
+
+// State implements port.OwnerCalls.
+func (c *Cell) State(ctx context.Context, j port.JobCall) (port.StateReply, error) {
+	// A former owner does not know the jobs that its successor accepted.
+	if !c.confirmed() {
+		return port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance}
+	}
+	return ask(ctx, c, func(reply func(port.StateReply)) {
+		state, team, known := c.machine.Known(j.Job)
+		reply(port.StateReply{Known: known && team == j.Team, State: state})
+	})
+}
+
+// Waiting implements port.OwnerCalls.
+func (c *Cell) Waiting(ctx context.Context, queue domain.QueueID) (int, error) {
+	return ask(ctx, c, func(reply func(int)) { reply(c.machine.Waiting(queue)) })
+}
+
+// Hello implements port.OwnerCalls.
+func (c *Cell) Hello(_ context.Context, h port.Hello) error {
+	if !c.post(func() { c.relays.hello(h, c.approvers) }) {
+		return &port.NotOwnerError{Instance: c.options.Instance}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/app/owner/write.go
@@ -0,0 +1,242 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// entriesPerTxn leaves room for the two conditions and the sequence.
+const entriesPerTxn = port.MaxTxnEntries - 3
+
+// write starts the next write where there is something to store and none is under way.
+func (c *Cell) write(now int64) {
+	if c.writing {
+		if now-c.writeFrom > storeDown.Milliseconds() {
+			c.withdrawWaiting()
+		}
+		return
+	}
+	if now-c.lastWrite < writeInterval.Milliseconds() || !c.machine.HasChanges() && !c.endsUnacknowledged() {
+		return
+	}
+	batch, err := c.machine.TakeBatch()
+	if err != nil {
+		c.log.Error("state cannot be encoded", zap.Error(err))
+		c.end("state cannot be encoded")
+		return
+	}
+	if batch.Empty() {
+		c.stored(batch)
+		return
+	}
+	c.writing, c.writeFrom, c.lastWrite = true, now, now
+	go c.storeBatch(batch)
+}
+
+func (c *Cell) endsUnacknowledged() bool {
+	for id, n := range c.processed {
+		if n > c.acked[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// storeBatch writes a batch and tells the loop.
+func (c *Cell) storeBatch(batch *jobs.Batch) {
+	puts, deletes, err := entriesOf(batch)
+	if err != nil {
+		c.log.Error("state cannot be encoded", zap.Error(err))
+		c.end("state cannot be encoded")
+		return
+	}
+	for len(puts)+len(deletes) > 0 {
+		n := min(len(puts), entriesPerTxn)
+		d := min(len(deletes), entriesPerTxn-n)
+		if err := c.commit(puts[:n], deletes[:d]); err != nil {
+			c.end(err.Error())
+			return
+		}
+		puts, deletes = puts[n:], deletes[d:]
+	}
+	c.post(func() {
+		c.writing = false
+		c.stored(batch)
+	})
+}
+
+func entriesOf(b *jobs.Batch) ([]port.Put, []string, error) {
+	var puts []port.Put
+	var deletes []string
+	if b.Members != nil {
+		value, err := cbor.Marshal(b.Members)
+		if err != nil {
+			return nil, nil, err
+		}
+		puts = append(puts, port.Put{Key: membersKey, Value: value})
+	}
+	for _, j := range b.Jobs {
+		// The specification goes first: progress without it cannot be recovered.
+		if j.Job != nil {
+			puts = append(puts, port.Put{Key: jobKey(j.ID), Value: j.Job})
+		}
+		puts = append(puts, port.Put{Key: StateKey(j.ID), Value: j.State})
+	}
+	for _, id := range b.Forgotten {
+		deletes = append(deletes, jobKey(id), StateKey(id))
+	}
+	return puts, deletes, nil
+}
+
+// commit writes one transaction of the reign. It repeats until the outcome is
+// known, and fails once another instance has claimed the cell.
+func (c *Cell) commit(puts []port.Put, deletes []string) error {
+	r := c.reign
+	r.sequenceNumber++
+	mine := sequence{Epoch: r.epoch, Number: r.sequenceNumber, Token: r.token}
+	value, err := cbor.Marshal(mine)
+	if err != nil {
+		return err
+	}
+	txn := port.Txn{
+		If:      []port.Condition{{Key: ownerKey, Revision: r.ownerRevision}, {Key: sequenceKey, Revision: r.sequenceRevision}},
+		Puts:    append([]port.Put{{Key: sequenceKey, Value: value}}, puts...),
+		Deletes: deletes,
+	}
+	for c.ctx.Err() == nil {
+		begun := time.Now()
+		revision, err := c.store.Commit(c.ctx, txn)
+		c.metrics.Timer("store.commit").UpdateSince(begun)
+		if err == nil {
+			r.sequenceRevision = revision
+			return nil
+		}
+		var conflict *port.TxnConflictError
+		if errors.As(err, &conflict) {
+			revision, applied := appliedRevision(conflict, mine)
+			if !applied {
+				return fmt.Errorf("claim was taken over: %w", err)
+			}
+			r.sequenceRevision = revision
+			return nil
+		}
+		c.metrics.Counter("store.commit.repeated").Inc(1)
+		c.log.Warn("write repeated", zap.Int64("sequence", mine.Number), zap.Error(err))
+		c.pause(writeRetry)
+	}
+	return errCellClosed
+}
+
+// appliedRevision reports whether the conflicting state is the transaction's own effect.
+func appliedRevision(conflict *port.TxnConflictError, mine sequence) (int64, bool) {
+	for _, e := range conflict.Current {
+		if e.Key != sequenceKey {
+			continue
+		}
+		var found sequence
+		if err := cbor.Unmarshal(e.Value, &found); err != nil {
+			return 0, false
+		}
+		return e.Revision, found == mine
+	}
+	return 0, false
+}
+
+// stored releases what waited for the batch.
+func (c *Cell) stored(batch *jobs.Batch) {
+	for id, n := range c.machine.Stored(batch) {
+		if n > c.acked[id] && n <= c.processed[id] {
+			c.acked[id] = n
+		}
+	}
+	for _, j := range batch.Jobs {
+		c.answer(j.ID, port.SubmitReply{Accepted: true})
+		if j.Ended {
+			for _, reply := range c.cancellers[j.ID] {
+				reply(port.CancelReply{Known: true, Done: true})
+			}
+			delete(c.cancellers, j.ID)
+		}
+	}
+}
+
+func (c *Cell) answer(id domain.JobID, reply port.SubmitReply) {
+	for _, send := range c.submitters[id] {
+		send(reply)
+	}
+	delete(c.submitters, id)
+}
+
+// withdrawWaiting refuses submissions that no write has taken up.
+func (c *Cell) withdrawWaiting() {
+	for id := range c.submitters {
+		if c.machine.Withdraw(id) {
+			c.answer(id, port.SubmitReply{Reason: reasonStore, RetryAfterMS: storeRetryMS})
+		}
+	}
+}
+
+// storeRetryMS is when a caller may come back after the store did not answer.
+const storeRetryMS = 1000
+
+// failWaiters answers everything that waits at the end of the reign.
+func (c *Cell) failWaiters() {
+	for id := range c.submitters {
+		if c.machine.Withdraw(id) && !c.writing {
+			c.answer(id, port.SubmitReply{Reason: reasonOwnerChange, RetryAfterMS: storeRetryMS})
+			continue
+		}
+		c.answer(id, port.SubmitReply{Unknown: true})
+	}
+	for id, list := range c.cancellers {
+		for _, reply := range list {
+			reply(port.CancelReply{Known: true})
+		}
+		delete(c.cancellers, id)
+	}
+}
+
+// recover loads the cell's state. It is used before the loop runs.
+func (c *Cell) recover(ctx context.Context) error {
+	states, _, err := c.store.List(ctx, statePrefix)
+	if err != nil {
+		return err
+	}
+	specs, _, err := c.store.List(ctx, jobPrefix)
+	if err != nil {
+		return err
+	}
+	if entry, err := c.store.Get(ctx, membersKey); err == nil {
+		var members []domain.WorkerID
+		if err := cbor.Unmarshal(entry.Value, &members); err != nil {
+			return fmt.Errorf("value of %s cannot be read: %w", membersKey, err)
+		}
+		c.machine.SuspectWorkers(members)
+	} else if missing := (*port.NotFoundError)(nil); !errors.As(err, &missing) {
+		return err
+	}
+	byID := make(map[domain.JobID][]byte, len(specs))
+	for _, e := range specs {
+		byID[domain.JobID(e.Key[len(jobPrefix):])] = e.Value
+	}
+	for _, e := range states {
+		id := domain.JobID(e.Key[len(statePrefix):])
+		if err := c.machine.Recover(id, byID[id], e.Value); err != nil {
+			c.log.Error("stored job cannot be recovered", zap.String("job", string(id)), zap.Error(err))
+		}
+	}
+	c.machine.FinishRecovery()
+	c.log.Info("cell recovered", zap.Int64("epoch", c.reign.epoch), zap.Int("jobs", len(states)),
+		zap.Int("suspect_workers", c.machine.Suspects()), zap.Int64("took_ms", steady.NowMS()-c.reign.claimedMS))
+	return nil
+}
--- /dev/null
+++ b/internal/celld/celld.go
@@ -0,0 +1,219 @@
+// Package celld assembles an instance that runs on the users' platform: the
+// entry for callers, the owner of the cell, and the calls between instances.
+package celld
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"auburnpier/internal/adapter/cellhttp"
+	"auburnpier/internal/app/entry"
+	"auburnpier/internal/app/owner"
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/logring"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/settings"
+)
+
+// Adapters reach the platform.
+type Adapters struct {
+	Store    port.LeaseStore
+	Workers  port.WorkerCalls
+	Registry port.WorkerRegistry
+	Config   port.ConfigSource
+	Approver port.Approver
+	// Front makes the handler of callers' requests.
+	Front func(service *entry.Service, draining func() bool) http.Handler
+}
+
+// Shares of the platform's bounds.
+const (
+	// claimTTL is how long a claim outlives its owner. It is several renewals.
+	claimTTL = 2400 * time.Millisecond
+	// workerLease is how long tasks outlive their owner. It exceeds the time in
+	// which another instance takes the cell over and reaches the workers.
+	workerLease = 6 * time.Second
+	// unconfirmedTTL is how long an owner cut from the store keeps tasks alive.
+	unconfirmedTTL = 3500 * time.Millisecond
+	// startLimit bounds how late an unanswered start may take effect.
+	startLimit = 1500 * time.Millisecond
+	// keyTrustShare of the revocation bound leaves time for a watch that hears
+	// nothing for a second, and for the request's way.
+	keyTrustShare = 0.68
+	// balancerNotice is the time in which the balancer takes an instance out of rotation.
+	balancerNotice = 2300 * time.Millisecond
+	// gcMemoryShare of the VM's memory is where the collector works harder.
+	gcMemoryShare = 0.6
+	gcPercent     = 200
+	// Bounds of callers' connections.
+	headerTimeout  = 3 * time.Second
+	idleTimeout    = 15 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Instance is one process.
+type Instance struct {
+	settings  settings.Cell
+	adapters  Adapters
+	log       *zap.Logger
+	metrics   *metrics.Registry
+	config    *entry.ConfigKeeper
+	directory *entry.Directory
+	service   *entry.Service
+	owner     *owner.Owner
+	draining  atomic.Bool
+}
+
+// NewLog returns a logger that writes JSON lines to standard output without blocking.
+func NewLog(s settings.Cell) (*zap.Logger, error) {
+	level, err := zapcore.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.EpochMillisTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), logring.New(os.Stdout), level)
+	return zap.New(core).With(zap.String("instance", string(s.Instance))), nil
+}
+
+// New assembles an instance.
+func New(s settings.Cell, a Adapters, log *zap.Logger) *Instance {
+	i := &Instance{settings: s, adapters: a, log: log, metrics: metrics.New()}
+	dialer := cellhttp.NewDialer()
+	i.directory = entry.NewDirectory(dialer)
+	i.config = entry.NewConfigKeeper(a.Config, log, i.configChanged)
+	trust := time.Duration(float64(s.Bounds.RevokeMS)*keyTrustShare) * time.Millisecond
+	self := port.Hello{Instance: s.Instance, Address: s.Listen.Peers}
+	i.service = entry.NewService(entry.Options{Self: self, KeyTrust: trust}, i.config, i.directory, a.Store, log, i.metrics)
+	lease := min(workerLease, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
+	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
+	i.owner = owner.New(owner.Options{
+		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL, WorkerLease: lease,
+		Machine: jobs.Config{
+			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
+			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
+			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor,
+		},
+	}, owner.Ports{Store: a.Store, Workers: a.Workers, Registry: a.Registry, Approvers: dialer}, log, i.metrics)
+	return i
+}
+
+func (i *Instance) configChanged(c *port.CellConfig) {
+	if cell := i.directory.Seat().Local; cell != nil {
+		cell.Configure(c)
+	}
+}
+
+// Run serves until ctx ends, and then hands over and drains.
+func (i *Instance) Run(ctx context.Context) error {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(i.settings.Limits.MemoryMB) * gcMemoryShare * (1 << 20)))
+	i.log.Info("start", zap.String("region", string(i.settings.Region)), zap.String("zone", string(i.settings.Zone)))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	servers, err := i.listen()
+	if err != nil {
+		return err
+	}
+	campaign, resign := context.WithCancel(work)
+	campaignDone := make(chan struct{})
+	go i.config.Run(work)
+	go i.service.Greet(work)
+	go func() {
+		defer close(campaignDone)
+		i.owner.Campaign(campaign, i.config.Plain, i.directory.Publish)
+	}()
+	<-ctx.Done()
+	i.log.Info("stop", zap.Int64("grace_ms", i.settings.Bounds.GraceMS))
+	begun := time.Now()
+	i.draining.Store(true)
+	resign()
+	grace := time.Duration(i.settings.Bounds.GraceMS) * time.Millisecond
+	<-campaignDone
+	// An instance that resigned still has to know the next owner.
+	go i.followClaim(work)
+	time.Sleep(min(balancerNotice, grace/2) - time.Since(begun))
+	shutdown, cancel := context.WithDeadline(work, begun.Add(grace-shutdownMargin))
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(shutdown); err != nil {
+			i.log.Warn("connections were open at the end of the grace time", zap.Error(err))
+		}
+	}
+	i.log.Info("stopped", zap.Duration("took", time.Since(begun)))
+	// The log is all that is left to flush; an error has nowhere to go.
+	_ = i.log.Sync()
+	return nil
+}
+
+// shutdownMargin is left of the grace time for the process to end.
+const shutdownMargin = 400 * time.Millisecond
+
+// followClaim keeps the directory current without claiming the cell.
+func (i *Instance) followClaim(ctx context.Context) {
+	const pause = 100 * time.Millisecond
+	for ctx.Err() == nil {
+		if claim, _, _, err := owner.FindClaim(ctx, i.adapters.Store); err == nil && claim != nil && claim.Address != i.settings.Listen.Peers {
+			i.directory.Publish(owner.Seat{Claim: claim})
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// listen opens the addresses of the settings. The readiness address comes first.
+func (i *Instance) listen() ([]*http.Server, error) {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /ready", i.serveReady)
+	peers := cellhttp.NewHandler(cellhttp.Local{
+		Instance: i.settings.Instance, Approver: i.adapters.Approver,
+		Owner: func() port.OwnerCalls {
+			if cell := i.directory.Seat().Local; cell != nil {
+				return cell
+			}
+			return nil
+		},
+	})
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{i.settings.Listen.Ready, ready},
+		{i.settings.Listen.Metrics, i.metricsHandler()},
+		{i.settings.Listen.Callers, i.adapters.Front(i.service, i.draining.Load)},
+		{i.settings.Listen.Peers, peers},
+	}
+	var servers []*http.Server
+	for _, h := range handlers {
+		l, err := net.Listen("tcp", h.address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "listen on %s; free the address or change the settings", h.address)
+		}
+		s := &http.Server{Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		servers = append(servers, s)
+		go func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				i.log.Error("server ended", zap.String("address", h.address), zap.Error(err))
+			}
+		}()
+	}
+	return servers, nil
+}
+
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if i.draining.Load() || !i.service.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/celld/metrics.go
@@ -0,0 +1,50 @@
+package celld
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// metricsHandler serves the metrics as text, one sample a line.
+func (i *Instance) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		seat := i.directory.Seat()
+		owns := int64(0)
+		if seat.Local != nil {
+			owns = 1
+		}
+		i.metrics.Gauge("cell.owner").Update(owns)
+		i.metrics.Gauge("config.age_ms").Update(i.config.AgeMS())
+		var lines []string
+		i.metrics.Underlying().Each(func(name string, m any) { lines = append(lines, samples(name, m)...) })
+		sort.Strings(lines)
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		// A scraper that left has no use for the answer.
+		_, _ = fmt.Fprintln(w, strings.Join(lines, "\n"))
+	})
+	return mux
+}
+
+var quantiles = []float64{0.5, 0.99}
+
+func samples(name string, m any) []string {
+	name = "auburnpier_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+	switch v := m.(type) {
+	case gometrics.Counter:
+		return []string{fmt.Sprintf("%s_total %d", name, v.Count())}
+	case gometrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, v.Value())}
+	case gometrics.Timer:
+		lines := []string{fmt.Sprintf("%s_seconds_count %d", name, v.Count())}
+		for k, value := range v.Percentiles(quantiles) {
+			lines = append(lines, fmt.Sprintf("%s_seconds{quantile=%q} %g", name, fmt.Sprint(quantiles[k]), value/1e9))
+		}
+		return lines
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/jobs/approval.go
@@ -0,0 +1,188 @@
+package jobs
+
+import (
+	"math"
+	"sort"
+
+	"auburnpier/internal/domain"
+)
+
+// approvalStats is what was seen of a queue's approvals.
+type approvalStats struct {
+	// rate is the smoothed share of workers that are approved.
+	rate float64
+}
+
+// Figures of approval requests.
+const (
+	initialApprovalRate = 0.5
+	approvalRateWeight  = 0.1
+	// approvalSurplus asks for more workers than the rate makes necessary.
+	approvalSurplus = 1.4
+	approvalExtra   = 2
+	// MaxApprovalWorkers is the most workers that one request names.
+	MaxApprovalWorkers = 100
+	// approvalMarginMS is the way of a start order that uses an approval.
+	approvalMarginMS = 120
+	// approvalRetryMS is the pause after a request that was refused or unanswered.
+	approvalRetryMS = 100
+	// approvalAgainMS is the least time between requests for the same step.
+	approvalAgainMS = 120
+)
+
+func (m *Machine) statsOf(q *Queue) *approvalStats {
+	st, ok := m.approvals[q.Name]
+	if !ok {
+		st = &approvalStats{rate: initialApprovalRate}
+		m.approvals[q.Name] = st
+	}
+	return st
+}
+
+// approved reports whether the step holds a usable approval for the worker.
+func (m *Machine) approved(s *step, w *worker) bool {
+	if s.job.queue.Approval == nil {
+		return true
+	}
+	a, ok := s.approvals[w.id]
+	return ok && a.bornMS == w.bornMS && a.expiresMS > m.nowMS+approvalMarginMS
+}
+
+// mayBeApproved reports whether the step was not denied the worker. The
+// verdict on a worker never changes.
+func (s *step) mayBeApproved(w *worker) bool {
+	good, known := s.verdicts[w.id]
+	return !known || good
+}
+
+// askApproval requests approvals for the workers that suit the step best.
+func (m *Machine) askApproval(s *step, suits []*worker) {
+	if s.asking || m.nowMS < s.askAgainMS || len(suits) == 0 {
+		return
+	}
+	q := s.job.queue
+	n := m.approvalCount(s, suits)
+	sort.SliceStable(suits, func(i, k int) bool { return m.askBefore(s, suits[i], suits[k]) })
+	ids := make([]domain.WorkerID, 0, n)
+	for _, w := range suits[:min(n, len(suits))] {
+		ids = append(ids, w.id)
+	}
+	s.asking = true
+	m.out.Approvals = append(m.out.Approvals, ApprovalRequest{
+		Step: StepID{s.job.id, s.occ.number, s.number}, Queue: q.Name, Workers: ids,
+		ExpectedMS: q.Approval.BaseMS + q.Approval.PerWorkerMS*float64(len(ids)),
+	})
+}
+
+// askBefore puts workers known to be approved first, then those with most room.
+func (m *Machine) askBefore(s *step, a, b *worker) bool {
+	ga, gb := s.verdicts[a.id], s.verdicts[b.id]
+	if ga != gb {
+		return ga
+	}
+	fa, fb := m.freeFor(s, a).CPUMilli, m.freeFor(s, b).CPUMilli
+	if fa != fb {
+		return fa > fb
+	}
+	return a.id < b.id
+}
+
+// approvalCount is how many workers to name so that the step's waiting tasks
+// find enough approved ones.
+func (m *Machine) approvalCount(s *step, suits []*worker) int {
+	rate := max(0.05, m.statsOf(s.job.queue).rate)
+	need := s.spec.Reserved()
+	room, workers := 0, 0
+	for _, w := range suits {
+		fits := m.fitCount(s, w, need)
+		if fits == 0 {
+			continue
+		}
+		expected := float64(fits) * rate
+		if s.verdicts[w.id] {
+			expected = float64(fits)
+		}
+		room += int(math.Ceil(expected * 100))
+		workers++
+		if float64(room)/100 >= float64(s.waiting)*approvalSurplus {
+			break
+		}
+	}
+	least := int(math.Ceil(2 / rate))
+	return min(MaxApprovalWorkers, max(workers+approvalExtra, least))
+}
+
+func (m *Machine) fitCount(s *step, w *worker, need domain.Resources) int {
+	free := m.freeFor(s, w)
+	n := s.waiting
+	if s.spec.MaxPerWorker > 0 {
+		n = min(n, s.spec.MaxPerWorker-s.perWorker[w.id])
+	}
+	if need.CPUMilli > 0 {
+		n = min(n, int(free.CPUMilli/need.CPUMilli))
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, int(free.MemoryMB/need.MemoryMB))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/need.Accelerators))
+	}
+	return max(n, 0)
+}
+
+// Approval is one approved worker of an answer.
+type Approval struct {
+	Worker domain.WorkerID
+	Ticket string
+}
+
+// ApprovalAnswered takes the answer to an approval request. Asked is the list
+// that was named, nil where the request failed.
+func (m *Machine) ApprovalAnswered(id StepID, asked []domain.WorkerID, good []Approval, validMS int64) {
+	s := m.findStep(id)
+	if s == nil {
+		return
+	}
+	s.asking = false
+	m.needsPass = true
+	if asked == nil {
+		s.askAgainMS = m.nowMS + approvalRetryMS
+		return
+	}
+	s.askAgainMS = m.nowMS + approvalAgainMS
+	if s.approvals == nil {
+		s.approvals = make(map[domain.WorkerID]approval)
+		s.verdicts = make(map[domain.WorkerID]bool)
+	}
+	for _, w := range asked {
+		if _, known := s.verdicts[w]; !known {
+			s.verdicts[w] = false
+		}
+	}
+	for _, g := range good {
+		s.verdicts[g.Worker] = true
+		w, ok := m.workers[g.Worker]
+		if !ok {
+			continue
+		}
+		// The answer took a part of the time that the ticket is valid.
+		s.approvals[g.Worker] = approval{ticket: g.Ticket, bornMS: w.bornMS, expiresMS: m.nowMS + validMS - approvalTransitMS}
+	}
+	st := m.statsOf(s.job.queue)
+	st.rate += (float64(len(good))/float64(max(1, len(asked))) - st.rate) * approvalRateWeight
+}
+
+// approvalTransitMS covers the way of an answer.
+const approvalTransitMS = 60
+
+func (m *Machine) findStep(id StepID) *step {
+	j, ok := m.jobs[id.Job]
+	if !ok || j.state.Terminal() {
+		return nil
+	}
+	o, ok := j.occs[id.Occurrence]
+	if !ok || id.Step < 0 || id.Step >= len(o.steps) {
+		return nil
+	}
+	return o.steps[id.Step]
+}
--- /dev/null
+++ b/internal/core/jobs/gang.go
@@ -0,0 +1,331 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+
+	"auburnpier/internal/domain"
+)
+
+// Figures of gangs.
+const (
+	// gangRepairMS is how long a member that was refused may be placed elsewhere
+	// before the gang is stopped. It stays under the time that members wait.
+	gangRepairMS = 1500
+	// reservationMS is how long room is kept for a gang before the plan is made anew.
+	reservationMS = 3000
+	// maxReservations bounds the room that waiting gangs take from others.
+	maxReservations = 6
+	// preemptAgainMS is the least time between preemptions for one gang.
+	preemptAgainMS = 1200
+)
+
+// placeGang starts all members of a gang or none.
+func (m *Machine) placeGang(s *step, blocked map[*team]bool) {
+	if s.waiting < s.open {
+		m.repairGang(s)
+		return
+	}
+	j := s.job
+	for _, t := range s.tasks {
+		if m.nowMS < t.notBeforeMS {
+			return
+		}
+	}
+	if !j.team.withinLimit(s.spec.Need.Scale(int64(s.open))) {
+		if !j.team.used.IsZero() || blocked[j.team] {
+			return
+		}
+		// Wider than the team's limit: it can never start whole.
+		return
+	}
+	if plan := m.planGang(s, m.approved, m.freeNow); plan != nil {
+		if !j.durable {
+			m.hold(s, plan)
+			return
+		}
+		m.startGang(s, plan)
+		return
+	}
+	m.prepareGang(s)
+}
+
+// gangPlan gives the worker of each open member.
+type gangPlan []*worker
+
+type roomFunc func(s *step, w *worker) domain.Resources
+
+func (m *Machine) freeNow(s *step, w *worker) domain.Resources { return m.freeFor(s, w) }
+
+// planGang finds a worker for each member, in one rack where the step wants that.
+func (m *Machine) planGang(s *step, approved func(*step, *worker) bool, room roomFunc) gangPlan {
+	if !s.spec.SameRack {
+		return m.planAmong(s, "", approved, room)
+	}
+	var racks []domain.RackID
+	for _, w := range m.order {
+		if m.usable(s, w) && !slices.Contains(racks, w.rack) {
+			racks = append(racks, w.rack)
+		}
+	}
+	slices.SortFunc(racks, func(a, b domain.RackID) int {
+		if (a == s.spec.DataRack) != (b == s.spec.DataRack) {
+			if a == s.spec.DataRack {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a, b)
+	})
+	for _, rack := range racks {
+		if plan := m.planAmong(s, rack, approved, room); plan != nil {
+			return plan
+		}
+	}
+	return nil
+}
+
+type gangSlot struct {
+	w    *worker
+	fits int
+	cost float64
+}
+
+func (m *Machine) planAmong(s *step, rack domain.RackID, approved func(*step, *worker) bool, room roomFunc) gangPlan {
+	need := s.spec.Reserved()
+	var slots []gangSlot
+	total := 0
+	for _, w := range m.order {
+		if rack != "" && w.rack != rack || !m.usable(s, w) || !approved(s, w) {
+			continue
+		}
+		free := room(s, w)
+		n := fitsIn(need, free, s.open)
+		if s.spec.MaxPerWorker > 0 {
+			n = min(n, s.spec.MaxPerWorker)
+		}
+		if n == 0 {
+			continue
+		}
+		total += n
+		slots = append(slots, gangSlot{w, n, m.cost(s, w, free.Sub(need.Scale(int64(n))))})
+	}
+	if total < s.open {
+		return nil
+	}
+	slices.SortStableFunc(slots, func(a, b gangSlot) int { return cmp.Compare(a.cost, b.cost) })
+	plan := make(gangPlan, 0, s.open)
+	for _, slot := range slots {
+		for i := 0; i < slot.fits && len(plan) < s.open; i++ {
+			plan = append(plan, slot.w)
+		}
+	}
+	return plan
+}
+
+func fitsIn(need, free domain.Resources, most int) int {
+	n := most
+	if need.CPUMilli > 0 {
+		n = min(n, int(free.CPUMilli/need.CPUMilli))
+	}
+	if need.MemoryMB > 0 {
+		n = min(n, int(free.MemoryMB/need.MemoryMB))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, int(free.Accelerators/need.Accelerators))
+	}
+	return max(n, 0)
+}
+
+func (m *Machine) startGang(s *step, plan gangPlan) {
+	number := max(s.gangRun, m.epochRun(s.job))
+	for _, t := range s.tasks {
+		number = max(number, t.lastRun)
+	}
+	s.gangRun = number + 1
+	s.gangPlacedMS = m.nowMS
+	i := 0
+	for _, t := range s.tasks {
+		if t.phase == taskWaiting {
+			m.start(t, plan[i], s.gangRun)
+			i++
+		}
+	}
+	m.dropReservation(s)
+}
+
+// repairGang places members that were refused while the others wait for them,
+// and stops a gang that cannot be completed.
+func (m *Machine) repairGang(s *step) {
+	repairable := m.nowMS-s.gangPlacedMS < gangRepairMS
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			repairable = repairable && r.phase != runStopping && r.number == s.gangRun
+		}
+	}
+	for _, t := range s.tasks {
+		if t.phase != taskWaiting || !repairable {
+			continue
+		}
+		w := m.pick(s, nil)
+		if w == nil {
+			break
+		}
+		m.start(t, w, s.gangRun)
+	}
+	if s.waiting > 0 && m.nowMS-s.gangPlacedMS >= gangRepairMS {
+		m.stopGang(s, "member missing")
+	}
+}
+
+// hold keeps the room of a plan from steps that come later in this pass.
+func (m *Machine) hold(s *step, plan gangPlan) {
+	need := s.spec.Reserved()
+	for _, w := range plan {
+		w.held = w.held.Add(need)
+	}
+}
+
+func allowed(s *step, w *worker) bool { return s.mayBeApproved(w) }
+
+func known(s *step, w *worker) bool {
+	return s.job.queue.Approval == nil || s.verdicts[w.id]
+}
+
+// prepareGang asks for approvals, keeps room, and preempts where that helps.
+func (m *Machine) prepareGang(s *step) {
+	if s.job.queue.Approval != nil {
+		if plan := m.planGang(s, known, m.freeNow); plan != nil {
+			m.hold(s, plan)
+			m.askApproval(s, m.suits(s, known))
+			return
+		}
+		if len(s.verdicts) == 0 || m.unasked(s) > 0 {
+			m.askApproval(s, m.suits(s, allowed))
+			if len(s.verdicts) == 0 {
+				return
+			}
+		}
+	}
+	if m.nowMS-s.preemptedMS >= preemptAgainMS {
+		if plan := m.planGang(s, known, m.freeByPreemption); plan != nil && s.job.durable {
+			m.preempt(s, plan)
+			s.preemptedMS = m.nowMS
+			m.reserve(s, plan)
+		}
+	}
+	if s.reservation == nil || m.nowMS >= s.reservedUntilMS {
+		m.dropReservation(s)
+		if m.reservations() < maxReservations {
+			if plan := m.planGang(s, known, m.freeInTime); plan != nil {
+				m.reserve(s, plan)
+			}
+		}
+	}
+	for w, r := range s.reservation {
+		w.held = w.held.Add(r)
+	}
+}
+
+func (m *Machine) suits(s *step, ok func(*step, *worker) bool) []*worker {
+	var list []*worker
+	for _, w := range m.order {
+		if m.usable(s, w) && ok(s, w) && s.spec.Reserved().Fits(w.capacity) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+func (m *Machine) unasked(s *step) int {
+	n := 0
+	for _, w := range m.order {
+		if _, asked := s.verdicts[w.id]; !asked && m.usable(s, w) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) reservations() int {
+	n := 0
+	for _, s := range m.ready {
+		if s.reservation != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) reserve(s *step, plan gangPlan) {
+	s.reservation = make(map[*worker]domain.Resources)
+	for _, w := range plan {
+		s.reservation[w] = s.reservation[w].Add(s.spec.Reserved())
+	}
+	s.reservedUntilMS = m.nowMS + reservationMS
+}
+
+func (m *Machine) dropReservation(s *step) { s.reservation = nil }
+
+// preemptable reports whether a run may be stopped for the step: its job is
+// less urgent, its progress is saved, and it is not a gang member.
+func preemptable(s *step, r *run) bool {
+	victim := r.task.step
+	return r.phase == runConfirmed && victim.job.queue.Priority > s.job.queue.Priority &&
+		victim.spec.Checkpointable && !victim.spec.Gang && !victim.spec.Lasting
+}
+
+// freeByPreemption is the room after all preemptable runs have been stopped.
+func (m *Machine) freeByPreemption(s *step, w *worker) domain.Resources {
+	free := m.freeFor(s, w)
+	for _, r := range w.runs {
+		if preemptable(s, r) || r.phase == runStopping {
+			free = free.Add(r.reserved)
+		}
+	}
+	return free
+}
+
+// freeInTime is the room once everything short of a lasting task has ended.
+func (m *Machine) freeInTime(s *step, w *worker) domain.Resources {
+	free := w.capacity.Sub(w.held)
+	for _, r := range w.runs {
+		if r.task.step.spec.Lasting {
+			free = free.Sub(r.reserved)
+		}
+	}
+	return free
+}
+
+// preempt stops the fewest runs that make room for the plan.
+func (m *Machine) preempt(s *step, plan gangPlan) {
+	wanted := make(map[*worker]domain.Resources)
+	for _, w := range plan {
+		wanted[w] = wanted[w].Add(s.spec.Reserved())
+	}
+	for _, w := range m.order {
+		need, ok := wanted[w]
+		if !ok {
+			continue
+		}
+		free := m.freeFor(s, w)
+		var victims []*run
+		for _, r := range w.runs {
+			if r.phase == runStopping {
+				free = free.Add(r.reserved)
+			} else if preemptable(s, r) {
+				victims = append(victims, r)
+			}
+		}
+		slices.SortFunc(victims, func(a, b *run) int {
+			return cmp.Or(cmp.Compare(b.reserved.CPUMilli, a.reserved.CPUMilli), compareTasks(a.task.id(), b.task.id()))
+		})
+		for _, r := range victims {
+			if need.Fits(free) {
+				break
+			}
+			free = free.Add(r.reserved)
+			m.stopRun(r, "preempted by "+string(s.job.id))
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/jobs/machine.go
@@ -0,0 +1,272 @@
+package jobs
+
+import (
+	"slices"
+	"sort"
+
+	"auburnpier/internal/domain"
+)
+
+// Config holds the constants of a machine. All durations are milliseconds.
+type Config struct {
+	// Epoch is the fence of this owner.
+	Epoch int64
+	// LeaseMS is how far ahead worker leases are extended.
+	LeaseMS int64
+	// FormerLeaseMS bounds how long tasks of a former owner may run on a worker
+	// that this owner cannot reach, counted from the takeover.
+	FormerLeaseMS int64
+	// StartLimitMS bounds how late an unanswered start may take effect.
+	StartLimitMS int64
+	// GangWaitMS is how long a gang member waits for the others at its worker.
+	GangWaitMS int64
+	// StopMS is how long a worker may take to stop a task.
+	StopMS int64
+	// RetentionMS is how long the state of an ended job is kept.
+	RetentionMS int64
+	// FarFactor multiplies the run time off the data's rack or across racks.
+	FarFactor float64
+}
+
+// WorkerInfo is what the platform's registry says of a worker.
+type WorkerInfo struct {
+	ID       domain.WorkerID
+	Address  string
+	Zone     domain.ZoneID
+	Service  string
+	Rack     domain.RackID
+	Labels   []string
+	Capacity domain.Resources
+	BornMS   int64
+	Draining bool
+}
+
+// Machine decides for one cell. It is used by one goroutine.
+type Machine struct {
+	cfg     Config
+	nowMS   int64
+	unixMS  int64
+	queues  map[domain.QueueID]*Queue
+	teams   map[domain.TeamID]*team
+	workers map[domain.WorkerID]*worker
+	order   []*worker
+	jobs    map[domain.JobID]*job
+	// ready holds steps whose turn has come and that have waiting tasks.
+	ready     []*step
+	recurring map[domain.JobID]*job
+	ended     []*job
+	// suspects are workers of a former owner that have not reported.
+	suspects map[domain.WorkerID]int64
+	// membersChanged tells that the stored set of workers is out of date.
+	membersChanged bool
+	forgotten      []domain.JobID
+	dirty          []*job
+	approvals      map[domain.QueueID]*approvalStats
+	lastAges       int64
+	out            Output
+	needsPass      bool
+	blockedBy      map[string]int
+	lastHungMS     int64
+}
+
+// New returns an empty machine.
+func New(cfg Config, nowMS, unixMS int64) *Machine {
+	return &Machine{
+		cfg: cfg, nowMS: nowMS, unixMS: unixMS,
+		queues:    make(map[domain.QueueID]*Queue),
+		teams:     make(map[domain.TeamID]*team),
+		workers:   make(map[domain.WorkerID]*worker),
+		jobs:      make(map[domain.JobID]*job),
+		recurring: make(map[domain.JobID]*job),
+		suspects:  make(map[domain.WorkerID]int64),
+		approvals: make(map[domain.QueueID]*approvalStats),
+		blockedBy: make(map[string]int),
+	}
+}
+
+// Advance sets the time. Earlier times are ignored.
+func (m *Machine) Advance(nowMS, unixMS int64) {
+	m.nowMS = max(m.nowMS, nowMS)
+	m.unixMS = unixMS
+	m.lapse()
+	m.openOccurrences()
+	m.watchRuns()
+	if m.nowMS-m.lastAges >= agingMS {
+		m.lastAges = m.nowMS
+		m.forgetOld()
+		m.needsPass = true
+	}
+}
+
+// agingMS is the interval of checks that bounds of whole seconds depend on.
+const agingMS = 250
+
+// Configure replaces the queues and teams.
+func (m *Machine) Configure(queues []Queue, teams []Team) {
+	m.queues = make(map[domain.QueueID]*Queue, len(queues))
+	for i := range queues {
+		m.queues[queues[i].Name] = &queues[i]
+	}
+	for _, t := range m.teams {
+		t.known = false
+	}
+	for _, row := range teams {
+		t := m.teamOf(row.ID)
+		t.Team, t.known = row, true
+	}
+	for _, j := range m.jobs {
+		if q, ok := m.queues[j.queue.Name]; ok && !j.state.Terminal() {
+			j.queue = q
+		}
+	}
+	m.needsPass = true
+}
+
+func (m *Machine) teamOf(id domain.TeamID) *team {
+	t, ok := m.teams[id]
+	if !ok {
+		t = &team{Team: Team{ID: id}, tokensMS: m.nowMS, tokens: -1}
+		m.teams[id] = t
+	}
+	return t
+}
+
+// ListWorkers takes the registry's present list.
+func (m *Machine) ListWorkers(list []WorkerInfo) {
+	seen := make(map[domain.WorkerID]bool, len(list))
+	for _, info := range list {
+		seen[info.ID] = true
+		m.register(info)
+	}
+	for _, w := range m.order {
+		if w.registered && !seen[w.id] {
+			w.registered = false
+			m.out.note("worker_unlisted", w.id, "")
+		}
+	}
+	m.needsPass = true
+}
+
+func (m *Machine) register(info WorkerInfo) {
+	w, ok := m.workers[info.ID]
+	if !ok {
+		w = &worker{id: info.ID, runs: make(map[TaskID]*run), slowness: 1, lastMS: m.nowMS, deadMS: m.nowMS}
+		m.workers[info.ID] = w
+		m.membersChanged = true
+		m.order = append(m.order, w)
+		sort.Slice(m.order, func(i, j int) bool { return m.order[i].id < m.order[j].id })
+	}
+	if info.Draining && !w.draining {
+		m.out.note("worker_draining", w.id, "")
+	}
+	w.registered = true
+	w.address, w.zone, w.service, w.rack = info.Address, info.Zone, info.Service, info.Rack
+	w.labels, w.capacity, w.draining = info.Labels, info.Capacity, info.Draining
+}
+
+// SuspectWorkers names workers that the former owner may have given tasks.
+func (m *Machine) SuspectWorkers(ids []domain.WorkerID) {
+	for _, id := range ids {
+		if w, ok := m.workers[id]; ok && w.contacted {
+			continue
+		}
+		m.suspects[id] = m.nowMS + m.cfg.FormerLeaseMS
+	}
+}
+
+// Suspects returns the number of workers that may still run tasks of a former owner unseen.
+func (m *Machine) Suspects() int { return len(m.suspects) }
+
+// lapse ends what ran on workers whose lease has certainly expired.
+func (m *Machine) lapse() {
+	for id, until := range m.suspects {
+		if m.nowMS >= until {
+			delete(m.suspects, id)
+			m.out.note("suspect_lapsed", id, "")
+			m.needsPass = true
+		}
+	}
+	kept := m.order[:0]
+	for _, w := range m.order {
+		if m.nowMS >= w.deadMS && len(w.runs) > 0 {
+			m.out.note("worker_lapsed", w.id, "")
+			m.dropRuns(w)
+		}
+		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.deadMS {
+			delete(m.workers, w.id)
+			m.out.Forgotten = append(m.out.Forgotten, w.id)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	m.order = kept
+}
+
+// dropRuns ends all runs of a worker whose tasks have certainly ended.
+func (m *Machine) dropRuns(w *worker) {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) })
+	for _, r := range runs {
+		m.endRun(r, EndLapsed, "")
+	}
+}
+
+func compareTasks(a, b TaskID) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
+
+// Known reports the state that the store holds for a job.
+func (m *Machine) Known(id domain.JobID) (State, domain.TeamID, bool) {
+	j, ok := m.jobs[id]
+	if !ok || !j.durable {
+		return 0, "", false
+	}
+	state := j.shownState
+	if state == Queued && j.everActive {
+		state = Running
+	}
+	return state, j.team.ID, true
+}
+
+// Waiting counts the accepted jobs of a queue of which no task has started.
+func (m *Machine) Waiting(queue domain.QueueID) int {
+	n := 0
+	for _, j := range m.jobs {
+		if j.queue.Name == queue && j.durable && !j.everActive && !j.state.Terminal() && !j.spec.Recurring() {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Machine) markDirty(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		m.dirty = append(m.dirty, j)
+	}
+}
+
+// forgetOld drops jobs that ended longer than the retention ago.
+func (m *Machine) forgetOld() {
+	n := 0
+	for ; n < len(m.ended) && m.unixMS-m.ended[n].endedUnix > m.cfg.RetentionMS; n++ {
+		j := m.ended[n]
+		delete(m.jobs, j.id)
+		m.forgotten = append(m.forgotten, j.id)
+	}
+	m.ended = m.ended[n:]
+}
--- /dev/null
+++ b/internal/core/jobs/model.go
@@ -0,0 +1,201 @@
+package jobs
+
+import (
+	"auburnpier/internal/domain"
+)
+
+type taskPhase uint8
+
+const (
+	taskWaiting taskPhase = iota
+	taskActive
+	taskDone
+)
+
+type job struct {
+	id    domain.JobID
+	queue *Queue
+	team  *team
+	spec  *Spec
+	// acceptedUnixMS and deadlineMS (steady) order the job.
+	acceptedUnixMS int64
+	deadlineMS     int64
+	// chainMS is the longest chain of estimated work.
+	chainMS int64
+	// epoch is the owner epoch at acceptance; run numbers grow with later epochs.
+	epoch int64
+	// recovered jobs may have tasks of a former owner on workers that have not reported.
+	recovered bool
+	// overRate marks jobs beyond the rate that the team's weight grants.
+	overRate bool
+	// written is set once a write has taken up the job, durable once the store holds it.
+	written    bool
+	durable    bool
+	state      State
+	endedUnix  int64
+	occs       map[int]*occurrence
+	nextOcc    int
+	doneOccs   map[int]bool
+	everActive bool
+	// shownState is the state that the store holds; callers are told this one.
+	shownState State
+	dirty      bool
+}
+
+type occurrence struct {
+	job    *job
+	number int
+	steps  []*step
+	// open is the number of steps that are not done.
+	open int
+}
+
+type step struct {
+	job    *job
+	occ    *occurrence
+	number int
+	spec   *StepSpec
+	tasks  []*task
+	// open is the number of tasks that have not succeeded.
+	open    int
+	waiting int
+	ready   bool
+	// readyMS is when the step's turn came.
+	readyMS int64
+	// gangRun is the run number of the current gang, gangFails its counted failures.
+	gangRun      int
+	gangFails    int
+	gangFailRun  int
+	gangPlacedMS int64
+	perWorker    map[domain.WorkerID]int
+
+	approvals       map[domain.WorkerID]approval
+	verdicts        map[domain.WorkerID]bool
+	asking          bool
+	askAgainMS      int64
+	orderKey        int64
+	blockedSinceMS  int64
+	reservation     map[*worker]domain.Resources
+	reservedUntilMS int64
+	preemptedMS     int64
+}
+
+type approval struct {
+	ticket    string
+	bornMS    int64
+	expiresMS int64
+}
+
+type task struct {
+	step       *step
+	index      int
+	phase      taskPhase
+	fails      int
+	lastRun    int
+	checkpoint string
+	runs       []*run
+	// notBeforeMS delays a repeat.
+	notBeforeMS int64
+}
+
+func (t *task) id() TaskID {
+	return TaskID{t.step.job.id, t.step.occ.number, t.step.number, t.index}
+}
+
+type runPhase uint8
+
+const (
+	// runSent runs were ordered and not confirmed.
+	runSent runPhase = iota
+	runConfirmed
+	// runStopping runs were told to stop.
+	runStopping
+)
+
+type run struct {
+	task     *task
+	number   int
+	worker   *worker
+	reserved domain.Resources
+	need     domain.Resources
+	phase    runPhase
+	placedMS int64
+	// confirmedMS is when the worker was known to have the run.
+	confirmedMS int64
+	// startLimit is the worker-clock limit after which the order has no effect.
+	startLimit int64
+	bornMS     int64
+	// listed tells that a report of the worker showed the run.
+	listed      bool
+	percent     int
+	progressMS  int64
+	stopSentMS  int64
+	reason      string
+	resendsLeft int
+}
+
+type worker struct {
+	id       domain.WorkerID
+	address  string
+	zone     domain.ZoneID
+	service  string
+	kind     string
+	rack     domain.RackID
+	labels   []string
+	capacity domain.Resources
+	bornMS   int64
+	draining bool
+	// registered tells that the platform lists the worker.
+	registered bool
+	// contacted tells that the worker answered under this owner's fence.
+	contacted bool
+	// recorded tells that the store names the worker among those that may have tasks.
+	recorded bool
+	lastMS   int64
+	// clockOffset added to the steady clock gives at most the worker's clock.
+	clockOffset int64
+	clockKnown  bool
+	// deadMS is when everything on the worker has ended if it is not heard of again.
+	deadMS  int64
+	used    domain.Resources
+	held    domain.Resources
+	runs    map[TaskID]*run
+	lastEnd int64
+	health  health
+	// slowness is the smoothed ratio of measured to expected run time.
+	slowness float64
+}
+
+func (w *worker) free() domain.Resources { return w.capacity.Sub(w.used) }
+
+type team struct {
+	Team
+	used domain.Resources
+	// tokens counts the jobs that the team may hand in at once within its weight.
+	tokens   float64
+	tokensMS int64
+	// delivered is the smoothed work in core-ms, for nearness to the share.
+	delivered float64
+	known     bool
+}
+
+// withinLimit reports whether the team may start a task of that size.
+func (t *team) withinLimit(need domain.Resources) bool {
+	after := t.used.Add(need)
+	return within(after.CPUMilli, t.Limit.CPUMilli) && within(after.MemoryMB, t.Limit.MemoryMB) &&
+		within(after.Accelerators, t.Limit.Accelerators)
+}
+
+func within(value, limit int64) bool { return limit <= 0 || value <= limit }
+
+func (w *worker) hasLabel(label string) bool {
+	if label == "" {
+		return true
+	}
+	for _, l := range w.labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/jobs/output.go
@@ -0,0 +1,73 @@
+package jobs
+
+import "auburnpier/internal/domain"
+
+// StartOrder tells a worker to start a task.
+type StartOrder struct {
+	Worker  domain.WorkerID
+	Address string
+	Task    TaskID
+	Run     int
+	Payload string
+	// LimitClockMS is a time of the worker's clock after which the order has no effect.
+	LimitClockMS int64
+	Checkpoint   string
+	Ticket       string
+	Repeated     bool
+}
+
+// StopOrder tells a worker to stop a run, or to refuse it if it comes later.
+type StopOrder struct {
+	Worker  domain.WorkerID
+	Address string
+	Task    TaskID
+	Run     int
+	Reason  string
+}
+
+// ApprovalRequest asks the approval service about workers for a step.
+type ApprovalRequest struct {
+	Step    StepID
+	Queue   domain.QueueID
+	Workers []domain.WorkerID
+	// ExpectedMS is how long the service takes to answer.
+	ExpectedMS float64
+}
+
+// Note is one decision for the log.
+type Note struct {
+	Kind   string
+	Worker domain.WorkerID
+	Task   TaskID
+	Run    int
+	Detail string
+}
+
+// Output is what is to be done since the last Drain.
+type Output struct {
+	Starts    []StartOrder
+	Stops     []StopOrder
+	Approvals []ApprovalRequest
+	// Forgotten lists workers that are gone for good.
+	Forgotten []domain.WorkerID
+	Notes     []Note
+}
+
+func (o *Output) note(kind string, w domain.WorkerID, detail string) {
+	o.Notes = append(o.Notes, Note{Kind: kind, Worker: w, Detail: detail})
+}
+
+func (o *Output) noteRun(kind string, r *run, detail string) {
+	o.Notes = append(o.Notes, Note{Kind: kind, Worker: r.worker.id, Task: r.task.id(), Run: r.number, Detail: detail})
+}
+
+func (o *Output) noteJob(kind string, j *job, detail string) {
+	o.Notes = append(o.Notes, Note{Kind: kind, Task: TaskID{Job: j.id}, Detail: detail})
+}
+
+// Drain returns what is to be done since the last call.
+func (m *Machine) Drain() Output {
+	out := m.out
+	m.out = Output{}
+	return out
+}
--- /dev/null
+++ b/internal/core/jobs/records.go
@@ -0,0 +1,271 @@
+package jobs
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburnpier/internal/domain"
+)
+
+// JobRecord is the part of a job that never changes.
+type JobRecord struct {
+	ID             domain.JobID  `cbor:"1,keyasint"`
+	Queue          Queue         `cbor:"2,keyasint"`
+	Team           domain.TeamID `cbor:"3,keyasint"`
+	Spec           Spec          `cbor:"4,keyasint"`
+	AcceptedUnixMS int64         `cbor:"5,keyasint"`
+	Epoch          int64         `cbor:"6,keyasint"`
+}
+
+// StateRecord is the progress of a job.
+type StateRecord struct {
+	State       State         `cbor:"1,keyasint"`
+	EndedUnixMS int64         `cbor:"2,keyasint,omitempty"`
+	Steps       []StepRecord  `cbor:"3,keyasint,omitempty"`
+	DoneOccs    []int         `cbor:"4,keyasint,omitempty"`
+	Started     bool          `cbor:"5,keyasint,omitempty"`
+	Team        domain.TeamID `cbor:"6,keyasint,omitempty"`
+}
+
+// StepRecord is the progress of one occurrence of a step.
+type StepRecord struct {
+	Occurrence int         `cbor:"1,keyasint,omitempty"`
+	Step       int         `cbor:"2,keyasint,omitempty"`
+	Done       []byte      `cbor:"3,keyasint,omitempty"`
+	Fails      map[int]int `cbor:"4,keyasint,omitempty"`
+	GangFails  int         `cbor:"5,keyasint,omitempty"`
+	LastRun    int         `cbor:"6,keyasint,omitempty"`
+}
+
+// StoredJob is a job's pair of values for the store. Job is nil where only the state changed.
+type StoredJob struct {
+	ID    domain.JobID
+	Job   []byte
+	State []byte
+	// Ended tells that the job's specification is needed no longer.
+	Ended bool
+}
+
+// Batch is a set of changes that is written together.
+type Batch struct {
+	Jobs      []StoredJob
+	Forgotten []domain.JobID
+	// Members lists all workers that may have tasks, where the set has changed.
+	Members []domain.WorkerID
+	// ends holds the last end of each worker that the batch covers.
+	ends map[domain.WorkerID]int64
+	done []*job
+	show []State
+}
+
+// Empty reports whether there is nothing to write.
+func (b *Batch) Empty() bool { return len(b.Jobs) == 0 && len(b.Forgotten) == 0 && b.Members == nil }
+
+// maxForgottenPerBatch keeps clean-up from delaying acceptances.
+const maxForgottenPerBatch = 16
+
+// TakeBatch returns all changes since the last one.
+func (m *Machine) TakeBatch() (*Batch, error) {
+	b := &Batch{ends: make(map[domain.WorkerID]int64)}
+	for _, j := range m.dirty {
+		if !j.dirty {
+			continue
+		}
+		j.dirty, j.written = false, true
+		state, err := cbor.Marshal(j.stateRecord())
+		if err != nil {
+			return nil, fmt.Errorf("encode state of job %s: %w", j.id, err)
+		}
+		stored := StoredJob{ID: j.id, State: state, Ended: j.state.Terminal()}
+		if !j.durable {
+			stored.Job, err = cbor.Marshal(j.record())
+			if err != nil {
+				return nil, fmt.Errorf("encode job %s: %w", j.id, err)
+			}
+		}
+		b.Jobs = append(b.Jobs, stored)
+		b.done = append(b.done, j)
+		b.show = append(b.show, j.state)
+	}
+	m.dirty = nil
+	n := min(len(m.forgotten), maxForgottenPerBatch)
+	b.Forgotten = append(b.Forgotten, m.forgotten[:n]...)
+	m.forgotten = m.forgotten[n:]
+	for _, w := range m.order {
+		b.ends[w.id] = w.lastEnd
+	}
+	if m.membersChanged {
+		m.membersChanged = false
+		b.Members = m.members()
+	}
+	return b, nil
+}
+
+// HasChanges reports whether TakeBatch has something to write.
+func (m *Machine) HasChanges() bool {
+	return len(m.dirty) > 0 || len(m.forgotten) > 0 || m.membersChanged
+}
+
+// members lists the workers that may have tasks, also those of a former owner.
+func (m *Machine) members() []domain.WorkerID {
+	list := make([]domain.WorkerID, 0, len(m.order)+len(m.suspects))
+	for _, w := range m.order {
+		list = append(list, w.id)
+	}
+	for id := range m.suspects {
+		if _, ok := m.workers[id]; !ok {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Stored tells that the batch is in the store. It returns the last end of each
+// worker that may be acknowledged.
+func (m *Machine) Stored(b *Batch) map[domain.WorkerID]int64 {
+	for i, j := range b.done {
+		j.durable = true
+		j.shownState = b.show[i]
+		if b.show[i].Terminal() {
+			m.stopJob(j)
+		}
+	}
+	for _, id := range b.Members {
+		if w, ok := m.workers[id]; ok {
+			w.recorded = true
+		}
+	}
+	m.needsPass = true
+	return b.ends
+}
+
+func (j *job) record() JobRecord {
+	return JobRecord{ID: j.id, Queue: *j.queue, Team: j.team.ID, Spec: *j.spec,
+		AcceptedUnixMS: j.acceptedUnixMS, Epoch: j.epoch}
+}
+
+func (j *job) stateRecord() StateRecord {
+	r := StateRecord{State: j.state, EndedUnixMS: j.endedUnix, Started: j.everActive, Team: j.team.ID}
+	if j.state.Terminal() {
+		return r
+	}
+	for k := range j.doneOccs {
+		r.DoneOccs = append(r.DoneOccs, k)
+	}
+	sort.Ints(r.DoneOccs)
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			if rec, changed := s.record(); changed {
+				r.Steps = append(r.Steps, rec)
+			}
+		}
+	}
+	return r
+}
+
+func (s *step) record() (StepRecord, bool) {
+	r := StepRecord{Occurrence: s.occ.number, Step: s.number, GangFails: s.gangFails}
+	changed := s.gangFails > 0 || s.open < s.spec.Tasks
+	if s.open < s.spec.Tasks {
+		r.Done = make([]byte, (len(s.tasks)+7)/8)
+	}
+	for i, t := range s.tasks {
+		r.LastRun = max(r.LastRun, t.lastRun)
+		if t.phase == taskDone {
+			r.Done[i/8] |= 1 << (i % 8)
+		}
+		if t.fails > 0 {
+			if r.Fails == nil {
+				r.Fails = make(map[int]int)
+			}
+			r.Fails[i] = t.fails
+			changed = true
+		}
+	}
+	return r, changed
+}
+
+// Recover loads a stored job. It is used before the first other event.
+func (m *Machine) Recover(id domain.JobID, jobValue, stateValue []byte) error {
+	var state StateRecord
+	if err := cbor.Unmarshal(stateValue, &state); err != nil {
+		return fmt.Errorf("decode state of job %s: %w", id, err)
+	}
+	if jobValue == nil {
+		if !state.State.Terminal() {
+			return fmt.Errorf("job %s is %s and its specification is missing", id, state.State)
+		}
+		m.recoverEnded(id, state)
+		return nil
+	}
+	var rec JobRecord
+	if err := cbor.Unmarshal(jobValue, &rec); err != nil {
+		return fmt.Errorf("decode job %s: %w", id, err)
+	}
+	if l := rec.Spec.Faults(); len(l) > 0 {
+		return fmt.Errorf("stored job %s is invalid: %s", id, l.String())
+	}
+	if state.State.Terminal() {
+		m.recoverEnded(id, state)
+		return nil
+	}
+	queue := rec.Queue
+	if q, ok := m.queues[queue.Name]; ok {
+		queue = *q
+	}
+	j := m.newJob(id, &queue, m.teamOf(rec.Team), &rec.Spec)
+	j.acceptedUnixMS, j.epoch = rec.AcceptedUnixMS, rec.Epoch
+	j.deadlineMS = m.nowMS + rec.AcceptedUnixMS + j.objectiveMS() - m.unixMS
+	j.written, j.durable, j.recovered, j.everActive = true, true, true, state.Started
+	for _, k := range state.DoneOccs {
+		j.doneOccs[k] = true
+	}
+	m.insert(j)
+	for _, s := range state.Steps {
+		if err := m.recoverStep(j, s); err != nil {
+			return err
+		}
+	}
+	for _, o := range j.occs {
+		m.readySteps(o)
+	}
+	return nil
+}
+
+func (m *Machine) recoverEnded(id domain.JobID, state StateRecord) {
+	j := &job{id: id, queue: &Queue{}, team: m.teamOf(state.Team), spec: &Spec{},
+		state: state.State, shownState: state.State, endedUnix: state.EndedUnixMS, written: true, durable: true, everActive: state.Started}
+	m.jobs[id] = j
+	m.ended = append(m.ended, j)
+}
+
+func (m *Machine) recoverStep(j *job, r StepRecord) error {
+	o, ok := j.occs[r.Occurrence]
+	if !ok && r.Occurrence >= 0 && r.Occurrence < j.spec.Occurrences && !j.doneOccs[r.Occurrence] {
+		// The clock of this instance may be behind the one that opened it.
+		o, ok = m.openOccurrence(j, r.Occurrence), true
+	}
+	if !ok || r.Step < 0 || r.Step >= len(o.steps) {
+		return fmt.Errorf("stored state of job %s names occurrence %d, step %d, which it does not have", j.id, r.Occurrence, r.Step)
+	}
+	s := o.steps[r.Step]
+	s.gangFails = r.GangFails
+	s.gangRun = r.LastRun
+	for i, t := range s.tasks {
+		t.lastRun = r.LastRun
+		t.fails = r.Fails[i]
+		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
+			m.finishTask(t)
+		}
+	}
+	return nil
+}
+
+// FinishRecovery orders the ended jobs by their end.
+func (m *Machine) FinishRecovery() {
+	sort.SliceStable(m.ended, func(i, k int) bool { return m.ended[i].endedUnix < m.ended[k].endedUnix })
+}
--- /dev/null
+++ b/internal/core/jobs/report.go
@@ -0,0 +1,468 @@
+package jobs
+
+import (
+	"auburnpier/internal/domain"
+)
+
+// RunReport is what a worker says of one run that it has.
+type RunReport struct {
+	Task       TaskID
+	Run        int
+	Checkpoint string
+	Percent    int
+	// Measure is the response-time tail in ms of a serving task, else the processor time in use.
+	Measure int64
+}
+
+// EndReport is one end that a worker lists until it is acknowledged.
+type EndReport struct {
+	Number     int64
+	Task       TaskID
+	Run        int
+	Kind       EndKind
+	Checkpoint string
+}
+
+// WorkerReport is the answer of a worker to a look at it.
+type WorkerReport struct {
+	Worker domain.WorkerID
+	BornMS int64
+	// SentMS and ReceivedMS are steady times of the call and of its answer.
+	SentMS, ReceivedMS int64
+	// ClockMS is the worker's clock at the answer.
+	ClockMS int64
+	// Extended tells that the call extended the lease of the worker's tasks.
+	Extended bool
+	Running  []RunReport
+	Ends     []EndReport
+}
+
+// clockDriftPercent is how much slower than this clock a worker's may be.
+const clockDriftPercent = 2
+
+// leaseSlackMS covers rounding and the way of an answer.
+const leaseSlackMS = 150
+
+// LeaseLimit returns the worker-clock time to which a call may extend the
+// lease of the worker's tasks. It reports false until the clock is known.
+// The caller sends the call before it asks again.
+func (m *Machine) LeaseLimit(id domain.WorkerID, leaseMS int64) (int64, bool) {
+	w, ok := m.workers[id]
+	if !ok || !w.clockKnown {
+		return 0, false
+	}
+	m.extend(w, leaseMS)
+	return m.nowMS + w.clockOffset + leaseMS, true
+}
+
+// extend notes the latest time at which the worker's tasks may still run.
+func (m *Machine) extend(w *worker, leaseMS int64) {
+	w.deadMS = max(w.deadMS, m.nowMS+leaseMS+leaseMS*clockDriftPercent/100+leaseSlackMS)
+}
+
+// Report takes a worker's answer.
+func (m *Machine) Report(r WorkerReport) {
+	w, ok := m.workers[r.Worker]
+	if !ok {
+		return
+	}
+	if w.bornMS != r.BornMS {
+		m.reborn(w, r.BornMS)
+	}
+	w.contacted = true
+	delete(m.suspects, w.id)
+	w.lastMS = m.nowMS
+	offset := r.ClockMS - r.ReceivedMS
+	if !w.clockKnown || offset > w.clockOffset {
+		w.clockOffset = offset
+	} else {
+		// A slow worker clock falls behind; follow it at once.
+		w.clockOffset = offset
+	}
+	w.clockKnown = true
+	for _, e := range r.Ends {
+		if e.Number > w.lastEnd {
+			w.lastEnd = e.Number
+			m.takeEnd(w, e)
+		}
+	}
+	seen := make(map[TaskID]int, len(r.Running))
+	for _, row := range r.Running {
+		seen[row.Task] = row.Run
+		m.takeRunning(w, row)
+	}
+	m.checkAbsent(w, r, seen)
+	m.needsPass = true
+}
+
+func (m *Machine) reborn(w *worker, bornMS int64) {
+	if w.bornMS != 0 {
+		m.out.note("worker_reborn", w.id, "")
+		m.dropRuns(w)
+	}
+	w.bornMS = bornMS
+	w.lastEnd = 0
+	w.clockKnown = false
+	w.health = health{}
+}
+
+func (m *Machine) takeRunning(w *worker, row RunReport) {
+	if r, ok := w.runs[row.Task]; ok && r.number == row.Run {
+		m.progress(r, row)
+		return
+	}
+	t := m.find(row.Task)
+	if t == nil || t.phase == taskDone || t.step.job.state.Terminal() {
+		m.out.Stops = append(m.out.Stops, StopOrder{w.id, w.address, row.Task, row.Run, "not wanted"})
+		return
+	}
+	if other, ok := w.runs[row.Task]; ok && other.number > row.Run {
+		m.out.Stops = append(m.out.Stops, StopOrder{w.id, w.address, row.Task, row.Run, "superseded"})
+		return
+	}
+	m.adopt(w, t, row)
+}
+
+// adopt takes over a run that a former owner started, or one of this owner
+// that took effect late.
+func (m *Machine) adopt(w *worker, t *task, row RunReport) {
+	r := m.place(t, w, row.Run)
+	r.phase, r.listed = runConfirmed, true
+	r.confirmedMS, r.progressMS = m.nowMS, m.nowMS
+	m.progress(r, row)
+	m.out.noteRun("run_adopted", r, "")
+	s := t.step
+	switch {
+	case s.spec.Gang && row.Run < s.gangRun:
+		m.stopRun(r, "older gang run")
+	case s.spec.Gang:
+		s.gangRun = row.Run
+	case len(t.runs) > 1 && !s.spec.CopiesAllowed:
+		m.stopRun(r, "second run")
+	}
+}
+
+func (m *Machine) progress(r *run, row RunReport) {
+	if r.phase == runSent {
+		r.phase = runConfirmed
+		r.confirmedMS = m.nowMS
+	}
+	r.listed = true
+	if row.Checkpoint != "" {
+		r.task.checkpoint = row.Checkpoint
+		if r.task.step.spec.Gang {
+			r.task.step.shareCheckpoint(row.Checkpoint)
+		}
+	}
+	if row.Percent != r.percent || r.progressMS == 0 {
+		r.percent = row.Percent
+		r.progressMS = m.nowMS
+	}
+	if !r.task.step.job.everActive {
+		r.task.step.job.everActive = true
+	}
+}
+
+func (s *step) shareCheckpoint(value string) {
+	for _, t := range s.tasks {
+		t.checkpoint = value
+	}
+}
+
+// checkAbsent ends runs that the worker would list if it had them.
+func (m *Machine) checkAbsent(w *worker, report WorkerReport, seen map[TaskID]int) {
+	var gone []*run
+	for id, r := range w.runs {
+		if number, ok := seen[id]; ok && number == r.number {
+			continue
+		}
+		if r.phase == runSent {
+			// The order may take effect until its limit.
+			if report.ClockMS > r.startLimit && report.SentMS >= r.placedMS {
+				gone = append(gone, r)
+			}
+			continue
+		}
+		if report.SentMS > r.confirmedMS && !m.endListed(report, r) {
+			gone = append(gone, r)
+		}
+	}
+	for _, r := range gone {
+		m.endRun(r, EndLapsed, "")
+	}
+}
+
+func (m *Machine) endListed(report WorkerReport, r *run) bool {
+	for _, e := range report.Ends {
+		if e.Task == r.task.id() && e.Run == r.number {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) find(id TaskID) *task {
+	j, ok := m.jobs[id.Job]
+	if !ok {
+		return nil
+	}
+	o, ok := j.occs[id.Occurrence]
+	if !ok || id.Step < 0 || id.Step >= len(o.steps) {
+		return nil
+	}
+	s := o.steps[id.Step]
+	if id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+func (m *Machine) takeEnd(w *worker, e EndReport) {
+	r, ok := w.runs[e.Task]
+	if ok && r.number == e.Run {
+		m.endRun(r, e.Kind, e.Checkpoint)
+		return
+	}
+	t := m.find(e.Task)
+	if t == nil {
+		return
+	}
+	t.lastRun = max(t.lastRun, e.Run)
+	m.applyEnd(t, e.Run, e.Kind, e.Checkpoint, w)
+}
+
+// endRun releases the room of a run and applies its end.
+func (m *Machine) endRun(r *run, kind EndKind, checkpoint string) {
+	t, w := r.task, r.worker
+	m.release(r)
+	if kind == EndSucceeded || kind == EndFailed {
+		m.learn(r, kind)
+	}
+	m.out.noteRun("run_ended", r, kind.String())
+	m.applyEnd(t, r.number, kind, checkpoint, w)
+}
+
+func (m *Machine) release(r *run) {
+	t, w := r.task, r.worker
+	delete(w.runs, t.id())
+	w.used = w.used.Sub(r.reserved)
+	s := t.step
+	s.perWorker[w.id]--
+	s.job.team.used = s.job.team.used.Sub(r.need)
+	t.runs = remove(t.runs, r)
+	if len(t.runs) == 0 && t.phase == taskActive {
+		t.phase = taskWaiting
+		s.waiting++
+	}
+	m.needsPass = true
+}
+
+// applyEnd changes the task's progress. The run is released already.
+func (m *Machine) applyEnd(t *task, number int, kind EndKind, checkpoint string, w *worker) {
+	s := t.step
+	j := s.job
+	if checkpoint != "" && t.phase != taskDone {
+		t.checkpoint = checkpoint
+		if s.spec.Gang {
+			s.shareCheckpoint(checkpoint)
+		}
+	}
+	if j.state.Terminal() || t.phase == taskDone {
+		return
+	}
+	switch {
+	case kind == EndSucceeded && !s.spec.Lasting:
+		m.succeed(t, number)
+	case kind == EndFailed:
+		m.fail(t, number)
+	}
+	if !j.state.Terminal() && s.open > 0 && s.waiting > 0 {
+		m.readySteps(s.occ)
+	}
+}
+
+func (m *Machine) succeed(t *task, number int) {
+	s := t.step
+	if s.spec.Gang {
+		// The members of a gang end together, so one end stands for all.
+		for _, member := range s.tasks {
+			m.finishTask(member)
+		}
+	} else {
+		m.finishTask(t)
+		for _, r := range t.runs {
+			m.stopRun(r, "another copy succeeded")
+		}
+	}
+	m.markDirty(s.job)
+	m.afterProgress(s)
+}
+
+func (m *Machine) finishTask(t *task) {
+	s := t.step
+	if t.phase == taskDone {
+		return
+	}
+	if t.phase == taskWaiting {
+		s.waiting--
+	}
+	t.phase = taskDone
+	s.open--
+	if s.open == 0 {
+		s.occ.open--
+		m.unready(s)
+	}
+}
+
+func (m *Machine) afterProgress(s *step) {
+	if s.open > 0 {
+		return
+	}
+	o, j := s.occ, s.job
+	if o.open > 0 {
+		m.readySteps(o)
+		return
+	}
+	if !j.spec.Recurring() {
+		m.endJob(j, Completed)
+		return
+	}
+	j.doneOccs[o.number] = true
+	delete(j.occs, o.number)
+	if len(j.doneOccs) >= j.spec.Occurrences {
+		m.endJob(j, Completed)
+	}
+}
+
+func (m *Machine) fail(t *task, number int) {
+	s := t.step
+	if s.spec.Lasting {
+		t.notBeforeMS = m.nowMS + lastingRestartMS
+		return
+	}
+	fails := 0
+	if s.spec.Gang {
+		if number <= s.gangFailRun {
+			return
+		}
+		s.gangFails++
+		t.fails++
+		fails = s.gangFails
+		s.gangFailRun = number
+	} else {
+		t.fails++
+		fails = t.fails
+	}
+	m.markDirty(s.job)
+	if s.job.queue.MaxAttempts > 0 && fails >= s.job.queue.MaxAttempts {
+		m.endJob(s.job, Failed)
+	}
+}
+
+// lastingRestartMS keeps a lasting task that fails at once from taking all start orders.
+const lastingRestartMS = 200
+
+// stopJob stops everything that still runs of an ended job.
+func (m *Machine) stopJob(j *job) {
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					m.stopRun(r, "job "+j.state.String())
+				}
+			}
+		}
+	}
+}
+
+// stopRun orders the end of a run. Its room stays reserved until the end is listed.
+func (m *Machine) stopRun(r *run, reason string) {
+	if r.phase == runStopping && m.nowMS-r.stopSentMS < m.stopAgainMS() {
+		return
+	}
+	if r.phase != runStopping {
+		m.out.noteRun("run_stopping", r, reason)
+		r.reason = reason
+	}
+	r.phase = runStopping
+	r.stopSentMS = m.nowMS
+	m.out.Stops = append(m.out.Stops, StopOrder{r.worker.id, r.worker.address, r.task.id(), r.number, reason})
+}
+
+func (m *Machine) stopAgainMS() int64 { return m.cfg.StopMS + stopAnswerMS }
+
+// stopAnswerMS is how long the answer to a stop may take before it is repeated.
+const stopAnswerMS = 300
+
+// StartAnswered takes the answer to a start order.
+func (m *Machine) StartAnswered(id domain.WorkerID, taskID TaskID, number int, outcome StartOutcome) {
+	w, ok := m.workers[id]
+	if !ok {
+		return
+	}
+	r, ok := w.runs[taskID]
+	if !ok || r.number != number {
+		return
+	}
+	if outcome != StartAccepted {
+		m.out.noteRun("start_refused", r, outcome.String())
+	}
+	switch outcome {
+	case StartAccepted:
+		if r.phase == runSent {
+			r.phase = runConfirmed
+			r.confirmedMS, r.progressMS = m.nowMS, m.nowMS
+		}
+		return
+	case StartUnanswered:
+		m.repeatStart(r)
+		return
+	case StartNoRoom:
+		w.health.refuse(m.nowMS, roomRefusalMS)
+	case StartUnhealthy:
+		w.health.refuse(m.nowMS, unhealthyRefusalMS)
+	case StartNotApproved:
+		delete(r.task.step.approvals, w.id)
+	case StartWrongIncarnation:
+		w.contacted = false
+	}
+	if r.phase == runConfirmed {
+		// An earlier sending of the same order took effect.
+		return
+	}
+	r.task.lastRun = max(r.task.lastRun, number)
+	m.release(r)
+	if !r.task.step.job.state.Terminal() {
+		m.readySteps(r.task.step.occ)
+	}
+}
+
+// How long a worker that refused a start gets no other.
+const (
+	roomRefusalMS      = 400
+	unhealthyRefusalMS = 1000
+)
+
+// repeatStart sends an unanswered order again while it may take effect.
+func (m *Machine) repeatStart(r *run) {
+	if r.phase != runSent || r.resendsLeft <= 0 {
+		return
+	}
+	r.resendsLeft--
+	o := m.startOrder(r)
+	o.Repeated = true
+	m.out.Starts = append(m.out.Starts, o)
+}
+
+// StopAnswered takes the answer to a stop order. A run that was never
+// confirmed cannot begin after it.
+func (m *Machine) StopAnswered(id domain.WorkerID, taskID TaskID, number int, answered bool) {
+	w, ok := m.workers[id]
+	if !ok || !answered {
+		return
+	}
+	if r, ok := w.runs[taskID]; ok && r.number == number && r.phase == runStopping && r.confirmedMS == 0 {
+		// The next report shows the run or proves that it never was.
+		r.confirmedMS = m.nowMS
+	}
+}
--- /dev/null
+++ b/internal/core/jobs/schedule.go
@@ -0,0 +1,272 @@
+package jobs
+
+import (
+	"cmp"
+	"slices"
+
+	"auburnpier/internal/domain"
+)
+
+// Ranks of waiting steps, before priority and deadline.
+const (
+	rankNormal int64 = iota
+	rankOverRate
+	// rankLate steps cannot meet the objective any more but earn something.
+	rankLate
+	rankHopeless
+)
+
+// lateFactor times the objective is how late a result is still of use.
+const lateFactor = 3
+
+// rank orders a waiting step.
+func (m *Machine) rank(s *step) int64 {
+	j := s.job
+	if s.spec.Lasting {
+		return rankNormal
+	}
+	remaining := s.spec.EstimateMS
+	switch {
+	case m.nowMS+remaining > j.deadlineMS+(lateFactor-1)*j.objectiveMS():
+		return rankHopeless
+	case m.nowMS+remaining > j.deadlineMS:
+		return rankLate
+	case j.overRate:
+		return rankOverRate
+	}
+	return rankNormal
+}
+
+// Schedule places waiting tasks. It does nothing where nothing has changed.
+func (m *Machine) Schedule() {
+	if !m.needsPass {
+		return
+	}
+	m.needsPass = false
+	if len(m.ready) == 0 {
+		return
+	}
+	for _, s := range m.ready {
+		s.orderKey = m.rank(s)
+	}
+	slices.SortStableFunc(m.ready, compareSteps)
+	for _, w := range m.order {
+		w.held = domain.Resources{}
+	}
+	blocked := make(map[*team]bool)
+	for _, s := range slices.Clone(m.ready) {
+		if s.ready {
+			m.placeStep(s, blocked)
+		}
+	}
+	kept := m.ready[:0]
+	for _, s := range m.ready {
+		if s.waiting > 0 {
+			kept = append(kept, s)
+			continue
+		}
+		s.ready = false
+		m.dropReservation(s)
+	}
+	m.ready = kept
+}
+
+func compareSteps(a, b *step) int {
+	return cmp.Or(
+		cmp.Compare(a.orderKey, b.orderKey),
+		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		cmp.Compare(a.job.deadlineMS, b.job.deadlineMS),
+		cmp.Compare(a.job.id, b.job.id),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+// placeStep places what it can of one step and asks for approvals.
+func (m *Machine) placeStep(s *step, blocked map[*team]bool) {
+	j := s.job
+	if j.state.Terminal() || s.waiting == 0 {
+		return
+	}
+	if j.recovered && len(m.suspects) > 0 {
+		return
+	}
+	if s.spec.Gang {
+		m.placeGang(s, blocked)
+		return
+	}
+	if blocked[j.team] {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.phase != taskWaiting || m.nowMS < t.notBeforeMS {
+			continue
+		}
+		if !j.team.withinLimit(s.spec.Need) {
+			blocked[j.team] = true
+			return
+		}
+		w := m.pick(s, nil)
+		if w == nil || !j.durable {
+			break
+		}
+		m.start(t, w, max(t.lastRun, m.epochRun(j))+1)
+	}
+	if s.waiting > 0 {
+		m.claim(s)
+	}
+}
+
+// epochRun is the number that runs of this owner are higher than. Runs of
+// former owners are not stored, so each later epoch begins a range of its own.
+func (m *Machine) epochRun(j *job) int {
+	return int(m.cfg.Epoch-j.epoch) * runsPerEpoch
+}
+
+// runsPerEpoch is above the starts of one task that an owner makes.
+const runsPerEpoch = 1000
+
+// freeFor returns the room of a worker that the step may use: what is free less
+// what steps earlier in the order claim.
+func (m *Machine) freeFor(s *step, w *worker) domain.Resources {
+	free := w.free().Sub(w.held)
+	if s.reservation != nil {
+		free = free.Add(s.reservation[w])
+	}
+	return free
+}
+
+// usable reports whether the worker may get work of the step at all.
+func (m *Machine) usable(s *step, w *worker) bool {
+	return w.service == s.job.queue.Service && w.registered && w.contacted && w.recorded && w.clockKnown && !w.draining &&
+		m.nowMS >= w.health.avoidUntilMS && m.nowMS-w.lastMS < silentMS && w.hasLabel(s.spec.Label)
+}
+
+// silentMS is how long a worker may be unheard of before it gets no new work.
+const silentMS = 1800
+
+// pick chooses the worker for one task of the step, or nil. Extra is room that
+// the caller has planned to use already.
+func (m *Machine) pick(s *step, extra map[*worker]domain.Resources) *worker {
+	need := s.spec.Reserved()
+	var best *worker
+	bestCost := 0.0
+	for _, w := range m.order {
+		if !m.usable(s, w) || !m.approved(s, w) {
+			continue
+		}
+		free := m.freeFor(s, w).Sub(extra[w])
+		if !need.Fits(free) || !m.belowPerWorker(s, w, extra, need) {
+			continue
+		}
+		c := m.cost(s, w, free.Sub(need))
+		if best == nil || c < bestCost {
+			best, bestCost = w, c
+		}
+	}
+	return best
+}
+
+func (m *Machine) belowPerWorker(s *step, w *worker, extra map[*worker]domain.Resources, need domain.Resources) bool {
+	if s.spec.MaxPerWorker == 0 {
+		return true
+	}
+	n := s.perWorker[w.id]
+	if e, ok := extra[w]; ok && need.MemoryMB > 0 {
+		n += int(e.MemoryMB / need.MemoryMB)
+	}
+	return n < s.spec.MaxPerWorker
+}
+
+// Weights of the placement cost.
+const (
+	slownessCost = 1.0
+	farCost      = 1.0
+	leftoverCost = 0.4
+)
+
+// cost is lower for fast workers near the data and for a tight fit, which
+// keeps large rooms for gangs.
+func (m *Machine) cost(s *step, w *worker, left domain.Resources) float64 {
+	c := slownessCost * w.slowness
+	if s.spec.DataRack != "" && s.spec.DataRack != w.rack {
+		c += farCost * (m.cfg.FarFactor - 1)
+	}
+	if s.spec.Lasting || s.spec.UsesLeftover {
+		return c - leftoverCost*left.DominantShare(w.capacity)
+	}
+	return c + leftoverCost*left.DominantShare(w.capacity)
+}
+
+// claim reserves room for the waiting tasks of the step in this pass and asks
+// for approvals where these are missing.
+func (m *Machine) claim(s *step) {
+	need := s.spec.Reserved()
+	var suits []*worker
+	claimed := 0
+	for _, w := range m.order {
+		if !m.usable(s, w) || !s.mayBeApproved(w) {
+			continue
+		}
+		n := m.fitCount(s, w, need)
+		if n == 0 {
+			continue
+		}
+		if !m.approved(s, w) {
+			suits = append(suits, w)
+		}
+		if claimed < s.waiting && s.verdicts[w.id] {
+			n = min(n, s.waiting-claimed)
+			w.held = w.held.Add(need.Scale(int64(n)))
+			claimed += n
+		}
+	}
+	if s.job.queue.Approval != nil && claimed < s.waiting || len(suits) > 0 && claimed > 0 {
+		m.askApproval(s, suits)
+	}
+}
+
+// start places a task on a worker and orders its start.
+func (m *Machine) start(t *task, w *worker, number int) {
+	r := m.place(t, w, number)
+	r.phase = runSent
+	r.placedMS = m.nowMS
+	r.resendsLeft = startResends
+	r.startLimit = m.nowMS + w.clockOffset + m.cfg.StartLimitMS
+	m.extend(w, m.cfg.StartLimitMS)
+	m.out.Starts = append(m.out.Starts, m.startOrder(r))
+	m.out.noteRun("run_start", r, "")
+	if !t.step.job.everActive {
+		t.step.job.everActive = true
+	}
+}
+
+// startResends is how often an unanswered start is sent again.
+const startResends = 2
+
+func (m *Machine) startOrder(r *run) StartOrder {
+	t, w := r.task, r.worker
+	return StartOrder{
+		Worker: w.id, Address: w.address, Task: t.id(), Run: r.number, Payload: t.step.job.spec.Payload,
+		LimitClockMS: r.startLimit, Checkpoint: t.checkpoint, Ticket: t.step.approvals[w.id].ticket,
+	}
+}
+
+// place reserves the room of a run.
+func (m *Machine) place(t *task, w *worker, number int) *run {
+	s := t.step
+	r := &run{task: t, number: number, worker: w, reserved: s.spec.Reserved(), need: s.spec.Need, bornMS: w.bornMS}
+	w.runs[t.id()] = r
+	w.used = w.used.Add(r.reserved)
+	s.job.team.used = s.job.team.used.Add(r.need)
+	s.perWorker[w.id]++
+	if s.reservation != nil {
+		s.reservation[w] = s.reservation[w].Sub(r.reserved).Max(domain.Resources{})
+	}
+	t.lastRun = max(t.lastRun, number)
+	t.runs = append(t.runs, r)
+	if t.phase == taskWaiting {
+		t.phase = taskActive
+		s.waiting--
+	}
+	return r
+}
--- /dev/null
+++ b/internal/core/jobs/submit.go
@@ -0,0 +1,267 @@
+package jobs
+
+import (
+	"math"
+
+	"auburnpier/internal/domain"
+)
+
+// Refusal tells why a job was not accepted.
+type Refusal uint8
+
+// Reasons of refusals.
+const (
+	NotRefused Refusal = iota
+	// RefusedNeverFits tells that no worker is large enough for a task.
+	RefusedNeverFits
+	// RefusedOverload tells that the objective cannot be met with the work that waits.
+	RefusedOverload
+	// RefusedTaken tells that the ID names another team's job.
+	RefusedTaken
+)
+
+// SubmitResult answers a submission.
+type SubmitResult struct {
+	Refusal Refusal
+	// RetryAfterMS tells when a refused job may be handed in again.
+	RetryAfterMS int64
+	// Durable tells that the job is known and stored already.
+	Durable bool
+}
+
+// approvalWorkersInChain is the size of the approval request that a job's
+// objective allows for in each step.
+const approvalWorkersInChain = 30
+
+// Submit offers a validated job. A job with a known ID is the same job.
+func (m *Machine) Submit(id domain.JobID, queue *Queue, teamID domain.TeamID, spec *Spec) SubmitResult {
+	if j, ok := m.jobs[id]; ok {
+		if j.team.ID != teamID {
+			return SubmitResult{Refusal: RefusedTaken}
+		}
+		return SubmitResult{Durable: j.durable}
+	}
+	t := m.teamOf(teamID)
+	if !m.everFits(queue, spec) {
+		return SubmitResult{Refusal: RefusedNeverFits, RetryAfterMS: neverFitsRetryMS}
+	}
+	if wait, refuse := m.overloaded(queue, t, spec); refuse {
+		return SubmitResult{Refusal: RefusedOverload, RetryAfterMS: wait}
+	}
+	j := m.newJob(id, queue, t, spec)
+	j.acceptedUnixMS = m.unixMS
+	j.epoch = m.cfg.Epoch
+	j.overRate = !t.takeToken(m.nowMS)
+	j.deadlineMS = m.nowMS + j.objectiveMS()
+	m.insert(j)
+	m.markDirty(j)
+	return SubmitResult{}
+}
+
+// neverFitsRetryMS: a larger worker may be added, but not within seconds.
+const neverFitsRetryMS = 10_000
+
+// Withdraw removes a job that no write has taken up. It reports whether it was there.
+func (m *Machine) Withdraw(id domain.JobID) bool {
+	j, ok := m.jobs[id]
+	if !ok || j.written {
+		return false
+	}
+	delete(m.jobs, id)
+	delete(m.recurring, id)
+	j.state = Cancelled
+	m.dirty = remove(m.dirty, j)
+	for _, o := range j.occs {
+		for _, s := range o.steps {
+			m.unready(s)
+		}
+	}
+	return true
+}
+
+func remove[T comparable](list []T, item T) []T {
+	for i, x := range list {
+		if x == item {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+func (m *Machine) newJob(id domain.JobID, queue *Queue, t *team, spec *Spec) *job {
+	j := &job{id: id, queue: queue, team: t, spec: spec,
+		occs: make(map[int]*occurrence), doneOccs: make(map[int]bool)}
+	j.chainMS = chainOf(spec, queue)
+	return j
+}
+
+func (m *Machine) insert(j *job) {
+	m.jobs[j.id] = j
+	if j.spec.Recurring() {
+		m.recurring[j.id] = j
+		m.openOccurrencesOf(j)
+		return
+	}
+	m.openOccurrence(j, 0)
+}
+
+// objectiveMS is the time from acceptance in which callers want the job done.
+func (j *job) objectiveMS() int64 {
+	return int64(j.queue.Stretch*float64(j.chainMS)) + j.queue.ObjectiveMS
+}
+
+// chainOf returns the longest chain of estimated work with one approval a step.
+func chainOf(spec *Spec, q *Queue) int64 {
+	ends := make([]int64, len(spec.Steps))
+	longest := int64(0)
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		begin := int64(0)
+		for _, a := range s.After {
+			begin = max(begin, ends[a])
+		}
+		ends[i] = begin + s.EstimateMS
+		if q.Approval != nil {
+			ends[i] += int64(q.Approval.BaseMS + approvalWorkersInChain*q.Approval.PerWorkerMS)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// everFits reports whether each task fits an empty worker of the service. With
+// no worker known the answer is yes.
+func (m *Machine) everFits(q *Queue, spec *Spec) bool {
+	known := false
+	for i := range spec.Steps {
+		need := spec.Steps[i].Reserved()
+		fits := false
+		for _, w := range m.order {
+			if w.service != q.Service {
+				continue
+			}
+			known = true
+			if need.Fits(w.capacity) && w.hasLabel(spec.Steps[i].Label) {
+				fits = true
+				break
+			}
+		}
+		if known && !fits {
+			return false
+		}
+	}
+	return true
+}
+
+// tokenBurst is how many seconds of its rate a team may hand in at once.
+const tokenBurst = 3
+
+// takeToken reports whether the team is within the rate of its weight.
+func (t *team) takeToken(nowMS int64) bool {
+	if t.Weight <= 0 {
+		return true
+	}
+	if t.tokens < 0 {
+		t.tokens = t.Weight * tokenBurst
+	}
+	t.tokens = math.Min(t.Weight*tokenBurst, t.tokens+t.Weight*float64(nowMS-t.tokensMS)/1000)
+	t.tokensMS = nowMS
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// Cancel cancels a job. It reports whether the job is known; the cancellation
+// holds once the next batch is stored.
+func (m *Machine) Cancel(id domain.JobID, teamID domain.TeamID) (known, stored bool) {
+	j, ok := m.jobs[id]
+	if !ok || j.team.ID != teamID {
+		return false, false
+	}
+	if j.state.Terminal() {
+		return true, !j.dirty
+	}
+	m.endJob(j, Cancelled)
+	return true, false
+}
+
+func (m *Machine) endJob(j *job, s State) {
+	j.state = s
+	j.endedUnix = m.unixMS
+	delete(m.recurring, j.id)
+	for _, o := range j.occs {
+		for _, st := range o.steps {
+			m.unready(st)
+		}
+	}
+	m.ended = append(m.ended, j)
+	m.markDirty(j)
+	m.out.noteJob("job_"+s.String(), j, "")
+}
+
+func (m *Machine) openOccurrences() {
+	for _, j := range m.recurring {
+		m.openOccurrencesOf(j)
+	}
+}
+
+// openOccurrencesOf opens what is due. It is never early by this clock.
+func (m *Machine) openOccurrencesOf(j *job) {
+	for j.nextOcc < j.spec.Occurrences && j.spec.FirstUnixMS+int64(j.nextOcc)*j.spec.PeriodMS <= m.unixMS {
+		if j.occs[j.nextOcc] == nil && !j.doneOccs[j.nextOcc] {
+			m.openOccurrence(j, j.nextOcc)
+		}
+		j.nextOcc++
+	}
+	if j.nextOcc >= j.spec.Occurrences {
+		delete(m.recurring, j.id)
+	}
+}
+
+func (m *Machine) openOccurrence(j *job, number int) *occurrence {
+	o := &occurrence{job: j, number: number, open: len(j.spec.Steps)}
+	for i := range j.spec.Steps {
+		spec := &j.spec.Steps[i]
+		s := &step{job: j, occ: o, number: i, spec: spec, open: spec.Tasks, waiting: spec.Tasks,
+			perWorker: make(map[domain.WorkerID]int)}
+		s.tasks = make([]*task, spec.Tasks)
+		for k := range s.tasks {
+			s.tasks[k] = &task{step: s, index: k}
+		}
+		o.steps = append(o.steps, s)
+	}
+	j.occs[number] = o
+	m.readySteps(o)
+	return o
+}
+
+// readySteps lists the steps whose turn has come.
+func (m *Machine) readySteps(o *occurrence) {
+	for _, s := range o.steps {
+		if s.open > 0 && s.waiting > 0 && !s.ready && o.turnHasCome(s) {
+			s.ready = true
+			s.readyMS = m.nowMS
+			m.ready = append(m.ready, s)
+			m.needsPass = true
+		}
+	}
+}
+
+func (o *occurrence) turnHasCome(s *step) bool {
+	for _, a := range s.spec.After {
+		if o.steps[a].open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *Machine) unready(s *step) {
+	if s.ready {
+		s.ready = false
+		m.ready = remove(m.ready, s)
+	}
+	m.dropReservation(s)
+}
--- /dev/null
+++ b/internal/settings/cell.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"fmt"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/fault"
+)
+
+// Cell holds the settings of an instance on the users' platform.
+type Cell struct {
+	Instance domain.InstanceID `json:"instance"`
+	Region   domain.RegionID   `json:"region"`
+	Zone     domain.ZoneID     `json:"zone"`
+	Listen   CellListen        `json:"listen"`
+	Platform CellPlatform      `json:"platform"`
+	Bounds   CellBounds        `json:"bounds"`
+	Limits   CellLimits        `json:"limits"`
+	Log      Log               `json:"log"`
+}
+
+// CellListen holds the addresses that an instance serves, as host:port by IP number.
+type CellListen struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"`
+}
+
+// CellPlatform holds the addresses of the platform's services.
+type CellPlatform struct {
+	Store string `json:"store"`
+	// Approvals is empty where no queue needs approvals.
+	Approvals string `json:"approvals"`
+}
+
+// CellBounds are the platform's figures that the cell's constants derive from.
+type CellBounds struct {
+	// RevokeMS is the time after which a withdrawn key must not work.
+	RevokeMS int64 `json:"revoke_ms"`
+	// MaxLeaseMS is the longest lease that a worker grants.
+	MaxLeaseMS int64 `json:"max_lease_ms"`
+	// GraceMS is the time between a request to stop and a kill.
+	GraceMS int64 `json:"grace_ms"`
+	// GangWaitMS is how long a gang member waits for the others.
+	GangWaitMS int64 `json:"gang_wait_ms"`
+	// StopMS is how long a worker takes to stop a task at most.
+	StopMS int64 `json:"stop_ms"`
+	// RetentionMS is how long the state of an ended job is answered.
+	RetentionMS int64 `json:"retention_ms"`
+	// FarFactor multiplies run times away from the data's rack.
+	FarFactor float64 `json:"far_factor"`
+	// MinLeaseMS is the shortest lease of the store.
+	MinLeaseMS int64 `json:"min_lease_ms"`
+}
+
+// CellLimits are the limits of the VM.
+type CellLimits struct {
+	MemoryMB int64 `json:"memory_mb"`
+}
+
+// DefaultCell returns the defaults of optional settings.
+func DefaultCell() Cell {
+	return Cell{
+		Bounds: CellBounds{RevokeMS: 5000, MaxLeaseMS: 10_000, GraceMS: 6000, GangWaitMS: 3000, StopMS: 900,
+			RetentionMS: 120_000, FarFactor: 2, MinLeaseMS: 1000},
+		Limits: CellLimits{MemoryMB: 284},
+		Log:    Log{Level: "info"},
+	}
+}
+
+// LoadCell reads and checks a settings file of an instance on the users' platform.
+func LoadCell(file string) (Cell, error) {
+	return load(file, DefaultCell(), (*Cell).validate)
+}
+
+// ParseCell checks the content of such a file.
+func ParseCell(file string, raw []byte) (Cell, error) {
+	return parse(file, raw, DefaultCell(), (*Cell).validate)
+}
+
+func (s *Cell) validate() fault.List {
+	v := &validator{}
+	v.name("instance", string(s.Instance))
+	v.name("region", string(s.Region))
+	v.name("zone", string(s.Zone))
+	v.address("listen.callers", s.Listen.Callers)
+	v.address("listen.ready", s.Listen.Ready)
+	v.address("listen.peers", s.Listen.Peers)
+	v.address("listen.metrics", s.Listen.Metrics)
+	v.address("platform.store", s.Platform.Store)
+	if s.Platform.Approvals != "" {
+		v.address("platform.approvals", s.Platform.Approvals)
+	}
+	v.between("bounds.revoke_ms", s.Bounds.RevokeMS, 2_000, 600_000)
+	v.between("bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 2_000, 600_000)
+	v.between("bounds.grace_ms", s.Bounds.GraceMS, 1_000, 600_000)
+	v.between("bounds.gang_wait_ms", s.Bounds.GangWaitMS, 500, 600_000)
+	v.between("bounds.stop_ms", s.Bounds.StopMS, 1, 60_000)
+	v.between("bounds.retention_ms", s.Bounds.RetentionMS, 1_000, 86_400_000)
+	v.between("bounds.min_lease_ms", s.Bounds.MinLeaseMS, 100, 60_000)
+	v.between("limits.memory_mb", s.Limits.MemoryMB, 32, 1<<20)
+	if !(s.Bounds.FarFactor >= 1 && s.Bounds.FarFactor <= 1000) {
+		v.add("bounds.far_factor", fmt.Sprint(s.Bounds.FarFactor), "1 to 1000", "set a value in that range")
+	}
+	v.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	return v.faults
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -20,36 +20,44 @@
 
 // Load reads and checks a settings file. A *FaultsError lists all faults.
 func Load(file string) (Settings, error) {
+	return load(file, Default(), (*Settings).validate)
+}
+
+// Parse checks the content of a settings file.
+func Parse(file string, raw []byte) (Settings, error) {
+	return parse(file, raw, Default(), (*Settings).validate)
+}
+
+func load[T any](file string, defaults T, validate func(*T) fault.List) (T, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return Settings{}, errors.Wrap(err, "read settings; name an existing file with --settings")
+		return defaults, errors.Wrap(err, "read settings; name an existing file with --settings")
 	}
-	return Parse(file, raw)
+	return parse(file, raw, defaults, validate)
 }
 
-// Parse checks the content of a settings file.
-func Parse(file string, raw []byte) (Settings, error) {
+func parse[T any](file string, raw []byte, s T, validate func(*T) fault.List) (T, error) {
+	var none T
 	if len(raw) > maxFileBytes {
-		return Settings{}, &FaultsError{File: file, Faults: fault.List{{
+		return none, &FaultsError{File: file, Faults: fault.List{{
 			Path: "(file)", Given: fmt.Sprintf("%d bytes", len(raw)),
 			Allowed: fmt.Sprintf("at most %d bytes", maxFileBytes), Remedy: "make the file shorter",
 		}}}
 	}
 	standard, err := hujson.Standardize(raw)
 	if err != nil {
-		return Settings{}, &FaultsError{File: file, Faults: fault.List{{
+		return none, &FaultsError{File: file, Faults: fault.List{{
 			Path: "(file)", Given: "text that is not JSON with comments", Allowed: "JSON with comments",
 			Remedy: "mend the syntax: " + err.Error(),
 		}}}
 	}
-	s := Default()
 	d := &decoder{}
 	d.value("", standard, reflect.ValueOf(&s).Elem())
 	if len(d.faults) == 0 {
-		d.faults = s.validate()
+		d.faults = validate(&s)
 	}
 	if len(d.faults) > 0 {
-		return Settings{}, &FaultsError{File: file, Faults: d.faults}
+		return none, &FaultsError{File: file, Faults: d.faults}
 	}
 	return s, nil
 }
