Count a waiting gang's reservation once

Cause: freeFor added the step's own reservation to the free room although the pass had not subtracted it, so a gang was placed on room that others used. Ruled out: lost ends (the machine's count matched the workers' lists).

--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -127,12 +127,8 @@
 
 // freeFor returns the room of a worker that the step may use: what is free less
 // what steps earlier in the order claim.
-func (m *Machine) freeFor(s *step, w *worker) domain.Resources {
-	free := w.free().Sub(w.held)
-	if s.reservation != nil {
-		free = free.Add(s.reservation[w])
-	}
-	return free
+func (m *Machine) freeFor(_ *step, w *worker) domain.Resources {
+	return w.free().Sub(w.held)
 }
 
 // usable reports whether the worker may get work of the step at all.
