Let tasks of a former owner lapse only after its longest lease

Cause: a worker registered with its lease already over, so the runs adopted from its first report were dropped and their room given away. Ruled out: late starts of the former owner (the fence refused them).

--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -150,7 +150,8 @@
 func (m *Machine) register(info WorkerInfo) {
 	w, ok := m.workers[info.ID]
 	if !ok {
-		w = &worker{id: info.ID, runs: make(map[TaskID]*run), slowness: 1, lastMS: m.nowMS, deadMS: m.nowMS}
+		w = &worker{id: info.ID, runs: make(map[TaskID]*run), slowness: 1, lastMS: m.nowMS,
+			deadMS: m.nowMS + m.cfg.FormerLeaseMS}
 		m.workers[info.ID] = w
 		m.membersChanged = true
 		m.order = append(m.order, w)
