Bound the work of a placement pass

Also: a refusal of a repeated start proves nothing about the first sending, and a completed job's gang members need no stop orders.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
 
 	"auburnpier/internal/domain"
 )
@@ -44,15 +44,20 @@
 	if s.job.queue.Approval == nil {
 		return true
 	}
-	a, ok := s.approvals[w.id]
-	return ok && a.bornMS == w.bornMS && a.expiresMS > m.nowMS+approvalMarginMS
+	a := s.ticket(w)
+	return a.bornMS == w.bornMS && a.expiresMS > m.nowMS+approvalMarginMS
+}
+
+func (s *step) forgetTicket(w *worker) {
+	if w.slot < len(s.tickets) {
+		s.tickets[w.slot] = approval{}
+	}
 }
 
 // mayBeApproved reports whether the step was not denied the worker. The
 // verdict on a worker never changes.
 func (s *step) mayBeApproved(w *worker) bool {
-	good, known := s.verdicts[w.id]
-	return !known || good
+	return s.verdict(w) != verdictBad
 }
 
 // askApproval requests approvals for the workers that suit the step best.
@@ -62,7 +67,12 @@
 	}
 	q := s.job.queue
 	n := m.approvalCount(s, suits)
-	sort.SliceStable(suits, func(i, k int) bool { return m.askBefore(s, suits[i], suits[k]) })
+	slices.SortFunc(suits, func(a, b *worker) int {
+		if m.askBefore(s, a, b) {
+			return -1
+		}
+		return 1
+	})
 	ids := make([]domain.WorkerID, 0, n)
 	for _, w := range suits[:min(n, len(suits))] {
 		ids = append(ids, w.id)
@@ -76,7 +86,7 @@
 
 // askBefore puts workers known to be approved first, then those with most room.
 func (m *Machine) askBefore(s *step, a, b *worker) bool {
-	ga, gb := s.verdicts[a.id], s.verdicts[b.id]
+	ga, gb := s.verdict(a) == verdictGood, s.verdict(b) == verdictGood
 	if ga != gb {
 		return ga
 	}
@@ -99,7 +109,7 @@
 			continue
 		}
 		expected := float64(fits) * rate
-		if s.verdicts[w.id] {
+		if s.verdict(w) == verdictGood {
 			expected = float64(fits)
 		}
 		room += int(math.Ceil(expected * 100))
@@ -150,23 +160,22 @@
 		return
 	}
 	s.askAgainMS = m.nowMS + approvalAgainMS
-	if s.approvals == nil {
-		s.approvals = make(map[domain.WorkerID]approval)
-		s.verdicts = make(map[domain.WorkerID]bool)
-	}
-	for _, w := range asked {
-		if _, known := s.verdicts[w]; !known {
-			s.verdicts[w] = false
+	s.asked = true
+	s.tickets = append(s.tickets, make([]approval, max(0, m.slots-len(s.tickets)))...)
+	s.verdicts = append(s.verdicts, make([]verdict, max(0, m.slots-len(s.verdicts)))...)
+	for _, id := range asked {
+		if w, ok := m.workers[id]; ok {
+			s.verdicts[w.slot] = verdictBad
 		}
 	}
 	for _, g := range good {
-		s.verdicts[g.Worker] = true
 		w, ok := m.workers[g.Worker]
 		if !ok {
 			continue
 		}
+		s.verdicts[w.slot] = verdictGood
 		// The answer took a part of the time that the ticket is valid.
-		s.approvals[g.Worker] = approval{ticket: g.Ticket, bornMS: w.bornMS, expiresMS: m.nowMS + validMS - approvalTransitMS}
+		s.tickets[w.slot] = approval{ticket: g.Ticket, bornMS: w.bornMS, expiresMS: m.nowMS + validMS - approvalTransitMS}
 	}
 	st := m.statsOf(s.job.queue)
 	st.rate += (float64(len(good))/float64(max(1, len(asked))) - st.rate) * approvalRateWeight
--- /dev/null
+++ b/internal/core/jobs/fake_test.go
@@ -0,0 +1,291 @@
+package jobs
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"auburnpier/internal/domain"
+)
+
+// fleet is a small fake of workers and of the approval service around a
+// machine. It checks the promises that every start must keep.
+type fleet struct {
+	t       testing.TB
+	m       *Machine
+	rng     *rand.Rand
+	nowMS   int64
+	workers map[domain.WorkerID]*fakeWorker
+	ids     []domain.WorkerID
+	events  eventHeap
+	seq     int
+	// work gives the true duration of a task.
+	work func(StartOrder) int64
+	// good is the share of workers that the approval service allows.
+	good        float64
+	writeMS     int64
+	writing     bool
+	submitted   map[domain.JobID]int64
+	completed   map[domain.JobID]int64
+	starts      int
+	succeeded   map[TaskID]bool
+	runningRuns map[TaskID]int
+	violations  []string
+	// refuse lets a test decide about a start before the worker does.
+	refuse func(StartOrder) (StartOutcome, bool)
+}
+
+type fakeWorker struct {
+	id       domain.WorkerID
+	capacity domain.Resources
+	used     domain.Resources
+	running  map[TaskID]fakeRun
+	ends     []EndReport
+	lastEnd  int64
+	looking  bool
+	acked    int64
+}
+
+type fakeRun struct {
+	run  int
+	need domain.Resources
+}
+
+type fakeEvent struct {
+	at  int64
+	seq int
+	run func()
+}
+
+type eventHeap []fakeEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, k int) bool {
+	return h[i].at < h[k].at || h[i].at == h[k].at && h[i].seq < h[k].seq
+}
+func (h eventHeap) Swap(i, k int) { h[i], h[k] = h[k], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(fakeEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func testConfig() Config {
+	return Config{Epoch: 1, LeaseMS: 6000, FormerLeaseMS: 10_000, StartLimitMS: 1500, GangWaitMS: 3000, StopMS: 900,
+		RetentionMS: 120_000, FarFactor: 2}
+}
+
+func newFleet(t testing.TB, workers int, capacity domain.Resources) *fleet {
+	f := &fleet{t: t, m: New(testConfig(), 0, 1_000_000), rng: rand.New(rand.NewSource(1)), good: 1, writeMS: 20,
+		workers: make(map[domain.WorkerID]*fakeWorker), submitted: make(map[domain.JobID]int64),
+		completed: make(map[domain.JobID]int64), succeeded: make(map[TaskID]bool), runningRuns: make(map[TaskID]int)}
+	f.work = func(o StartOrder) int64 { return 1000 }
+	var list []WorkerInfo
+	for i := range workers {
+		id := domain.WorkerID(fmt.Sprintf("w%03d", i))
+		f.ids = append(f.ids, id)
+		f.workers[id] = &fakeWorker{id: id, capacity: capacity, running: make(map[TaskID]fakeRun)}
+		list = append(list, WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", Capacity: capacity, BornMS: 1,
+			Rack: domain.RackID(fmt.Sprintf("r%d", i/8)), Labels: []string{"a"}})
+	}
+	f.m.ListWorkers(list)
+	for _, id := range f.ids {
+		f.look(f.workers[id])
+	}
+	f.runUntil(200)
+	return f
+}
+
+func (f *fleet) after(d int64, run func()) {
+	f.seq++
+	heap.Push(&f.events, fakeEvent{f.nowMS + d, f.seq, run})
+}
+
+func (f *fleet) violate(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf("%d ms: ", f.nowMS)+fmt.Sprintf(format, args...))
+}
+
+// runUntil plays events up to the time, with a pass after each.
+func (f *fleet) runUntil(end int64) {
+	const tick = 25
+	for next := f.nowMS; f.nowMS < end; {
+		next += tick
+		for len(f.events) > 0 && f.events[0].at <= next {
+			e := heap.Pop(&f.events).(fakeEvent)
+			f.nowMS = e.at
+			f.m.Advance(f.nowMS, 1_000_000+f.nowMS)
+			e.run()
+			f.settle()
+		}
+		f.nowMS = next
+		f.m.Advance(f.nowMS, 1_000_000+f.nowMS)
+		f.settle()
+	}
+}
+
+func (f *fleet) settle() {
+	f.m.Schedule()
+	out := f.m.Drain()
+	for _, o := range out.Starts {
+		f.after(5, func() { f.start(o) })
+	}
+	for _, o := range out.Stops {
+		f.after(5, func() { f.stop(o) })
+	}
+	for _, r := range out.Approvals {
+		f.after(int64(r.ExpectedMS)+10, func() { f.approve(r) })
+	}
+	f.write()
+}
+
+func (f *fleet) write() {
+	if f.writing {
+		return
+	}
+	b, err := f.m.TakeBatch()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.writing = !b.Empty()
+	done := func() {
+		f.writing = false
+		for id, n := range f.m.Stored(b) {
+			if w := f.workers[id]; w != nil {
+				w.acked = max(w.acked, n)
+				f.look(w)
+			}
+		}
+		for _, j := range b.Jobs {
+			if _, seen := f.completed[j.ID]; j.Ended && !seen {
+				f.completed[j.ID] = f.nowMS
+			}
+		}
+	}
+	if b.Empty() {
+		done()
+		return
+	}
+	f.after(f.writeMS, done)
+}
+
+func (f *fleet) approve(r ApprovalRequest) {
+	var good []Approval
+	for _, w := range r.Workers {
+		if fnv(string(r.Step.Job)+string(w)) < f.good {
+			good = append(good, Approval{w, "t"})
+		}
+	}
+	f.m.ApprovalAnswered(r.Step, r.Workers, good, 1500)
+}
+
+func fnv(s string) float64 {
+	h := uint32(2166136261)
+	for i := range len(s) {
+		h = (h ^ uint32(s[i])) * 16777619
+	}
+	return float64(h>>8) / float64(1<<24)
+}
+
+func (f *fleet) start(o StartOrder) {
+	w := f.workers[o.Worker]
+	if f.refuse != nil {
+		if outcome, refused := f.refuse(o); refused {
+			f.m.StartAnswered(o.Worker, o.Task, o.Run, outcome)
+			return
+		}
+	}
+	f.run(w, o)
+	f.m.StartAnswered(o.Worker, o.Task, o.Run, StartAccepted)
+}
+
+func (f *fleet) run(w *fakeWorker, o StartOrder) {
+	if _, there := w.running[o.Task]; there {
+		return
+	}
+	t := f.m.find(o.Task)
+	if t == nil {
+		return
+	}
+	need := t.step.spec.Reserved()
+	f.starts++
+	if w.used = w.used.Add(need); !w.used.Fits(w.capacity) {
+		f.violate("%s is over its capacity with %v", w.id, o.Task)
+	}
+	if f.succeeded[o.Task] {
+		f.violate("%v starts again after it succeeded", o.Task)
+	}
+	if f.runningRuns[o.Task]++; f.runningRuns[o.Task] > 1 && !t.step.spec.CopiesAllowed {
+		f.violate("%v runs twice", o.Task)
+	}
+	w.running[o.Task] = fakeRun{o.Run, need}
+	f.after(f.work(o), func() { f.end(w, o.Task, o.Run, EndSucceeded) })
+}
+
+func (f *fleet) end(w *fakeWorker, id TaskID, number int, kind EndKind) {
+	r, ok := w.running[id]
+	if !ok || r.run != number {
+		return
+	}
+	delete(w.running, id)
+	w.used = w.used.Sub(r.need)
+	f.runningRuns[id]--
+	if kind == EndSucceeded {
+		f.succeeded[id] = true
+	}
+	w.lastEnd++
+	w.ends = append(w.ends, EndReport{Number: w.lastEnd, Task: id, Run: number, Kind: kind})
+	f.look(w)
+}
+
+func (f *fleet) stop(o StopOrder) {
+	w := f.workers[o.Worker]
+	f.m.StopAnswered(o.Worker, o.Task, o.Run, true)
+	f.after(100, func() { f.end(w, o.Task, o.Run, EndStopped) })
+}
+
+// look reports the worker to the machine after a short way.
+func (f *fleet) look(w *fakeWorker) {
+	if w.looking {
+		return
+	}
+	w.looking = true
+	sent := f.nowMS
+	f.after(4, func() {
+		w.looking = false
+		r := WorkerReport{Worker: w.id, BornMS: 1, SentMS: sent, ReceivedMS: f.nowMS, ClockMS: f.nowMS + 5000}
+		for id, run := range w.running {
+			r.Running = append(r.Running, RunReport{Task: id, Run: run.run, Percent: int(f.nowMS/50) % 100})
+		}
+		for _, e := range w.ends {
+			if e.Number > w.acked {
+				r.Ends = append(r.Ends, e)
+			}
+		}
+		f.m.LeaseLimit(w.id, 6000)
+		f.m.Report(r)
+		if len(r.Ends) == 0 {
+			f.after(500, func() { f.look(w) })
+		}
+	})
+}
+
+func (f *fleet) submit(id domain.JobID, q *Queue, team domain.TeamID, spec Spec) SubmitResult {
+	r := f.m.Submit(id, q, team, &spec)
+	if r.Refusal == NotRefused {
+		f.submitted[id] = f.nowMS
+	}
+	f.settle()
+	return r
+}
+
+func (f *fleet) check() {
+	f.t.Helper()
+	for i, v := range f.violations {
+		if i < 5 {
+			f.t.Error(v)
+		}
+	}
+}
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -63,8 +63,8 @@
 		return m.planAmong(s, "", approved, room)
 	}
 	var racks []domain.RackID
-	for _, w := range m.order {
-		if m.usable(s, w) && !slices.Contains(racks, w.rack) {
+	for _, w := range m.usableFor(s) {
+		if !slices.Contains(racks, w.rack) {
 			racks = append(racks, w.rack)
 		}
 	}
@@ -95,11 +95,14 @@
 	need := s.spec.Reserved()
 	var slots []gangSlot
 	total := 0
-	for _, w := range m.order {
-		if rack != "" && w.rack != rack || !m.usable(s, w) || !approved(s, w) {
+	for _, w := range m.usableFor(s) {
+		if rack != "" && w.rack != rack || !w.hasLabel(s.spec.Label) || !approved(s, w) {
 			continue
 		}
 		free := room(s, w)
+		if !need.Fits(free) {
+			continue
+		}
 		n := fitsIn(need, free, s.open)
 		if s.spec.MaxPerWorker > 0 {
 			n = min(n, s.spec.MaxPerWorker)
@@ -167,7 +170,7 @@
 		if t.phase != taskWaiting || !repairable {
 			continue
 		}
-		w := m.pick(s, nil)
+		w := m.pick(s)
 		if w == nil {
 			break
 		}
@@ -189,7 +192,7 @@
 func allowed(s *step, w *worker) bool { return s.mayBeApproved(w) }
 
 func known(s *step, w *worker) bool {
-	return s.job.queue.Approval == nil || s.verdicts[w.id]
+	return s.job.queue.Approval == nil || s.verdict(w) == verdictGood
 }
 
 // prepareGang asks for approvals, keeps room, and preempts where that helps.
@@ -200,9 +203,9 @@
 			m.askApproval(s, m.suits(s, known))
 			return
 		}
-		if len(s.verdicts) == 0 || m.unasked(s) > 0 {
+		if !s.asked || m.unasked(s) > 0 {
 			m.askApproval(s, m.suits(s, allowed))
-			if len(s.verdicts) == 0 {
+			if !s.asked {
 				return
 			}
 		}
@@ -229,8 +232,8 @@
 
 func (m *Machine) suits(s *step, ok func(*step, *worker) bool) []*worker {
 	var list []*worker
-	for _, w := range m.order {
-		if m.usable(s, w) && ok(s, w) && s.spec.Reserved().Fits(w.capacity) {
+	for _, w := range m.usableFor(s) {
+		if w.hasLabel(s.spec.Label) && ok(s, w) && s.spec.Reserved().Fits(w.capacity) {
 			list = append(list, w)
 		}
 	}
@@ -239,8 +242,8 @@
 
 func (m *Machine) unasked(s *step) int {
 	n := 0
-	for _, w := range m.order {
-		if _, asked := s.verdicts[w.id]; !asked && m.usable(s, w) {
+	for _, w := range m.usableFor(s) {
+		if s.verdict(w) == verdictNone {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/core/jobs/load_test.go
@@ -0,0 +1,100 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"auburnpier/internal/domain"
+)
+
+var workerSize = domain.Resources{CPUMilli: 64_000, MemoryMB: 262_144}
+
+// The queues of the counting service.
+var (
+	shortQueue = &Queue{Name: "short", Service: "svc", Priority: 0, MaxAttempts: 4, Stretch: 1.5, ObjectiveMS: 500,
+		Approval: &ApprovalPolicy{BaseMS: 8.7, PerWorkerMS: 0.12, ValidMS: 1500}}
+	gangQueue = &Queue{Name: "gang", Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2.2, ObjectiveMS: 1200,
+		Approval: &ApprovalPolicy{BaseMS: 390, PerWorkerMS: 5.5, ValidMS: 1500}}
+	batchQueue = &Queue{Name: "batch", Service: "svc", Priority: 2, MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000,
+		Approval: &ApprovalPolicy{BaseMS: 49, PerWorkerMS: 0.71, ValidMS: 1500}}
+)
+
+func shortSpec() Spec {
+	return Spec{Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 5600, MemoryMB: 21_000}, EstimateMS: 1000}}}
+}
+
+func gangSpec() Spec {
+	return Spec{Steps: []StepSpec{{Tasks: 8, Need: domain.Resources{CPUMilli: 18_000, MemoryMB: 52_000}, EstimateMS: 5000, Gang: true}}}
+}
+
+func batchSpec() Spec {
+	return Spec{Steps: []StepSpec{{Tasks: 15, Need: domain.Resources{CPUMilli: 3900, MemoryMB: 14_000}, EstimateMS: 2700, Checkpointable: true}}}
+}
+
+// play hands in the mix of the counting service for the time, each queue's rate times x.
+func play(f *fleet, seconds float64, x float64) {
+	queues := []*Queue{shortQueue, gangQueue, batchQueue}
+	f.m.Configure([]Queue{*shortQueue, *gangQueue, *batchQueue}, nil)
+	f.work = func(o StartOrder) int64 { return f.m.find(o.Task).step.spec.EstimateMS }
+	rates := []float64{30.8, 1.45, 5.44}
+	specs := []func() Spec{shortSpec, gangSpec, batchSpec}
+	n := 0
+	for k := range queues {
+		for at := 0.0; at < seconds*1000; at += f.rng.ExpFloat64() * 1000 / (rates[k] * x) {
+			n++
+			id := domain.JobID(fmt.Sprintf("%s%d", queues[k].Name, n))
+			f.after(int64(at), func() { f.submit(id, queues[k], "team", specs[k]()) })
+		}
+	}
+}
+
+// inTime returns the share of a queue's accepted jobs that met their objective, and how many there were.
+func inTime(f *fleet, q *Queue, spec Spec) (float64, int) {
+	objective := int64(q.Stretch*float64(chainOf(&spec, q))) + q.ObjectiveMS
+	met, all := 0, 0
+	for id, at := range f.submitted {
+		if len(id) < len(q.Name) || string(id[:len(q.Name)]) != string(q.Name) {
+			continue
+		}
+		all++
+		if done, ok := f.completed[id]; ok && done-at <= objective {
+			met++
+		}
+	}
+	return float64(met) / float64(max(1, all)), all
+}
+
+// Guards against a day at four fifths of the fleet in which callers do not get
+// their results in time, and against a start that breaks a promise.
+func TestOrdinaryLoad(t *testing.T) {
+	f := newFleet(t, 48, workerSize)
+	f.good = 0.5
+	play(f, 20, 1)
+	f.runUntil(45_000)
+	f.check()
+	for q, spec := range map[*Queue]Spec{shortQueue: shortSpec(), gangQueue: gangSpec(), batchQueue: batchSpec()} {
+		share, n := inTime(f, q, spec)
+		t.Logf("%s: %.3f of %d jobs in time", q.Name, share, n)
+		if share < 0.95 {
+			t.Errorf("%s: %.3f of %d jobs met their objective, want 0.95", q.Name, share, n)
+		}
+	}
+}
+
+// Guards against a flood that takes the scheduler's processor time: at three
+// times the fleet's capacity a second of decisions must stay well below the
+// 0.4 cores of an entry VM.
+func TestFloodDecisionTime(t *testing.T) {
+	f := newFleet(t, 48, workerSize)
+	f.good = 0.5
+	play(f, 10, 3)
+	begun := time.Now()
+	f.runUntil(10_000)
+	took := time.Since(begun)
+	f.check()
+	t.Logf("10 s of a flood took %v, %d starts, %d jobs", took, f.starts, len(f.submitted))
+	if took > 2*time.Second {
+		t.Errorf("10 s of decisions took %v, want at most 2 s", took)
+	}
+}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -50,7 +50,11 @@
 	teams   map[domain.TeamID]*team
 	workers map[domain.WorkerID]*worker
 	order   []*worker
-	jobs    map[domain.JobID]*job
+	// slots is the number of worker slots given out.
+	slots    int
+	pass     map[string]*servicePass
+	lastPass int64
+	jobs     map[domain.JobID]*job
 	// ready holds steps whose turn has come and that have waiting tasks.
 	ready     []*step
 	recurring map[domain.JobID]*job
@@ -153,6 +157,8 @@
 		w = &worker{id: info.ID, runs: make(map[TaskID]*run), slowness: 1, lastMS: m.nowMS,
 			deadMS: m.nowMS + m.cfg.FormerLeaseMS}
 		m.workers[info.ID] = w
+		w.slot = m.slots
+		m.slots++
 		m.membersChanged = true
 		m.order = append(m.order, w)
 		sort.Slice(m.order, func(i, j int) bool { return m.order[i].id < m.order[j].id })
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -69,8 +69,10 @@
 	gangPlacedMS int64
 	perWorker    map[domain.WorkerID]int
 
-	approvals       map[domain.WorkerID]approval
-	verdicts        map[domain.WorkerID]bool
+	// tickets and verdicts are indexed by the workers' slots and may be shorter.
+	tickets         []approval
+	verdicts        []verdict
+	asked           bool
 	asking          bool
 	askAgainMS      int64
 	orderKey        int64
@@ -80,6 +82,29 @@
 	preemptedMS     int64
 }
 
+// verdict is what the approval service said of a worker. It never changes.
+type verdict uint8
+
+const (
+	verdictNone verdict = iota
+	verdictGood
+	verdictBad
+)
+
+func (s *step) verdict(w *worker) verdict {
+	if w.slot < len(s.verdicts) {
+		return s.verdicts[w.slot]
+	}
+	return verdictNone
+}
+
+func (s *step) ticket(w *worker) approval {
+	if w.slot < len(s.tickets) {
+		return s.tickets[w.slot]
+	}
+	return approval{}
+}
+
 type approval struct {
 	ticket    string
 	bornMS    int64
@@ -132,10 +157,15 @@
 	stopSentMS  int64
 	reason      string
 	resendsLeft int
+	// unanswered tells that an order for the run had no answer, so that only a
+	// report of the worker proves whether it took effect.
+	unanswered bool
 }
 
 type worker struct {
-	id       domain.WorkerID
+	id domain.WorkerID
+	// slot indexes the worker in the slices of steps.
+	slot     int
 	address  string
 	zone     domain.ZoneID
 	service  string
@@ -156,12 +186,13 @@
 	clockOffset int64
 	clockKnown  bool
 	// deadMS is when everything on the worker has ended if it is not heard of again.
-	deadMS  int64
-	used    domain.Resources
-	held    domain.Resources
-	runs    map[TaskID]*run
-	lastEnd int64
-	health  health
+	deadMS int64
+	used   domain.Resources
+	held   domain.Resources
+	runs   map[TaskID]*run
+	// lastEnd is the last end taken, storedEnd the last whose effects are stored.
+	lastEnd, storedEnd int64
+	health             health
 	// slowness is the smoothed ratio of measured to expected run time.
 	slowness float64
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -95,7 +95,9 @@
 	b.Forgotten = append(b.Forgotten, m.forgotten[:n]...)
 	m.forgotten = m.forgotten[n:]
 	for _, w := range m.order {
-		b.ends[w.id] = w.lastEnd
+		if w.lastEnd > w.storedEnd {
+			b.ends[w.id] = w.lastEnd
+		}
 	}
 	if m.membersChanged {
 		m.membersChanged = false
@@ -134,6 +136,11 @@
 			m.stopJob(j)
 		}
 	}
+	for id, n := range b.ends {
+		if w, ok := m.workers[id]; ok && n <= w.lastEnd {
+			w.storedEnd = n
+		}
+	}
 	for _, id := range b.Members {
 		if w, ok := m.workers[id]; ok {
 			w.recorded = true
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -101,7 +101,7 @@
 		m.dropRuns(w)
 	}
 	w.bornMS = bornMS
-	w.lastEnd = 0
+	w.lastEnd, w.storedEnd = 0, 0
 	w.clockKnown = false
 	w.health = health{}
 }
@@ -362,8 +362,12 @@
 // lastingRestartMS keeps a lasting task that fails at once from taking all start orders.
 const lastingRestartMS = 200
 
-// stopJob stops everything that still runs of an ended job.
+// stopJob stops everything that still runs of an ended job. What is left of a
+// completed one has ended at its workers or was stopped already.
 func (m *Machine) stopJob(j *job) {
+	if j.state == Completed {
+		return
+	}
 	for _, o := range j.occs {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
@@ -415,6 +419,7 @@
 		}
 		return
 	case StartUnanswered:
+		r.unanswered = true
 		m.repeatStart(r)
 		return
 	case StartNoRoom:
@@ -422,15 +427,14 @@
 	case StartUnhealthy:
 		w.health.refuse(m.nowMS, unhealthyRefusalMS)
 	case StartNotApproved:
-		delete(r.task.step.approvals, w.id)
+		r.task.step.forgetTicket(w)
 	case StartWrongIncarnation:
 		w.contacted = false
 	}
-	if r.phase == runConfirmed {
-		// An earlier sending of the same order took effect.
+	if r.phase != runSent || r.unanswered {
+		// An earlier sending of the same order may have taken effect.
 		return
 	}
-	r.task.lastRun = max(r.task.lastRun, number)
 	m.release(r)
 	if !r.task.step.job.state.Terminal() {
 		m.readySteps(r.task.step.occ)
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -37,12 +37,33 @@
 	return rankNormal
 }
 
+// passIntervalMS is the least time between placement passes. Changes in
+// between are placed together.
+const passIntervalMS = 8
+
+// Bounds of one pass. Steps that come later in the order wait for the next one.
+const (
+	maxScansPerPass = 120
+	maxGangsPerPass = 10
+)
+
+// servicePass is what a placement pass knows of a service's workers.
+type servicePass struct {
+	usable []*worker
+	// most is the largest free amount of each component on any worker.
+	most  domain.Resources
+	stale bool
+	scans int
+	gangs int
+}
+
 // Schedule places waiting tasks. It does nothing where nothing has changed.
 func (m *Machine) Schedule() {
-	if !m.needsPass {
+	if !m.needsPass || m.nowMS-m.lastPass < passIntervalMS && m.lastPass > 0 {
 		return
 	}
 	m.needsPass = false
+	m.lastPass = m.nowMS
 	if len(m.ready) == 0 {
 		return
 	}
@@ -50,6 +71,7 @@
 		s.orderKey = m.rank(s)
 	}
 	slices.SortStableFunc(m.ready, compareSteps)
+	m.pass = make(map[string]*servicePass)
 	for _, w := range m.order {
 		w.held = domain.Resources{}
 	}
@@ -71,6 +93,31 @@
 	m.ready = kept
 }
 
+func (m *Machine) passOf(s *step) *servicePass {
+	service := s.job.queue.Service
+	p, ok := m.pass[service]
+	if !ok {
+		p = &servicePass{stale: true}
+		for _, w := range m.order {
+			if w.service == service && m.usable(w) {
+				p.usable = append(p.usable, w)
+			}
+		}
+		m.pass[service] = p
+	}
+	if p.stale {
+		p.stale = false
+		p.most = domain.Resources{}
+		for _, w := range p.usable {
+			p.most = p.most.Max(w.free().Sub(w.held))
+		}
+	}
+	return p
+}
+
+// usableFor returns the workers that may get work of the step's service.
+func (m *Machine) usableFor(s *step) []*worker { return m.passOf(s).usable }
+
 func compareSteps(a, b *step) int {
 	return cmp.Or(
 		cmp.Compare(a.orderKey, b.orderKey),
@@ -90,13 +137,23 @@
 	if j.recovered && len(m.suspects) > 0 {
 		return
 	}
+	p := m.passOf(s)
+	if p.scans >= maxScansPerPass {
+		return
+	}
 	if s.spec.Gang {
-		m.placeGang(s, blocked)
+		if p.gangs++; p.gangs <= maxGangsPerPass || s.waiting < s.open {
+			p.scans++
+			m.placeGang(s, blocked)
+			p.stale = true
+		}
 		return
 	}
-	if blocked[j.team] {
+	if blocked[j.team] || !s.spec.Reserved().Fits(p.most) {
 		return
 	}
+	p.scans++
+	p.stale = true
 	for _, t := range s.tasks {
 		if t.phase != taskWaiting || m.nowMS < t.notBeforeMS {
 			continue
@@ -105,7 +162,7 @@
 			blocked[j.team] = true
 			return
 		}
-		w := m.pick(s, nil)
+		w := m.pick(s)
 		if w == nil || !j.durable {
 			break
 		}
@@ -131,27 +188,24 @@
 	return w.free().Sub(w.held)
 }
 
-// usable reports whether the worker may get work of the step at all.
-func (m *Machine) usable(s *step, w *worker) bool {
-	return w.service == s.job.queue.Service && w.registered && w.contacted && w.recorded && w.clockKnown && !w.draining &&
-		m.nowMS >= w.health.avoidUntilMS && m.nowMS-w.lastMS < silentMS && w.hasLabel(s.spec.Label)
+// usable reports whether the worker may get work at all.
+func (m *Machine) usable(w *worker) bool {
+	return w.registered && w.contacted && w.recorded && w.clockKnown && !w.draining &&
+		m.nowMS >= w.health.avoidUntilMS && m.nowMS-w.lastMS < silentMS
 }
 
 // silentMS is how long a worker may be unheard of before it gets no new work.
 const silentMS = 1800
 
-// pick chooses the worker for one task of the step, or nil. Extra is room that
-// the caller has planned to use already.
-func (m *Machine) pick(s *step, extra map[*worker]domain.Resources) *worker {
+// pick chooses the worker for one task of the step, or nil.
+func (m *Machine) pick(s *step) *worker {
 	need := s.spec.Reserved()
 	var best *worker
 	bestCost := 0.0
-	for _, w := range m.order {
-		if !m.usable(s, w) || !m.approved(s, w) {
-			continue
-		}
-		free := m.freeFor(s, w).Sub(extra[w])
-		if !need.Fits(free) || !m.belowPerWorker(s, w, extra, need) {
+	for _, w := range m.usableFor(s) {
+		free := m.freeFor(s, w)
+		if !need.Fits(free) || !w.hasLabel(s.spec.Label) || !m.approved(s, w) ||
+			s.spec.MaxPerWorker > 0 && s.perWorker[w.id] >= s.spec.MaxPerWorker {
 			continue
 		}
 		c := m.cost(s, w, free.Sub(need))
@@ -162,17 +216,6 @@
 	return best
 }
 
-func (m *Machine) belowPerWorker(s *step, w *worker, extra map[*worker]domain.Resources, need domain.Resources) bool {
-	if s.spec.MaxPerWorker == 0 {
-		return true
-	}
-	n := s.perWorker[w.id]
-	if e, ok := extra[w]; ok && need.MemoryMB > 0 {
-		n += int(e.MemoryMB / need.MemoryMB)
-	}
-	return n < s.spec.MaxPerWorker
-}
-
 // Weights of the placement cost.
 const (
 	slownessCost = 1.0
@@ -199,8 +242,8 @@
 	need := s.spec.Reserved()
 	var suits []*worker
 	claimed := 0
-	for _, w := range m.order {
-		if !m.usable(s, w) || !s.mayBeApproved(w) {
+	for _, w := range m.usableFor(s) {
+		if !need.Fits(m.freeFor(s, w)) || !w.hasLabel(s.spec.Label) || !s.mayBeApproved(w) {
 			continue
 		}
 		n := m.fitCount(s, w, need)
@@ -210,7 +253,7 @@
 		if !m.approved(s, w) {
 			suits = append(suits, w)
 		}
-		if claimed < s.waiting && s.verdicts[w.id] {
+		if claimed < s.waiting && s.verdict(w) == verdictGood {
 			n = min(n, s.waiting-claimed)
 			w.held = w.held.Add(need.Scale(int64(n)))
 			claimed += n
@@ -243,7 +286,7 @@
 	t, w := r.task, r.worker
 	return StartOrder{
 		Worker: w.id, Address: w.address, Task: t.id(), Run: r.number, Payload: t.step.job.spec.Payload,
-		LimitClockMS: r.startLimit, Checkpoint: t.checkpoint, Ticket: t.step.approvals[w.id].ticket,
+		LimitClockMS: r.startLimit, Checkpoint: t.checkpoint, Ticket: t.step.ticket(w).ticket,
 	}
 }
 
