Count a failed run once over all owners

Cause: a failure is stored before it is acknowledged; an owner that took over in between read it from the state and again from the worker's list, so a job was shown as failed after fewer attempts than it has. Ruled out: ends of other tasks (the traces show one task and one run number). Test: TestFailureSeenTwice fails before.

--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -59,7 +59,7 @@
 	}
 	// A task that failed elsewhere before is more likely to be at fault itself.
 	weight := 1.0
-	if r.task.fails > 0 {
+	if len(r.task.failedRuns)+len(r.task.step.gangFailedRuns) > 0 {
 		weight = 0.3
 	}
 	h.fails += weight
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -62,12 +62,12 @@
 	ready   bool
 	// readyMS is when the step's turn came.
 	readyMS int64
-	// gangRun is the run number of the current gang, gangFails its counted failures.
-	gangRun      int
-	gangFails    int
-	gangFailRun  int
-	gangPlacedMS int64
-	perWorker    map[domain.WorkerID]int
+	// gangRun is the run number of the current gang.
+	gangRun int
+	// gangFailedRuns lists the runs of the gang that ended failed.
+	gangFailedRuns []int
+	gangPlacedMS   int64
+	perWorker      map[domain.WorkerID]int
 
 	// tickets and verdicts are indexed by the workers' slots and may be shorter.
 	tickets         []approval
@@ -112,10 +112,12 @@
 }
 
 type task struct {
-	step       *step
-	index      int
-	phase      taskPhase
-	fails      int
+	step  *step
+	index int
+	phase taskPhase
+	// failedRuns lists the runs that ended failed. An end is listed by its worker
+	// until it is acknowledged, so a later owner may see it again.
+	failedRuns []int
 	lastRun    int
 	checkpoint string
 	runs       []*run
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -32,12 +32,13 @@
 
 // StepRecord is the progress of one occurrence of a step.
 type StepRecord struct {
-	Occurrence int         `cbor:"1,keyasint,omitempty"`
-	Step       int         `cbor:"2,keyasint,omitempty"`
-	Done       []byte      `cbor:"3,keyasint,omitempty"`
-	Fails      map[int]int `cbor:"4,keyasint,omitempty"`
-	GangFails  int         `cbor:"5,keyasint,omitempty"`
-	LastRun    int         `cbor:"6,keyasint,omitempty"`
+	Occurrence int    `cbor:"1,keyasint,omitempty"`
+	Step       int    `cbor:"2,keyasint,omitempty"`
+	Done       []byte `cbor:"3,keyasint,omitempty"`
+	// FailedRuns lists the failed runs of each task by its index.
+	FailedRuns     map[int][]int `cbor:"4,keyasint,omitempty"`
+	GangFailedRuns []int         `cbor:"5,keyasint,omitempty"`
+	LastRun        int           `cbor:"6,keyasint,omitempty"`
 }
 
 // StoredJob is a job's pair of values for the store. Job is nil where only the state changed.
@@ -175,8 +176,8 @@
 }
 
 func (s *step) record() (StepRecord, bool) {
-	r := StepRecord{Occurrence: s.occ.number, Step: s.number, GangFails: s.gangFails}
-	changed := s.gangFails > 0 || s.open < s.spec.Tasks
+	r := StepRecord{Occurrence: s.occ.number, Step: s.number, GangFailedRuns: s.gangFailedRuns}
+	changed := len(s.gangFailedRuns) > 0 || s.open < s.spec.Tasks
 	if s.open < s.spec.Tasks {
 		r.Done = make([]byte, (len(s.tasks)+7)/8)
 	}
@@ -185,11 +186,11 @@
 		if t.phase == taskDone {
 			r.Done[i/8] |= 1 << (i % 8)
 		}
-		if t.fails > 0 {
-			if r.Fails == nil {
-				r.Fails = make(map[int]int)
+		if len(t.failedRuns) > 0 {
+			if r.FailedRuns == nil {
+				r.FailedRuns = make(map[int][]int)
 			}
-			r.Fails[i] = t.fails
+			r.FailedRuns[i] = t.failedRuns
 			changed = true
 		}
 	}
@@ -260,11 +261,11 @@
 		return fmt.Errorf("stored state of job %s names occurrence %d, step %d, which it does not have", j.id, r.Occurrence, r.Step)
 	}
 	s := o.steps[r.Step]
-	s.gangFails = r.GangFails
+	s.gangFailedRuns = r.GangFailedRuns
 	s.gangRun = r.LastRun
 	for i, t := range s.tasks {
 		t.lastRun = r.LastRun
-		t.fails = r.Fails[i]
+		t.failedRuns = r.FailedRuns[i]
 		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
 			m.finishTask(t)
 		}
--- /dev/null
+++ b/internal/core/jobs/recover_test.go
@@ -0,0 +1,58 @@
+package jobs
+
+import (
+	"testing"
+
+	"auburnpier/internal/domain"
+)
+
+// successor returns a machine of the next epoch that recovered the jobs of m.
+func successor(t *testing.T, m *Machine) *Machine {
+	t.Helper()
+	cfg := m.cfg
+	cfg.Epoch++
+	next := New(cfg, m.nowMS, m.unixMS)
+	b, err := m.TakeBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, j := range b.Jobs {
+		if err := next.Recover(j.ID, j.Job, j.State); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next.FinishRecovery()
+	return next
+}
+
+func oneWorker(m *Machine) {
+	m.ListWorkers([]WorkerInfo{{ID: "w", Address: "10.0.0.1:1", Service: "svc", Capacity: workerSize, BornMS: 1}})
+}
+
+func report(m *Machine, ends []EndReport, running ...RunReport) {
+	m.Report(WorkerReport{Worker: "w", BornMS: 1, SentMS: m.nowMS, ReceivedMS: m.nowMS, ClockMS: m.nowMS, Ends: ends, Running: running})
+}
+
+// Guards against a failure that is counted again by the next owner because its
+// end was stored but not yet acknowledged.
+func TestFailureSeenTwice(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+	for _, gang := range []bool{false, true} {
+		m := New(testConfig(), 0, 0)
+		spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100, Gang: gang}}}
+		m.Submit("j", q, "team", &spec)
+		oneWorker(m)
+		end := []EndReport{{Number: 1, Task: TaskID{Job: "j"}, Run: 1, Kind: EndFailed}}
+		report(m, end)
+		next := successor(t, m)
+		oneWorker(next)
+		report(next, end)
+		if state, _, _ := next.Known("j"); state == Failed || next.jobs["j"].state == Failed {
+			t.Errorf("gang %v: job failed after one failure that was listed twice", gang)
+		}
+		report(next, append(end, EndReport{Number: 2, Task: TaskID{Job: "j"}, Run: 2, Kind: EndFailed}))
+		if next.jobs["j"].state != Failed {
+			t.Errorf("gang %v: job is %v after two failures, want failed", gang, next.jobs["j"].state)
+		}
+	}
+}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"slices"
+
 	"auburnpier/internal/domain"
 )
 
@@ -340,21 +342,16 @@
 		t.notBeforeMS = m.nowMS + lastingRestartMS
 		return
 	}
-	fails := 0
+	failed := &t.failedRuns
 	if s.spec.Gang {
-		if number <= s.gangFailRun {
-			return
-		}
-		s.gangFails++
-		t.fails++
-		fails = s.gangFails
-		s.gangFailRun = number
-	} else {
-		t.fails++
-		fails = t.fails
+		failed = &s.gangFailedRuns
+	}
+	if slices.Contains(*failed, number) {
+		return
 	}
+	*failed = append(*failed, number)
 	m.markDirty(s.job)
-	if s.job.queue.MaxAttempts > 0 && fails >= s.job.queue.MaxAttempts {
+	if s.job.queue.MaxAttempts > 0 && len(*failed) >= s.job.queue.MaxAttempts {
 		m.endJob(s.job, Failed)
 	}
 }
