Give no work to a worker that runs what the owner does not know

Ruled out: lost reports (the trace shows the stops and the starts in one pass). Test: TestStrangersTakeRoom fails before.

--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -18,7 +18,9 @@
 	underWay  bool
 	notBefore int64
 	retryMS   int64
-	// reported tells that the worker answered once under this epoch.
+	// reported tells that the worker answered the last look. Until it does, looks
+	// extend no lease: an order that may have taken effect would keep the
+	// worker's tasks from ever lapsing.
 	reported bool
 	bornMS   int64
 }
@@ -72,6 +74,7 @@
 	}
 	l.underWay = false
 	if err != nil {
+		l.reported = false
 		if l.retryMS == 0 {
 			c.log.Info("worker does not answer", zap.String("worker", string(id)), zap.Error(err))
 		}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -181,6 +181,9 @@
 	registered bool
 	// contacted tells that the worker answered under this owner's fence.
 	contacted bool
+	// strangers is the number of runs in the last report that are not this
+	// owner's. Their size may be unknown, so the worker gets no work meanwhile.
+	strangers int
 	// recorded tells that the store names the worker among those that may have tasks.
 	recorded bool
 	lastMS   int64
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -56,3 +56,35 @@
 		}
 	}
 }
+
+// Guards against work on a worker that still runs what the owner has no use
+// for: it takes room until its end is listed.
+func TestStrangersTakeRoom(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	b, err := m.TakeBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Stored(b)
+	stranger := RunReport{Task: TaskID{Job: "unknown"}, Run: 3}
+	report(m, nil, stranger)
+	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
+	m.Submit("j", q, "team", &spec)
+	if b, err = m.TakeBatch(); err != nil {
+		t.Fatal(err)
+	}
+	m.Stored(b)
+	m.Schedule()
+	out := m.Drain()
+	if len(out.Starts) != 0 || len(out.Stops) != 1 {
+		t.Fatalf("%d starts and %d stops beside an unknown run, want 0 and 1", len(out.Starts), len(out.Stops))
+	}
+	m.Advance(100, 100)
+	report(m, []EndReport{{Number: 1, Task: stranger.Task, Run: 3, Kind: EndStopped}})
+	m.Schedule()
+	if out := m.Drain(); len(out.Starts) != 1 {
+		t.Fatalf("%d starts after the unknown run ended, want 1", len(out.Starts))
+	}
+}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -94,6 +94,12 @@
 		m.takeRunning(w, row)
 	}
 	m.checkAbsent(w, r, seen)
+	w.strangers = 0
+	for id, number := range seen {
+		if own, ok := w.runs[id]; !ok || own.number != number {
+			w.strangers++
+		}
+	}
 	m.needsPass = true
 }
 
