Keep the room of a start that was stopped before it was confirmed

Cause: a stop order changed the run's phase, and the next report without the run freed its room although the start could still arrive after it (LIMIT). Test: TestStopOfUnconfirmedStart fails before.

--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -88,3 +88,38 @@
 		t.Fatalf("%d starts after the unknown run ended, want 1", len(out.Starts))
 	}
 }
+
+// Guards against room that is given away while a start order that was followed
+// by a stop may still take effect.
+func TestStopOfUnconfirmedStart(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	store := func() {
+		t.Helper()
+		b, err := m.TakeBatch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.Stored(b)
+	}
+	store()
+	report(m, nil)
+	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
+	m.Submit("j", q, "team", &spec)
+	store()
+	m.Schedule()
+	m.Advance(50, 50)
+	m.Cancel("j", "team")
+	store()
+	report(m, nil)
+	if m.workers["w"].used.IsZero() {
+		t.Fatal("the room of an unconfirmed start was given away after its stop was ordered")
+	}
+	m.StopAnswered("w", TaskID{Job: "j"}, 1, true)
+	m.Advance(100, 100)
+	report(m, nil)
+	if !m.workers["w"].used.IsZero() {
+		t.Fatal("the room of a start is still taken after the worker knows that it must not begin")
+	}
+}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -184,8 +184,8 @@
 		if number, ok := seen[id]; ok && number == r.number {
 			continue
 		}
-		if r.phase == runSent {
-			// The order may take effect until its limit.
+		if r.confirmedMS == 0 {
+			// The order may take effect until its limit, also where a stop follows it.
 			if report.ClockMS > r.startLimit && report.SentMS >= r.placedMS {
 				gone = append(gone, r)
 			}
