Judge a gang's standstill by all members, preempt only what comes later

Cause: members of a gang end together, so one that has done its part shows no progress and the whole gang was stopped near its end. Gangs past their objective preempted tasks that came before them in the order and lost the room again. Ruled out: lost checkpoints (workers save at a stop). Test: TestGangMemberMayWait fails before.

--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -53,6 +53,17 @@
 // gangPlan gives the worker of each open member.
 type gangPlan []*worker
 
+// distinct returns the workers of the plan, each once.
+func distinct(plan gangPlan) []*worker {
+	var list []*worker
+	for _, w := range plan {
+		if !slices.Contains(list, w) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 type roomFunc func(s *step, w *worker) domain.Resources
 
 func (m *Machine) freeNow(s *step, w *worker) domain.Resources { return m.freeFor(s, w) }
@@ -215,6 +226,10 @@
 			m.preempt(s, plan)
 			s.preemptedMS = m.nowMS
 			m.reserve(s, plan)
+			if s.job.queue.Approval != nil {
+				// The approvals arrive about when the room is free.
+				m.askApproval(s, distinct(plan))
+			}
 		}
 	}
 	if s.reservation == nil || m.nowMS >= s.reservedUntilMS {
@@ -272,9 +287,10 @@
 
 // preemptable reports whether a run may be stopped for the step: its job is
 // less urgent, its progress is saved, and it is not a gang member.
-func preemptable(s *step, r *run) bool {
+func (m *Machine) preemptable(s *step, r *run) bool {
 	victim := r.task.step
-	return r.phase == runConfirmed && victim.job.queue.Priority > s.job.queue.Priority &&
+	// A step that comes later in the order would lose the room again at once.
+	return s.orderKey <= m.rank(victim) && r.phase == runConfirmed && victim.job.queue.Priority > s.job.queue.Priority &&
 		victim.spec.Checkpointable && !victim.spec.Gang && !victim.spec.Lasting
 }
 
@@ -282,7 +298,7 @@
 func (m *Machine) freeByPreemption(s *step, w *worker) domain.Resources {
 	free := m.freeFor(s, w)
 	for _, r := range w.runs {
-		if preemptable(s, r) || r.phase == runStopping {
+		if m.preemptable(s, r) || r.phase == runStopping {
 			free = free.Add(r.reserved)
 		}
 	}
@@ -316,7 +332,7 @@
 		for _, r := range w.runs {
 			if r.phase == runStopping {
 				free = free.Add(r.reserved)
-			} else if preemptable(s, r) {
+			} else if m.preemptable(s, r) {
 				victims = append(victims, r)
 			}
 		}
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -116,8 +116,13 @@
 		return
 	}
 	patience := max(int64(standstillMS), s.spec.EstimateMS*standstillPercents/100)
+	progressMS := r.progressMS
+	if s.spec.Gang {
+		// A member that has done its part waits for the others.
+		progressMS = s.lastProgressMS()
+	}
 	// Reports come less often than progress: judge by the last one received.
-	if w.lastMS-r.progressMS < patience {
+	if w.lastMS-progressMS < patience {
 		return
 	}
 	if s.spec.Gang {
@@ -129,6 +134,17 @@
 	}
 }
 
+// lastProgressMS is when any member of the gang was last seen to progress.
+func (s *step) lastProgressMS() int64 {
+	last := int64(0)
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			last = max(last, r.progressMS)
+		}
+	}
+	return last
+}
+
 // stopGang stops all members of a gang so that it can start anew.
 func (m *Machine) stopGang(s *step, reason string) {
 	for _, t := range s.tasks {
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -123,3 +123,30 @@
 		t.Fatal("the room of a start is still taken after the worker knows that it must not begin")
 	}
 }
+
+// Guards against a gang that is stopped because one member has done its part
+// and waits for the others.
+func TestGangMemberMayWait(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	spec := Spec{Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000, Gang: true}}}
+	m.Submit("j", q, "team", &spec)
+	first, second := TaskID{Job: "j"}, TaskID{Job: "j", Index: 1}
+	slow := 0
+	for at := int64(0); at < 6000; at += 500 {
+		m.Advance(at, at)
+		if at <= 3000 {
+			slow++
+		}
+		report(m, nil, RunReport{Task: first, Run: 1, Percent: 99}, RunReport{Task: second, Run: 1, Percent: slow})
+		stops := len(m.Drain().Stops)
+		if at <= 4500 && stops > 0 {
+			t.Fatalf("gang stopped at %d ms while a member makes progress", at)
+		}
+	}
+	m.Advance(6000, 6000)
+	if m.workers["w"].runs[first].phase != runStopping {
+		t.Fatal("a gang without progress of any member was not stopped")
+	}
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -280,7 +280,7 @@
 }
 
 // startResends is how often an unanswered start is sent again.
-const startResends = 2
+const startResends = 4
 
 func (m *Machine) startOrder(r *run) StartOrder {
 	t, w := r.task, r.worker
