Spread approval requests over like workers, log why a step waits

Cause: gangs that asked at the same time named the same 100 workers of 350, so three quarters of an idle fleet stood empty while they waited. Ruled out: the approval service (no request failed) and the order.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -66,13 +67,8 @@
 		return
 	}
 	q := s.job.queue
+	m.orderCandidates(s, suits)
 	n := m.approvalCount(s, suits)
-	slices.SortFunc(suits, func(a, b *worker) int {
-		if m.askBefore(s, a, b) {
-			return -1
-		}
-		return 1
-	})
 	ids := make([]domain.WorkerID, 0, n)
 	for _, w := range suits[:min(n, len(suits))] {
 		ids = append(ids, w.id)
@@ -84,17 +80,53 @@
 	})
 }
 
-// askBefore puts workers known to be approved first, then those with most room.
-func (m *Machine) askBefore(s *step, a, b *worker) bool {
-	ga, gb := s.verdict(a) == verdictGood, s.verdict(b) == verdictGood
-	if ga != gb {
-		return ga
+// candidate is a worker with what decides whether to name it in a request.
+type candidate struct {
+	w     *worker
+	fits  bool
+	good  bool
+	level int64
+	mixed uint32
+}
+
+// roomLevels is how finely free room is told apart when workers are chosen for a request.
+const roomLevels = 4
+
+// orderCandidates puts workers with room first, then those known to be
+// approved, then those with most room. Steps that ask at the same time name
+// different ones of many like workers.
+func (m *Machine) orderCandidates(s *step, suits []*worker) {
+	need := s.spec.Reserved()
+	seed := uint32(s.number)
+	for _, c := range []byte(s.job.id) {
+		seed = (seed ^ uint32(c)) * fnvPrime
+	}
+	list := make([]candidate, len(suits))
+	for i, w := range suits {
+		free := m.freeFor(s, w)
+		list[i] = candidate{w: w, fits: need.Fits(free), good: s.verdict(w) == verdictGood,
+			level: free.CPUMilli * roomLevels / max(1, w.capacity.CPUMilli),
+			mixed: (seed ^ uint32(w.slot)) * fnvPrime * fnvPrime}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(compareBools(a.fits, b.fits), compareBools(a.good, b.good), cmp.Compare(b.level, a.level),
+			cmp.Compare(a.mixed, b.mixed))
+	})
+	for i, c := range list {
+		suits[i] = c.w
 	}
-	fa, fb := m.freeFor(s, a).CPUMilli, m.freeFor(s, b).CPUMilli
-	if fa != fb {
-		return fa > fb
+}
+
+const fnvPrime = 16777619
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
 	}
-	return a.id < b.id
+	return 1
 }
 
 // approvalCount is how many workers to name so that the step's waiting tasks
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -14,15 +14,17 @@
 	gangRepairMS = 1500
 	// reservationMS is how long room is kept for a gang before the plan is made anew.
 	reservationMS = 3000
-	// maxReservations bounds the room that waiting gangs take from others.
-	maxReservations = 6
+	// minReservations and workersPerReservation bound the room that waiting gangs take from others.
+	minReservations       = 6
+	workersPerReservation = 10
 	// preemptAgainMS is the least time between preemptions for one gang.
 	preemptAgainMS = 1200
 )
 
 // placeGang starts all members of a gang or none.
-func (m *Machine) placeGang(s *step, blocked map[*team]bool) {
+func (m *Machine) placeGang(s *step) {
 	if s.waiting < s.open {
+		s.waitReason = waitRepair
 		m.repairGang(s)
 		return
 	}
@@ -33,14 +35,15 @@
 		}
 	}
 	if !j.team.withinLimit(s.spec.Need.Scale(int64(s.open))) {
-		if !j.team.used.IsZero() || blocked[j.team] {
-			return
+		s.waitReason = waitTeamLimit
+		if j.team.used.IsZero() {
+			s.waitReason = waitTooWide
 		}
-		// Wider than the team's limit: it can never start whole.
 		return
 	}
 	if plan := m.planGang(s, m.approved, m.freeNow); plan != nil {
 		if !j.durable {
+			s.waitReason = waitNotStored
 			m.hold(s, plan)
 			return
 		}
@@ -208,6 +211,7 @@
 
 // prepareGang asks for approvals, keeps room, and preempts where that helps.
 func (m *Machine) prepareGang(s *step) {
+	s.waitReason = waitApproval
 	if s.job.queue.Approval != nil {
 		if plan := m.planGang(s, known, m.freeNow); plan != nil {
 			m.hold(s, plan)
@@ -221,6 +225,7 @@
 			}
 		}
 	}
+	s.waitReason = waitNoApproval
 	if m.nowMS-s.preemptedMS >= preemptAgainMS {
 		if plan := m.planGang(s, known, m.freeByPreemption); plan != nil && s.job.durable {
 			m.preempt(s, plan)
@@ -234,12 +239,15 @@
 	}
 	if s.reservation == nil || m.nowMS >= s.reservedUntilMS {
 		m.dropReservation(s)
-		if m.reservations() < maxReservations {
+		if m.reservations() < max(minReservations, len(m.usableFor(s))/workersPerReservation) {
 			if plan := m.planGang(s, known, m.freeInTime); plan != nil {
 				m.reserve(s, plan)
 			}
 		}
 	}
+	if s.reservation != nil {
+		s.waitReason = waitReserved
+	}
 	for w, r := range s.reservation {
 		w.held = w.held.Add(r)
 	}
--- a/internal/core/jobs/load_test.go
+++ b/internal/core/jobs/load_test.go
@@ -98,3 +98,23 @@
 		t.Errorf("10 s of decisions took %v, want at most 2 s", took)
 	}
 }
+
+// Guards against a wide gang that never starts because few workers are
+// approved for it, on a fleet that is otherwise empty.
+func TestWideGangWithFewApprovals(t *testing.T) {
+	f := newFleet(t, 350, workerSize)
+	f.good = 0.25
+	f.work = func(StartOrder) int64 { return 6000 }
+	q := *gangQueue
+	q.Approval = &ApprovalPolicy{BaseMS: 540, PerWorkerMS: 7.7, ValidMS: 1500}
+	f.m.Configure([]Queue{q}, nil)
+	spec := Spec{Steps: []StepSpec{{Tasks: 29, Need: domain.Resources{CPUMilli: 29_300, MemoryMB: 46_592}, EstimateMS: 6000, Gang: true}}}
+	for i := range 3 {
+		f.submit(domain.JobID(fmt.Sprintf("gang%d", i)), &q, "team", spec)
+	}
+	f.runUntil(15_000)
+	f.check()
+	if len(f.completed) != 3 {
+		t.Errorf("%d of 3 wide gangs completed within 15 s on an empty fleet", len(f.completed))
+	}
+}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -98,6 +98,7 @@
 	if m.nowMS-m.lastAges >= agingMS {
 		m.lastAges = m.nowMS
 		m.forgetOld()
+		m.noteWaits()
 		m.needsPass = true
 	}
 }
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -70,16 +70,17 @@
 	perWorker      map[domain.WorkerID]int
 
 	// tickets and verdicts are indexed by the workers' slots and may be shorter.
-	tickets         []approval
-	verdicts        []verdict
-	asked           bool
-	asking          bool
-	askAgainMS      int64
-	orderKey        int64
-	blockedSinceMS  int64
-	reservation     map[*worker]domain.Resources
-	reservedUntilMS int64
-	preemptedMS     int64
+	tickets    []approval
+	verdicts   []verdict
+	asked      bool
+	asking     bool
+	askAgainMS int64
+	orderKey   int64
+	// waitReason is why the last pass placed nothing more; waitNoted is the last one logged.
+	waitReason, waitNoted string
+	reservation           map[*worker]domain.Resources
+	reservedUntilMS       int64
+	preemptedMS           int64
 }
 
 // verdict is what the approval service said of a worker. It never changes.
@@ -171,7 +172,6 @@
 	address  string
 	zone     domain.ZoneID
 	service  string
-	kind     string
 	rack     domain.RackID
 	labels   []string
 	capacity domain.Resources
@@ -210,9 +210,7 @@
 	// tokens counts the jobs that the team may hand in at once within its weight.
 	tokens   float64
 	tokensMS int64
-	// delivered is the smoothed work in core-ms, for nearness to the share.
-	delivered float64
-	known     bool
+	known    bool
 }
 
 // withinLimit reports whether the team may start a task of that size.
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -44,7 +44,9 @@
 // Bounds of one pass. Steps that come later in the order wait for the next one.
 const (
 	maxScansPerPass = 120
-	maxGangsPerPass = 10
+	minGangsPerPass = 10
+	// workersPerGang lets a large fleet place more gangs in a pass.
+	workersPerGang = 10
 )
 
 // servicePass is what a placement pass knows of a service's workers.
@@ -135,21 +137,28 @@
 		return
 	}
 	if j.recovered && len(m.suspects) > 0 {
+		s.waitReason = waitSuspects
 		return
 	}
 	p := m.passOf(s)
+	s.waitReason = waitTurn
 	if p.scans >= maxScansPerPass {
 		return
 	}
 	if s.spec.Gang {
-		if p.gangs++; p.gangs <= maxGangsPerPass || s.waiting < s.open {
+		if p.gangs++; p.gangs <= max(minGangsPerPass, len(p.usable)/workersPerGang) || s.waiting < s.open {
 			p.scans++
-			m.placeGang(s, blocked)
+			m.placeGang(s)
 			p.stale = true
 		}
 		return
 	}
-	if blocked[j.team] || !s.spec.Reserved().Fits(p.most) {
+	if blocked[j.team] {
+		s.waitReason = waitTeamLimit
+		return
+	}
+	s.waitReason = waitRoom
+	if !s.spec.Reserved().Fits(p.most) {
 		return
 	}
 	p.scans++
@@ -160,6 +169,7 @@
 		}
 		if !j.team.withinLimit(s.spec.Need) {
 			blocked[j.team] = true
+			s.waitReason = waitTeamLimit
 			return
 		}
 		w := m.pick(s)
@@ -260,8 +270,12 @@
 		}
 	}
 	if s.job.queue.Approval != nil && claimed < s.waiting || len(suits) > 0 && claimed > 0 {
+		s.waitReason = waitApproval
 		m.askApproval(s, suits)
 	}
+	if !s.job.durable {
+		s.waitReason = waitNotStored
+	}
 }
 
 // start places a task on a worker and orders its start.
