Reach the store through other instances when it turns this one away

Cause: an owner that the store refuses or that is cut from it lost its claim, and its successor needed seconds while the store served everybody else. internal/app/storerelay makes the same calls through an instance that reaches the store, once at most, and not while that one fails itself. The claim lives 1.6 s (2.4 s before) and worker leases 4.5 s (6 s), so that a successor waits less for workers that it cannot reach. Ruled out: handing the claim over (a takeover costs a recovery; a relayed write costs one way more).

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -43,6 +43,9 @@
 // Approver implements owner.ApproverDirectory.
 func (d *Dialer) Approver(h port.Hello) port.Approver { return &peer{d.client, h.Address} }
 
+// Store reaches the store through the instance at address.
+func (d *Dialer) Store(address string) port.LeaseStore { return &relayStore{&peer{d.client, address}} }
+
 // peer is another instance.
 type peer struct {
 	client  *http.Client
@@ -110,9 +113,8 @@
 }
 
 // Hello implements port.OwnerCalls.
-func (p *peer) Hello(ctx context.Context, h port.Hello) error {
-	_, err := call[struct{}](ctx, p, pathHello, h)
-	return err
+func (p *peer) Hello(ctx context.Context, h port.Hello) ([]port.Hello, error) {
+	return call[[]port.Hello](ctx, p, pathHello, h)
 }
 
 // approveCall asks an instance to ask the approval service.
--- a/internal/adapter/cellhttp/doc.go
+++ b/internal/adapter/cellhttp/doc.go
@@ -12,7 +12,8 @@
 	pathWaiting = "/cell/waiting"
 	pathHello   = "/cell/hello"
 	pathApprove = "/cell/approve"
+	pathStore   = "/cell/store"
 )
 
-// maxBodyBytes is above the largest submission.
-const maxBodyBytes = 2 << 20
+// maxBodyBytes is above the largest submission and a list of all stored jobs.
+const maxBodyBytes = 64 << 20
--- a/internal/adapter/cellhttp/server.go
+++ b/internal/adapter/cellhttp/server.go
@@ -18,6 +18,8 @@
 	Owner func() port.OwnerCalls
 	// Approver asks the approval service from this instance.
 	Approver port.Approver
+	// Store makes calls for instances that the store turns away.
+	Store    port.LeaseStore
 	Instance domain.InstanceID
 }
 
@@ -28,9 +30,8 @@
 	handle(mux, pathCancel, ownerCall(l, port.OwnerCalls.Cancel))
 	handle(mux, pathState, ownerCall(l, port.OwnerCalls.State))
 	handle(mux, pathWaiting, ownerCall(l, port.OwnerCalls.Waiting))
-	handle(mux, pathHello, ownerCall(l, func(o port.OwnerCalls, ctx context.Context, h port.Hello) (struct{}, error) {
-		return struct{}{}, o.Hello(ctx, h)
-	}))
+	handle(mux, pathHello, ownerCall(l, port.OwnerCalls.Hello))
+	handle(mux, pathStore, func(ctx context.Context, c storeCall) (storeReply, error) { return serveStore(ctx, l.Store, c) })
 	handle(mux, pathApprove, func(ctx context.Context, c approveCall) (port.ApprovalAnswer, error) {
 		return l.Approver.Approve(ctx, c.Step, c.Workers)
 	})
--- /dev/null
+++ b/internal/adapter/cellhttp/store.go
@@ -0,0 +1,177 @@
+package cellhttp
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"auburnpier/internal/port"
+)
+
+// storeOp names a call of the store.
+type storeOp string
+
+const (
+	opGet    storeOp = "get"
+	opList   storeOp = "list"
+	opWatch  storeOp = "watch"
+	opCommit storeOp = "commit"
+	opGrant  storeOp = "grant"
+	opKeep   storeOp = "keep"
+	opEnd    storeOp = "end"
+)
+
+// storeCall is a call of the store made for another instance.
+type storeCall struct {
+	Op    storeOp       `cbor:"1,keyasint"`
+	Key   string        `cbor:"2,keyasint,omitempty"`
+	After int64         `cbor:"3,keyasint,omitempty"`
+	Wait  time.Duration `cbor:"4,keyasint,omitempty"`
+	Txn   port.Txn      `cbor:"5,keyasint,omitempty"`
+	Lease int64         `cbor:"6,keyasint,omitempty"`
+}
+
+// storeFailure names the typed error of a call.
+type storeFailure string
+
+const (
+	failNone        storeFailure = ""
+	failNotFound    storeFailure = "not_found"
+	failConflict    storeFailure = "conflict"
+	failUnavailable storeFailure = "unavailable"
+	failUnknown     storeFailure = "unknown"
+)
+
+type storeReply struct {
+	Entries  []port.Entry     `cbor:"1,keyasint,omitempty"`
+	Revision int64            `cbor:"2,keyasint,omitempty"`
+	Watch    port.WatchResult `cbor:"3,keyasint,omitempty"`
+	Lease    int64            `cbor:"4,keyasint,omitempty"`
+	TTL      time.Duration    `cbor:"5,keyasint,omitempty"`
+	Failure  storeFailure     `cbor:"6,keyasint,omitempty"`
+	Detail   string           `cbor:"7,keyasint,omitempty"`
+}
+
+// serveStore makes a call for another instance.
+func serveStore(ctx context.Context, s port.LeaseStore, c storeCall) (storeReply, error) {
+	var r storeReply
+	var err error
+	switch c.Op {
+	case opGet:
+		var e port.Entry
+		e, err = s.Get(ctx, c.Key)
+		r.Entries = []port.Entry{e}
+	case opList:
+		r.Entries, r.Revision, err = s.List(ctx, c.Key)
+	case opWatch:
+		r.Watch, err = s.Watch(ctx, c.Key, c.After, c.Wait)
+	case opCommit:
+		r.Revision, err = s.Commit(ctx, c.Txn)
+	case opGrant:
+		r.Lease, r.TTL, err = s.GrantLease(ctx, c.Wait)
+	case opKeep:
+		err = s.KeepLease(ctx, c.Lease)
+	case opEnd:
+		err = s.EndLease(ctx, c.Lease)
+	default:
+		err = &port.UnavailableError{Op: string(c.Op), Err: errors.New("unknown call")}
+	}
+	r.setError(err)
+	return r, nil
+}
+
+func (r *storeReply) setError(err error) {
+	if err == nil {
+		return
+	}
+	r.Detail = err.Error()
+	var missing *port.NotFoundError
+	var conflict *port.TxnConflictError
+	var unavailable *port.UnavailableError
+	switch {
+	case errors.As(err, &missing):
+		r.Failure = failNotFound
+	case errors.As(err, &conflict):
+		r.Failure, r.Entries = failConflict, conflict.Current
+	case errors.As(err, &unavailable):
+		r.Failure = failUnavailable
+	default:
+		r.Failure = failUnknown
+	}
+}
+
+// relayStore reaches the store through another instance.
+type relayStore struct{ peer *peer }
+
+// relayTimeout is added to the wait of a relayed call.
+const relayTimeout = 1500 * time.Millisecond
+
+func (s *relayStore) call(ctx context.Context, c storeCall) (storeReply, error) {
+	callCtx, cancel := context.WithTimeout(ctx, relayTimeout+c.Wait)
+	defer cancel()
+	r, err := call[storeReply](callCtx, s.peer, pathStore, c)
+	if err != nil {
+		var unreachable *port.OwnerUnreachableError
+		if c.Op == opCommit && !(errors.As(err, &unreachable) && unreachable.NotSent) {
+			return r, &port.OutcomeUnknownError{Op: string(c.Op), Err: err}
+		}
+		return r, &port.UnavailableError{Op: string(c.Op), Err: err}
+	}
+	detail := errors.New(r.Detail)
+	switch r.Failure {
+	case failNotFound:
+		return r, &port.NotFoundError{Key: c.Key}
+	case failConflict:
+		return r, &port.TxnConflictError{Current: r.Entries}
+	case failUnavailable:
+		return r, &port.UnavailableError{Op: string(c.Op), Err: detail}
+	case failUnknown:
+		return r, &port.OutcomeUnknownError{Op: string(c.Op), Key: c.Key, Err: detail}
+	}
+	return r, nil
+}
+
+// Get implements port.LeaseStore.
+func (s *relayStore) Get(ctx context.Context, key string) (port.Entry, error) {
+	r, err := s.call(ctx, storeCall{Op: opGet, Key: key})
+	if err != nil || len(r.Entries) == 0 {
+		return port.Entry{}, err
+	}
+	return r.Entries[0], nil
+}
+
+// List implements port.LeaseStore.
+func (s *relayStore) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+	r, err := s.call(ctx, storeCall{Op: opList, Key: prefix})
+	return r.Entries, r.Revision, err
+}
+
+// Watch implements port.LeaseStore.
+func (s *relayStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (port.WatchResult, error) {
+	r, err := s.call(ctx, storeCall{Op: opWatch, Key: prefix, After: after, Wait: wait})
+	return r.Watch, err
+}
+
+// Commit implements port.LeaseStore.
+func (s *relayStore) Commit(ctx context.Context, txn port.Txn) (int64, error) {
+	r, err := s.call(ctx, storeCall{Op: opCommit, Txn: txn})
+	return r.Revision, err
+}
+
+// GrantLease implements port.LeaseStore.
+func (s *relayStore) GrantLease(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
+	r, err := s.call(ctx, storeCall{Op: opGrant, Wait: ttl})
+	return r.Lease, r.TTL, err
+}
+
+// KeepLease implements port.LeaseStore.
+func (s *relayStore) KeepLease(ctx context.Context, lease int64) error {
+	_, err := s.call(ctx, storeCall{Op: opKeep, Lease: lease})
+	return err
+}
+
+// EndLease implements port.LeaseStore.
+func (s *relayStore) EndLease(ctx context.Context, lease int64) error {
+	_, err := s.call(ctx, storeCall{Op: opEnd, Lease: lease})
+	return err
+}
--- a/internal/app/entry/directory.go
+++ b/internal/app/entry/directory.go
@@ -22,6 +22,21 @@
 	seat    owner.Seat
 	calls   port.OwnerCalls
 	changed chan struct{}
+	// instances lists the processes that the owner knew last.
+	instances []port.Hello
+}
+
+func (d *Directory) setInstances(list []port.Hello) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.instances = list
+}
+
+// Instances returns the processes that the owner knew last.
+func (d *Directory) Instances() []port.Hello {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.instances
 }
 
 // NewDirectory returns a directory that knows no owner.
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -77,8 +77,10 @@
 		calls, changed := s.directory.Owner()
 		if calls != nil {
 			callCtx, cancel := context.WithTimeout(ctx, helloInterval)
-			if err := calls.Hello(callCtx, s.options.Self); err != nil {
+			if known, err := calls.Hello(callCtx, s.options.Self); err != nil {
 				s.metrics.Counter("owner.hello.failed").Inc(1)
+			} else {
+				s.directory.setInstances(known)
 			}
 			cancel()
 		}
--- a/internal/app/owner/relays.go
+++ b/internal/app/owner/relays.go
@@ -51,9 +51,23 @@
 	slices.SortFunc(r.list, func(a, b *relay) int { return strings.Compare(a.hello.Address, b.hello.Address) })
 }
 
+// known lists the instances that have spoken lately.
+func (r *relays) known(now int64) []port.Hello {
+	r.expire(now)
+	list := make([]port.Hello, 0, len(r.list))
+	for _, k := range r.list {
+		list = append(list, k.hello)
+	}
+	return list
+}
+
+func (r *relays) expire(now int64) {
+	r.list = slices.DeleteFunc(r.list, func(k *relay) bool { return now-k.lastMS > relayExpiryMS })
+}
+
 // choose returns the instance that will answer first.
 func (r *relays) choose(expectedMS float64, now int64) *relay {
-	r.list = slices.DeleteFunc(r.list, func(k *relay) bool { return now-k.lastMS > relayExpiryMS })
+	r.expire(now)
 	candidates := r.list
 	if expectedMS >= longApprovalMS && len(candidates) > 1 {
 		candidates = candidates[:(len(candidates)*2+2)/3]
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -8,6 +8,7 @@
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
 )
 
 // Reasons of refusals, as counters and callers see them.
@@ -120,9 +121,9 @@
 }
 
 // Hello implements port.OwnerCalls.
-func (c *Cell) Hello(_ context.Context, h port.Hello) error {
-	if !c.post(func() { c.relays.hello(h, c.approvers) }) {
-		return &port.NotOwnerError{Instance: c.options.Instance}
-	}
-	return nil
+func (c *Cell) Hello(ctx context.Context, h port.Hello) ([]port.Hello, error) {
+	return ask(ctx, c, func(reply func([]port.Hello)) {
+		c.relays.hello(h, c.approvers)
+		reply(c.relays.known(steady.NowMS()))
+	})
 }
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -18,6 +18,7 @@
 	"auburnpier/internal/adapter/cellhttp"
 	"auburnpier/internal/app/entry"
 	"auburnpier/internal/app/owner"
+	"auburnpier/internal/app/storerelay"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/logring"
 	"auburnpier/internal/metrics"
@@ -27,10 +28,11 @@
 
 // Adapters reach the platform.
 type Adapters struct {
-	Store    port.LeaseStore
-	Workers  port.WorkerCalls
-	Registry port.WorkerRegistry
-	Config   port.ConfigSource
+	Store   port.LeaseStore
+	Workers port.WorkerCalls
+	// Registry and Config read what others keep in the store.
+	Registry func(port.LeaseStore) port.WorkerRegistry
+	Config   func(port.LeaseStore) port.ConfigSource
 	Approver port.Approver
 	// Front makes the handler of callers' requests.
 	Front func(service *entry.Service, draining func() bool) http.Handler
@@ -39,12 +41,12 @@
 // Shares of the platform's bounds.
 const (
 	// claimTTL is how long a claim outlives its owner. It is several renewals.
-	claimTTL = 2400 * time.Millisecond
+	claimTTL = 1600 * time.Millisecond
 	// workerLease is how long tasks outlive their owner. It exceeds the time in
 	// which another instance takes the cell over and reaches the workers.
-	workerLease = 6 * time.Second
+	workerLease = 4500 * time.Millisecond
 	// unconfirmedTTL is how long an owner cut from the store keeps tasks alive.
-	unconfirmedTTL = 3500 * time.Millisecond
+	unconfirmedTTL = 3 * time.Second
 	// startLimit bounds how late an unanswered start may take effect.
 	startLimit = 1500 * time.Millisecond
 	// keyTrustShare of the revocation bound leaves time for a watch that hears
@@ -71,6 +73,7 @@
 	directory *entry.Directory
 	service   *entry.Service
 	owner     *owner.Owner
+	store     *storerelay.Store
 	draining  atomic.Bool
 }
 
@@ -91,10 +94,20 @@
 	i := &Instance{settings: s, adapters: a, log: log, metrics: metrics.New()}
 	dialer := cellhttp.NewDialer()
 	i.directory = entry.NewDirectory(dialer)
-	i.config = entry.NewConfigKeeper(a.Config, log, i.configChanged)
+	relay := storerelay.New(a.Store, func() []port.LeaseStore {
+		var stores []port.LeaseStore
+		for _, h := range i.directory.Instances() {
+			if h.Address != s.Listen.Peers {
+				stores = append(stores, dialer.Store(h.Address))
+			}
+		}
+		return stores
+	}, i.metrics)
+	i.store = relay
+	i.config = entry.NewConfigKeeper(a.Config(relay), log, i.configChanged)
 	trust := time.Duration(float64(s.Bounds.RevokeMS)*keyTrustShare) * time.Millisecond
 	self := port.Hello{Instance: s.Instance, Address: s.Listen.Peers}
-	i.service = entry.NewService(entry.Options{Self: self, KeyTrust: trust}, i.config, i.directory, a.Store, log, i.metrics)
+	i.service = entry.NewService(entry.Options{Self: self, KeyTrust: trust}, i.config, i.directory, relay, log, i.metrics)
 	lease := min(workerLease, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
@@ -104,7 +117,7 @@
 			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
 			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor,
 		},
-	}, owner.Ports{Store: a.Store, Workers: a.Workers, Registry: a.Registry, Approvers: dialer}, log, i.metrics)
+	}, owner.Ports{Store: relay, Workers: a.Workers, Registry: a.Registry(relay), Approvers: dialer}, log, i.metrics)
 	return i
 }
 
@@ -163,7 +176,7 @@
 func (i *Instance) followClaim(ctx context.Context) {
 	const pause = 100 * time.Millisecond
 	for ctx.Err() == nil {
-		if claim, _, _, err := owner.FindClaim(ctx, i.adapters.Store); err == nil && claim != nil && claim.Address != i.settings.Listen.Peers {
+		if claim, _, _, err := owner.FindClaim(ctx, i.store); err == nil && claim != nil && claim.Address != i.settings.Listen.Peers {
 			i.directory.Publish(owner.Seat{Claim: claim})
 			return
 		}
@@ -176,7 +189,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /ready", i.serveReady)
 	peers := cellhttp.NewHandler(cellhttp.Local{
-		Instance: i.settings.Instance, Approver: i.adapters.Approver,
+		Instance: i.settings.Instance, Approver: i.adapters.Approver, Store: i.store.Direct(),
 		Owner: func() port.OwnerCalls {
 			if cell := i.directory.Seat().Local; cell != nil {
 				return cell
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -202,6 +202,7 @@
 		}
 		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.deadMS {
 			delete(m.workers, w.id)
+			m.membersChanged = true
 			m.out.Forgotten = append(m.out.Forgotten, w.id)
 			continue
 		}
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -60,7 +60,8 @@
 	Cancel(ctx context.Context, c JobCall) (CancelReply, error)
 	State(ctx context.Context, c JobCall) (StateReply, error)
 	Waiting(ctx context.Context, queue domain.QueueID) (int, error)
-	Hello(ctx context.Context, h Hello) error
+	// Hello returns the instances that the owner knows.
+	Hello(ctx context.Context, h Hello) ([]Hello, error)
 }
 
 // NotOwnerError tells that the instance does not own the cell. The call had no effect.
