Start gangs a little wider than the limit alone, claim on large VMs first

On the grown sites a VM with 0.19 cores could own the cell. Also: requests for single tasks compare 64 workers, not the whole fleet. Ruled out: the approval service (log of step_waits shows the team limit). Test: TestGangAndTeamLimit fails before.

--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -44,7 +44,9 @@
 		if current == nil || sameVM(current, o.options.Instance, o.options.Address) {
 			// A claim of this address is that of a process that has ended.
 			publish(Seat{})
-			o.pause(ctx, rand.N(claimJitter))
+			if o.pause(ctx, o.options.ClaimDelay+rand.N(claimJitter)); o.claimedByOther(ctx, revision) {
+				continue
+			}
 			o.tryReign(ctx, revision, config, publish)
 			continue
 		}
@@ -53,6 +55,16 @@
 	}
 }
 
+// claimedByOther reports whether the claim has changed during the delay. The
+// check costs a read and saves those of a claim that fails.
+func (o *Owner) claimedByOther(ctx context.Context, revision int64) bool {
+	if o.options.ClaimDelay == 0 {
+		return false
+	}
+	_, now, _, err := FindClaim(ctx, o.store)
+	return err == nil && now != revision
+}
+
 // awaitChange returns once the claim may have changed.
 func (o *Owner) awaitChange(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -17,11 +17,13 @@
 	reasonOwnerChange = "owner_changes"
 	reasonOverload    = "objective_out_of_reach"
 	reasonNeverFits   = "never_fits"
+	reasonLimit       = "limit_too_small"
 	reasonTaken       = "id_of_another_team"
 )
 
 var refusalReasons = map[jobs.Refusal]string{
-	jobs.RefusedNeverFits: reasonNeverFits, jobs.RefusedOverload: reasonOverload, jobs.RefusedTaken: reasonTaken,
+	jobs.RefusedNeverFits: reasonNeverFits, jobs.RefusedOverload: reasonOverload, jobs.RefusedLimit: reasonLimit,
+	jobs.RefusedTaken: reasonTaken,
 }
 
 // ask runs f on the loop and waits for its answer.
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -47,6 +47,10 @@
 	workerLease = 4500 * time.Millisecond
 	// unconfirmedTTL is how long an owner cut from the store keeps tasks alive.
 	unconfirmedTTL = 3 * time.Second
+	// ampleCPUShare is the processor time of a VM that an owner needs at a few
+	// hundred workers; VMs with less wait up to maxClaimDelay before they claim.
+	ampleCPUShare = 0.8
+	maxClaimDelay = 400 * time.Millisecond
 	// startLimit bounds how late an unanswered start may take effect.
 	startLimit = 1500 * time.Millisecond
 	// keyTrustShare of the revocation bound leaves time for a watch that hears
@@ -112,15 +116,24 @@
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
 		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL, WorkerLease: lease,
+		ClaimDelay: claimDelay(s.Limits.CPUShare),
 		Machine: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
 			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
-			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor,
+			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
 		},
 	}, owner.Ports{Store: relay, Workers: a.Workers, Registry: a.Registry(relay), Approvers: dialer}, log, i.metrics)
 	return i
 }
 
+// claimDelay lets larger VMs claim a free cell first.
+func claimDelay(cpuShare float64) time.Duration {
+	if cpuShare >= ampleCPUShare {
+		return 0
+	}
+	return time.Duration((1 - cpuShare/ampleCPUShare) * float64(maxClaimDelay))
+}
+
 func (i *Instance) configChanged(c *port.CellConfig) {
 	if cell := i.directory.Seat().Local; cell != nil {
 		cell.Configure(c)
--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -67,6 +67,9 @@
 		return
 	}
 	q := s.job.queue
+	if !s.spec.Gang {
+		suits = someOf(s, suits)
+	}
 	m.orderCandidates(s, suits)
 	n := m.approvalCount(s, suits)
 	ids := make([]domain.WorkerID, 0, n)
@@ -97,10 +100,7 @@
 // different ones of many like workers.
 func (m *Machine) orderCandidates(s *step, suits []*worker) {
 	need := s.spec.Reserved()
-	seed := uint32(s.number)
-	for _, c := range []byte(s.job.id) {
-		seed = (seed ^ uint32(c)) * fnvPrime
-	}
+	seed := s.seed()
 	list := make([]candidate, len(suits))
 	for i, w := range suits {
 		free := m.freeFor(s, w)
@@ -117,6 +117,42 @@
 	}
 }
 
+// seed differs between steps.
+func (s *step) seed() uint32 {
+	seed := uint32(s.number)
+	for _, c := range []byte(s.job.id) {
+		seed = (seed ^ uint32(c)) * fnvPrime
+	}
+	return seed
+}
+
+// maxConsidered bounds the workers that are compared for tasks that start one by one.
+const maxConsidered = 64
+
+// someOf cuts the list to those known to be approved and some of the others.
+func someOf(s *step, suits []*worker) []*worker {
+	if len(suits) <= maxConsidered {
+		return suits
+	}
+	list := make([]*worker, 0, maxConsidered)
+	for _, w := range suits {
+		if s.verdict(w) == verdictGood && len(list) < maxConsidered {
+			list = append(list, w)
+		}
+	}
+	first := int(s.seed() % uint32(len(suits)))
+	for i := range suits {
+		w := suits[(first+i)%len(suits)]
+		if len(list) >= maxConsidered {
+			break
+		}
+		if s.verdict(w) != verdictGood {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 const fnvPrime = 16777619
 
 func compareBools(a, b bool) int {
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -22,7 +22,7 @@
 )
 
 // placeGang starts all members of a gang or none.
-func (m *Machine) placeGang(s *step) {
+func (m *Machine) placeGang(s *step, blocked map[*team]bool) {
 	if s.waiting < s.open {
 		s.waitReason = waitRepair
 		m.repairGang(s)
@@ -34,10 +34,13 @@
 			return
 		}
 	}
-	if !j.team.withinLimit(s.spec.Need.Scale(int64(s.open))) {
+	total := s.spec.Need.Scale(int64(s.open))
+	if !j.team.withinLimit(total) && !(j.team.used.IsZero() && j.team.fitsAlone(total, m.cfg.LimitOvershoot)) {
 		s.waitReason = waitTeamLimit
-		if j.team.used.IsZero() {
+		if !total.Fits(j.team.Limit) {
+			// It starts once the team runs nothing else, so nothing else is started.
 			s.waitReason = waitTooWide
+			blocked[j.team] = true
 		}
 		return
 	}
--- a/internal/core/jobs/load_test.go
+++ b/internal/core/jobs/load_test.go
@@ -118,3 +118,41 @@
 		t.Errorf("%d of 3 wide gangs completed within 15 s on an empty fleet", len(f.completed))
 	}
 }
+
+// Guards against a gang a little wider than its team's limit that waits for
+// ever, and against one far wider that is accepted.
+func TestGangAndTeamLimit(t *testing.T) {
+	f := newFleet(t, 48, workerSize)
+	f.m.cfg.LimitOvershoot = 0.1
+	q := *gangQueue
+	q.Approval = nil
+	limit := domain.Resources{CPUMilli: 100_000}
+	f.m.Configure([]Queue{q}, []Team{{ID: "team", Weight: 100, Limit: limit}})
+	gang := func(tasks int) Spec {
+		return Spec{Steps: []StepSpec{{Tasks: tasks, Need: domain.Resources{CPUMilli: 10_500, MemoryMB: 1}, EstimateMS: 1000, Gang: true}}}
+	}
+	f.submit("narrow", &q, "team", gang(5))
+	f.submit("wide", &q, "team", gang(10))
+	if r := f.submit("too-wide", &q, "team", gang(11)); r.Refusal != RefusedLimit {
+		t.Errorf("a gang beyond the limit's overshoot was answered with %v, want a refusal", r.Refusal)
+	}
+	f.runUntil(5000)
+	f.check()
+	if len(f.completed) != 2 {
+		t.Errorf("%d of 2 gangs completed", len(f.completed))
+	}
+}
+
+func BenchmarkFlood(b *testing.B) {
+	for _, workers := range []int{48, 350, 1500} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for range b.N {
+				f := newFleet(b, workers, workerSize)
+				f.good = 0.5
+				play(f, 5, float64(workers)/48*1.5)
+				f.runUntil(5000)
+				b.ReportMetric(float64(f.starts), "starts")
+			}
+		})
+	}
+}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -24,6 +24,9 @@
 	StopMS int64
 	// RetentionMS is how long the state of an ended job is kept.
 	RetentionMS int64
+	// LimitOvershoot is the part of a team's limit by which it may be exceeded, for
+	// a gang that is a little wider than the limit and runs alone.
+	LimitOvershoot float64
 	// FarFactor multiplies the run time off the data's rack or across racks.
 	FarFactor float64
 }
@@ -62,15 +65,15 @@
 	// suspects are workers of a former owner that have not reported.
 	suspects map[domain.WorkerID]int64
 	// membersChanged tells that the stored set of workers is out of date.
-	membersChanged bool
-	forgotten      []domain.JobID
-	dirty          []*job
-	approvals      map[domain.QueueID]*approvalStats
-	lastAges       int64
-	out            Output
-	needsPass      bool
-	blockedBy      map[string]int
-	lastHungMS     int64
+	membersChanged      bool
+	forgotten           []domain.JobID
+	dirty               []*job
+	approvals           map[domain.QueueID]*approvalStats
+	lastAges, lastLapse int64
+	out                 Output
+	needsPass           bool
+	blockedBy           map[string]int
+	lastHungMS          int64
 }
 
 // New returns an empty machine.
@@ -92,7 +95,10 @@
 func (m *Machine) Advance(nowMS, unixMS int64) {
 	m.nowMS = max(m.nowMS, nowMS)
 	m.unixMS = unixMS
-	m.lapse()
+	if m.nowMS-m.lastLapse >= lapseIntervalMS {
+		m.lastLapse = m.nowMS
+		m.lapse()
+	}
 	m.openOccurrences()
 	m.watchRuns()
 	if m.nowMS-m.lastAges >= agingMS {
@@ -103,6 +109,9 @@
 	}
 }
 
+// lapseIntervalMS is how late a lapsed worker may be noticed.
+const lapseIntervalMS = 50
+
 // agingMS is the interval of checks that bounds of whole seconds depend on.
 const agingMS = 250
 
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -220,6 +220,14 @@
 		within(after.Accelerators, t.Limit.Accelerators)
 }
 
+// fitsAlone reports whether work of that size is within the limit and its
+// permitted overshoot while the team runs nothing else.
+func (t *team) fitsAlone(need domain.Resources, overshoot float64) bool {
+	over := func(value, limit int64) bool { return within(value, limit+int64(float64(limit)*overshoot)) }
+	return over(need.CPUMilli, t.Limit.CPUMilli) && over(need.MemoryMB, t.Limit.MemoryMB) &&
+		over(need.Accelerators, t.Limit.Accelerators)
+}
+
 func within(value, limit int64) bool { return limit <= 0 || value <= limit }
 
 func (w *worker) hasLabel(label string) bool {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -148,7 +148,7 @@
 	if s.spec.Gang {
 		if p.gangs++; p.gangs <= max(minGangsPerPass, len(p.usable)/workersPerGang) || s.waiting < s.open {
 			p.scans++
-			m.placeGang(s)
+			m.placeGang(s, blocked)
 			p.stale = true
 		}
 		return
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -16,6 +16,8 @@
 	RefusedNeverFits
 	// RefusedOverload tells that the objective cannot be met with the work that waits.
 	RefusedOverload
+	// RefusedLimit tells that a task or gang is larger than the team's limit.
+	RefusedLimit
 	// RefusedTaken tells that the ID names another team's job.
 	RefusedTaken
 )
@@ -45,6 +47,9 @@
 	if !m.everFits(queue, spec) {
 		return SubmitResult{Refusal: RefusedNeverFits, RetryAfterMS: neverFitsRetryMS}
 	}
+	if !t.everFits(spec, m.cfg.LimitOvershoot) {
+		return SubmitResult{Refusal: RefusedLimit, RetryAfterMS: neverFitsRetryMS}
+	}
 	if wait, refuse := m.overloaded(queue, t, spec); refuse {
 		return SubmitResult{Refusal: RefusedOverload, RetryAfterMS: wait}
 	}
@@ -153,6 +158,20 @@
 	return true
 }
 
+// everFits reports whether the limit permits each task, and each gang as a whole.
+func (t *team) everFits(spec *Spec, overshoot float64) bool {
+	for i := range spec.Steps {
+		need := spec.Steps[i].Need
+		if spec.Steps[i].Gang {
+			need = need.Scale(int64(spec.Steps[i].Tasks))
+		}
+		if !t.fitsAlone(need, overshoot) {
+			return false
+		}
+	}
+	return true
+}
+
 // tokenBurst is how many seconds of its rate a team may hand in at once.
 const tokenBurst = 3
 
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -50,6 +50,8 @@
 	RetentionMS int64 `json:"retention_ms"`
 	// FarFactor multiplies run times away from the data's rack.
 	FarFactor float64 `json:"far_factor"`
+	// LimitOvershoot is the part by which a team's limit may be exceeded.
+	LimitOvershoot float64 `json:"limit_overshoot"`
 	// MinLeaseMS is the shortest lease of the store.
 	MinLeaseMS int64 `json:"min_lease_ms"`
 }
@@ -57,6 +59,8 @@
 // CellLimits are the limits of the VM.
 type CellLimits struct {
 	MemoryMB int64 `json:"memory_mb"`
+	// CPUShare is the processor time of the VM in cores.
+	CPUShare float64 `json:"cpu_share"`
 }
 
 // DefaultCell returns the defaults of optional settings.
@@ -64,7 +68,7 @@
 	return Cell{
 		Bounds: CellBounds{RevokeMS: 5000, MaxLeaseMS: 10_000, GraceMS: 6000, GangWaitMS: 3000, StopMS: 900,
 			RetentionMS: 120_000, FarFactor: 2, MinLeaseMS: 1000},
-		Limits: CellLimits{MemoryMB: 284},
+		Limits: CellLimits{MemoryMB: 284, CPUShare: 0.4},
 		Log:    Log{Level: "info"},
 	}
 }
@@ -103,6 +107,12 @@
 	if !(s.Bounds.FarFactor >= 1 && s.Bounds.FarFactor <= 1000) {
 		v.add("bounds.far_factor", fmt.Sprint(s.Bounds.FarFactor), "1 to 1000", "set a value in that range")
 	}
+	if !(s.Bounds.LimitOvershoot >= 0 && s.Bounds.LimitOvershoot <= 1) {
+		v.add("bounds.limit_overshoot", fmt.Sprint(s.Bounds.LimitOvershoot), "0 to 1", "set a value in that range")
+	}
+	if !(s.Limits.CPUShare > 0 && s.Limits.CPUShare <= 1024) {
+		v.add("limits.cpu_share", fmt.Sprint(s.Limits.CPUShare), "above 0, in cores", "set the VM's part of a core")
+	}
 	v.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	return v.faults
 }
