--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -44,7 +44,8 @@
 		if current == nil || sameVM(current, o.options.Instance, o.options.Address) {
 			// A claim of this address is that of a process that has ended.
 			publish(Seat{})
-			if o.pause(ctx, o.options.ClaimDelay+rand.N(claimJitter)); o.claimedByOther(ctx, revision) {
+			delay := o.options.ClaimDelay()
+			if o.pause(ctx, delay+rand.N(claimJitter)); delay > 0 && o.claimedByOther(ctx, revision) {
 				continue
 			}
 			o.tryReign(ctx, revision, config, publish)
@@ -58,9 +59,6 @@
 // claimedByOther reports whether the claim has changed during the delay. The
 // check costs a read and saves those of a claim that fails.
 func (o *Owner) claimedByOther(ctx context.Context, revision int64) bool {
-	if o.options.ClaimDelay == 0 {
-		return false
-	}
 	_, now, _, err := FindClaim(ctx, o.store)
 	return err == nil && now != revision
 }
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -26,7 +26,7 @@
 	// ClaimTTL is the time to live of the claim.
 	ClaimTTL time.Duration
 	// ClaimDelay is how long this instance waits before it claims a free cell.
-	ClaimDelay time.Duration
+	ClaimDelay func() time.Duration
 	// UnconfirmedTTL is how long after the claim's last proof the owner still speaks to workers.
 	UnconfirmedTTL time.Duration
 	// WorkerLease is how far ahead leases of workers are extended.
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -110,13 +110,13 @@
 	i.store = relay
 	i.config = entry.NewConfigKeeper(a.Config(relay), log, i.configChanged)
 	trust := time.Duration(float64(s.Bounds.RevokeMS)*keyTrustShare) * time.Millisecond
-	self := port.Hello{Instance: s.Instance, Address: s.Listen.Peers}
+	self := port.Hello{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000)}
 	i.service = entry.NewService(entry.Options{Self: self, KeyTrust: trust}, i.config, i.directory, relay, log, i.metrics)
 	lease := min(workerLease, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
 		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL, WorkerLease: lease,
-		ClaimDelay: claimDelay(s.Limits.CPUShare),
+		ClaimDelay: i.claimDelay,
 		Machine: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
 			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
@@ -126,12 +126,19 @@
 	return i
 }
 
-// claimDelay lets larger VMs claim a free cell first.
-func claimDelay(cpuShare float64) time.Duration {
-	if cpuShare >= ampleCPUShare {
+// claimDelay lets larger VMs claim a free cell first. Where no larger one is
+// known, or none is known yet and this one is ample, there is no delay.
+func (i *Instance) claimDelay() time.Duration {
+	own := i.settings.Limits.CPUShare
+	known := i.directory.Instances()
+	larger := len(known) == 0
+	for _, h := range known {
+		larger = larger || h.CPUMilli > int64(own*1000)
+	}
+	if !larger || own >= ampleCPUShare {
 		return 0
 	}
-	return time.Duration((1 - cpuShare/ampleCPUShare) * float64(maxClaimDelay))
+	return time.Duration((1 - own/ampleCPUShare) * float64(maxClaimDelay))
 }
 
 func (i *Instance) configChanged(c *port.CellConfig) {
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -51,6 +51,8 @@
 type Hello struct {
 	Instance domain.InstanceID `cbor:"1,keyasint"`
 	Address  string            `cbor:"2,keyasint"`
+	// CPUMilli is the processor time of the instance's VM in thousandths of a core.
+	CPUMilli int64 `cbor:"3,keyasint"`
 }
 
 // OwnerCalls is what an instance asks of the owner of the cell. Calls return a
