Keep several writes under way while the store is slow

Cause: one write at a time made a job wait for two answers of a slow store (300 ms each) before its acceptance and before its end was shown; the objective of the short class leaves 900 ms. Each chain of transactions has its own sequence key, a job is in one chain at a time, and an end is acknowledged once the job's version that holds it is stored. Ruled out: conditions on the job keys alone (they do not order changes of state against a write that takes effect late).

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -33,8 +33,8 @@
 	cancellers map[domain.JobID][]func(port.CancelReply)
 	looks      map[domain.WorkerID]*look
 	relays     relays
-	writing    bool
-	writeFrom  int64
+	lanes      []*lane
+	writing    int
 	lastWrite  int64
 	acked      map[domain.WorkerID]int64
 	processed  map[domain.WorkerID]int64
@@ -61,6 +61,9 @@
 		processed:  make(map[domain.WorkerID]int64),
 	}
 	c.confirmedMS.Store(r.claimedMS + r.ttl.Milliseconds())
+	for i := range writeLanes {
+		c.lanes = append(c.lanes, &lane{key: laneKey(i), revision: r.laneRevisions[i]})
+	}
 	return c
 }
 
@@ -110,7 +113,7 @@
 			c.advance()
 		}
 		c.settle()
-		if c.resigning && !c.writing && !c.machine.HasChanges() {
+		if c.resigning && c.writing == 0 && !c.machine.HasChanges() {
 			c.end("resigned")
 		}
 	}
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -19,12 +19,11 @@
 	epoch int64
 	lease int64
 	ttl   time.Duration
-	// ownerRevision fences transactions, sequenceRevision orders them.
-	ownerRevision    int64
-	sequenceRevision int64
-	sequenceNumber   int64
-	token            string
-	claimedMS        int64
+	// ownerRevision fences transactions; laneRevisions are those of the chains' keys.
+	ownerRevision int64
+	laneRevisions [writeLanes]int64
+	token         string
+	claimedMS     int64
 }
 
 // errNotClaimed tells that another instance holds the claim.
@@ -74,7 +73,10 @@
 		}
 		return nil, err
 	}
-	r.ownerRevision, r.sequenceRevision = revision, revision
+	r.ownerRevision = revision
+	for i := range r.laneRevisions {
+		r.laneRevisions[i] = revision
+	}
 	r.claimedMS = sentMS
 	return r, nil
 }
@@ -88,10 +90,14 @@
 	if err != nil {
 		return port.Txn{}, err
 	}
-	return port.Txn{
+	txn := port.Txn{
 		If:   []port.Condition{{Key: ownerKey, Revision: former}, {Key: sequenceKey, Revision: sequenceRevision}},
 		Puts: []port.Put{{Key: ownerKey, Value: value, Lease: r.lease}, {Key: sequenceKey, Value: seq}},
-	}, nil
+	}
+	for i := range writeLanes {
+		txn.Puts = append(txn.Puts, port.Put{Key: laneKey(i), Value: seq})
+	}
+	return txn, nil
 }
 
 // confirmClaim finds out whether a claim without a clear answer took effect.
--- a/internal/app/owner/keys.go
+++ b/internal/app/owner/keys.go
@@ -1,6 +1,10 @@
 package owner
 
-import "auburnpier/internal/domain"
+import (
+	"strconv"
+
+	"auburnpier/internal/domain"
+)
 
 // Keys of the cell in the store.
 const (
@@ -12,6 +16,9 @@
 	statePrefix = keyPrefix + "state/"
 )
 
+// laneKey is the key that each transaction of one chain rewrites.
+func laneKey(lane int) string { return sequenceKey + "/" + strconv.Itoa(lane) }
+
 func jobKey(id domain.JobID) string { return jobPrefix + string(id) }
 
 // StateKey is the key of a job's progress.
@@ -26,8 +33,9 @@
 	Token string `cbor:"4,keyasint"`
 }
 
-// sequence is the value of the key that each transaction of an owner rewrites.
-// A transaction that takes effect late finds another revision and changes nothing.
+// sequence is the value of the keys that the claims, and the transactions of one
+// chain, rewrite. A transaction that takes effect late finds another revision
+// and changes nothing.
 type sequence struct {
 	Epoch  int64  `cbor:"1,keyasint"`
 	Number int64  `cbor:"2,keyasint"`
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -17,6 +17,7 @@
 	address   string
 	underWay  bool
 	notBefore int64
+	sentMS    int64
 	retryMS   int64
 	// reported tells that the worker answered the last look. Until it does, looks
 	// extend no lease: an order that may have taken effect would keep the
@@ -36,10 +37,12 @@
 }
 
 // sendLooks starts the looks that are due. A look acknowledges only ends whose
-// effects are stored, so after an end the next look waits for the write.
+// effects are stored, so after an end the next look waits for the write, or
+// comes without a wait where the store is slow.
 func (c *Cell) sendLooks(now int64) {
 	for id, l := range c.looks {
-		if l.underWay || now < l.notBefore || c.processed[id] > c.acked[id] {
+		unstored := c.processed[id] > c.acked[id]
+		if l.underWay || now < l.notBefore || unstored && now-l.sentMS < unstoredLookMS {
 			continue
 		}
 		r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: c.acked[id]}
@@ -50,6 +53,11 @@
 				r.Wait = lookWait
 			}
 		}
+		if unstored {
+			// The worker lists what was seen already, so it would not wait.
+			r.Wait = 0
+		}
+		l.sentMS = now
 		l.underWay = true
 		go c.look(*l, r)
 	}
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -40,8 +40,14 @@
 	tickInterval = 25 * time.Millisecond
 	// writeInterval collects changes into one transaction; each write is priced.
 	writeInterval = 25 * time.Millisecond
+	// writeLanes bounds the writes under way, and laneInterval is the least time
+	// between their starts while the store is slow.
+	writeLanes   = 6
+	laneInterval = 60 * time.Millisecond
 	// lookWait is how long a look at a worker waits for an end.
 	lookWait = time.Second
+	// unstoredLookMS is the time between looks while ends wait for the store.
+	unstoredLookMS = 250
 	// lookRetry and lookRetryMax bound the pause after a look without an answer.
 	lookRetry    = 150 * time.Millisecond
 	lookRetryMax = time.Second
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -18,15 +18,31 @@
 // entriesPerTxn leaves room for the two conditions and the sequence.
 const entriesPerTxn = port.MaxTxnEntries - 3
 
-// write starts the next write where there is something to store and none is under way.
+// lane is one chain of transactions. A chain's next transaction waits for the
+// outcome of the one before; several chains keep writes under way while a slow
+// store answers. Writes of one job are never under way in two chains.
+type lane struct {
+	key      string
+	revision int64
+	number   int64
+	busy     bool
+}
+
+// write starts the next write where there is something to store.
 func (c *Cell) write(now int64) {
-	if c.writing {
-		if now-c.writeFrom > storeDown.Milliseconds() {
-			c.withdrawWaiting()
-		}
+	c.releaseEnds()
+	if c.writing > 0 && now-c.lastWrite > storeDown.Milliseconds() {
+		c.withdrawWaiting()
+	}
+	interval := writeInterval
+	if c.writing > 0 {
+		interval = laneInterval
+	}
+	if now-c.lastWrite < interval.Milliseconds() || !c.machine.HasChanges() {
 		return
 	}
-	if now-c.lastWrite < writeInterval.Milliseconds() || !c.machine.HasChanges() && !c.endsUnacknowledged() {
+	l := c.idleLane()
+	if l == nil {
 		return
 	}
 	batch, err := c.machine.TakeBatch()
@@ -36,24 +52,34 @@
 		return
 	}
 	if batch.Empty() {
-		c.stored(batch)
 		return
 	}
-	c.writing, c.writeFrom, c.lastWrite = true, now, now
-	go c.storeBatch(batch)
+	l.busy = true
+	c.writing++
+	c.lastWrite = now
+	go c.storeBatch(l, batch)
+}
+
+func (c *Cell) idleLane() *lane {
+	for _, l := range c.lanes {
+		if !l.busy {
+			return l
+		}
+	}
+	return nil
 }
 
-func (c *Cell) endsUnacknowledged() bool {
+// releaseEnds acknowledges the ends whose effects are stored.
+func (c *Cell) releaseEnds() {
 	for id, n := range c.processed {
 		if n > c.acked[id] {
-			return true
+			c.acked[id] = max(c.acked[id], min(n, c.machine.Acknowledgeable(id)))
 		}
 	}
-	return false
 }
 
 // storeBatch writes a batch and tells the loop.
-func (c *Cell) storeBatch(batch *jobs.Batch) {
+func (c *Cell) storeBatch(l *lane, batch *jobs.Batch) {
 	puts, deletes, err := entriesOf(batch)
 	if err != nil {
 		c.log.Error("state cannot be encoded", zap.Error(err))
@@ -63,14 +89,15 @@
 	for len(puts)+len(deletes) > 0 {
 		n := min(len(puts), entriesPerTxn)
 		d := min(len(deletes), entriesPerTxn-n)
-		if err := c.commit(puts[:n], deletes[:d]); err != nil {
+		if err := c.commit(l, puts[:n], deletes[:d]); err != nil {
 			c.end(err.Error())
 			return
 		}
 		puts, deletes = puts[n:], deletes[d:]
 	}
 	c.post(func() {
-		c.writing = false
+		l.busy = false
+		c.writing--
 		c.stored(batch)
 	})
 }
@@ -100,17 +127,17 @@
 
 // commit writes one transaction of the reign. It repeats until the outcome is
 // known, and fails once another instance has claimed the cell.
-func (c *Cell) commit(puts []port.Put, deletes []string) error {
+func (c *Cell) commit(l *lane, puts []port.Put, deletes []string) error {
 	r := c.reign
-	r.sequenceNumber++
-	mine := sequence{Epoch: r.epoch, Number: r.sequenceNumber, Token: r.token}
+	l.number++
+	mine := sequence{Epoch: r.epoch, Number: l.number, Token: r.token}
 	value, err := cbor.Marshal(mine)
 	if err != nil {
 		return err
 	}
 	txn := port.Txn{
-		If:      []port.Condition{{Key: ownerKey, Revision: r.ownerRevision}, {Key: sequenceKey, Revision: r.sequenceRevision}},
-		Puts:    append([]port.Put{{Key: sequenceKey, Value: value}}, puts...),
+		If:      []port.Condition{{Key: ownerKey, Revision: r.ownerRevision}, {Key: l.key, Revision: l.revision}},
+		Puts:    append([]port.Put{{Key: l.key, Value: value}}, puts...),
 		Deletes: deletes,
 	}
 	for c.ctx.Err() == nil {
@@ -118,16 +145,16 @@
 		revision, err := c.store.Commit(c.ctx, txn)
 		c.metrics.Timer("store.commit").UpdateSince(begun)
 		if err == nil {
-			r.sequenceRevision = revision
+			l.revision = revision
 			return nil
 		}
 		var conflict *port.TxnConflictError
 		if errors.As(err, &conflict) {
-			revision, applied := appliedRevision(conflict, mine)
+			revision, applied := appliedRevision(conflict, l.key, mine)
 			if !applied {
 				return fmt.Errorf("claim was taken over: %w", err)
 			}
-			r.sequenceRevision = revision
+			l.revision = revision
 			return nil
 		}
 		c.metrics.Counter("store.commit.repeated").Inc(1)
@@ -138,9 +165,9 @@
 }
 
 // appliedRevision reports whether the conflicting state is the transaction's own effect.
-func appliedRevision(conflict *port.TxnConflictError, mine sequence) (int64, bool) {
+func appliedRevision(conflict *port.TxnConflictError, key string, mine sequence) (int64, bool) {
 	for _, e := range conflict.Current {
-		if e.Key != sequenceKey {
+		if e.Key != key {
 			continue
 		}
 		var found sequence
@@ -154,11 +181,7 @@
 
 // stored releases what waited for the batch.
 func (c *Cell) stored(batch *jobs.Batch) {
-	for id, n := range c.machine.Stored(batch) {
-		if n > c.acked[id] && n <= c.processed[id] {
-			c.acked[id] = n
-		}
-	}
+	c.machine.Stored(batch)
 	for _, j := range batch.Jobs {
 		c.answer(j.ID, port.SubmitReply{Accepted: true})
 		if j.Ended {
@@ -192,7 +215,7 @@
 // failWaiters answers everything that waits at the end of the reign.
 func (c *Cell) failWaiters() {
 	for id := range c.submitters {
-		if c.machine.Withdraw(id) && !c.writing {
+		if c.machine.Withdraw(id) {
 			c.answer(id, port.SubmitReply{Reason: reasonOwnerChange, RetryAfterMS: storeRetryMS})
 			continue
 		}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -152,9 +152,11 @@
 	f.writing = !b.Empty()
 	done := func() {
 		f.writing = false
-		for id, n := range f.m.Stored(b) {
-			if w := f.workers[id]; w != nil {
-				w.acked = max(w.acked, n)
+		f.m.Stored(b)
+		for _, id := range f.ids {
+			w := f.workers[id]
+			if n := f.m.Acknowledgeable(id); n > w.acked {
+				w.acked = n
 				f.look(w)
 			}
 		}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -65,7 +65,9 @@
 	// suspects are workers of a former owner that have not reported.
 	suspects map[domain.WorkerID]int64
 	// membersChanged tells that the stored set of workers is out of date.
-	membersChanged      bool
+	membersChanged bool
+	// membersWriting tells that a write of the set is under way.
+	membersWriting      bool
 	forgotten           []domain.JobID
 	dirty               []*job
 	approvals           map[domain.QueueID]*approvalStats
@@ -272,6 +274,7 @@
 }
 
 func (m *Machine) markDirty(j *job) {
+	j.version++
 	if !j.dirty {
 		j.dirty = true
 		m.dirty = append(m.dirty, j)
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -40,6 +40,18 @@
 	// shownState is the state that the store holds; callers are told this one.
 	shownState State
 	dirty      bool
+	// version counts the changes, storedVersion is the last one in the store.
+	version, storedVersion int
+	// writing tells that a write of the job is under way. The next one waits, so
+	// that writes of one job never overtake each other.
+	writing bool
+}
+
+// pendingEnd is an end that may be acknowledged once the job's version is stored.
+type pendingEnd struct {
+	number  int64
+	job     *job
+	version int
 }
 
 type occurrence struct {
@@ -197,9 +209,10 @@
 	used   domain.Resources
 	held   domain.Resources
 	runs   map[TaskID]*run
-	// lastEnd is the last end taken, storedEnd the last whose effects are stored.
-	lastEnd, storedEnd int64
-	health             health
+	// lastEnd is the last end taken. Those in pending have effects that are not stored.
+	lastEnd int64
+	pending []pendingEnd
+	health  health
 	// slowness is the smoothed ratio of measured to expected run time.
 	slowness float64
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -56,60 +56,80 @@
 	Forgotten []domain.JobID
 	// Members lists all workers that may have tasks, where the set has changed.
 	Members []domain.WorkerID
-	// ends holds the last end of each worker that the batch covers.
-	ends map[domain.WorkerID]int64
-	done []*job
-	show []State
+	taken   []takenJob
+}
+
+type takenJob struct {
+	job     *job
+	version int
+	state   State
 }
 
 // Empty reports whether there is nothing to write.
 func (b *Batch) Empty() bool { return len(b.Jobs) == 0 && len(b.Forgotten) == 0 && b.Members == nil }
 
-// maxForgottenPerBatch keeps clean-up from delaying acceptances.
-const maxForgottenPerBatch = 16
+// Bounds of a batch. A transaction holds a limited number of entries.
+const (
+	maxForgottenPerBatch = 8
+	maxJobsPerBatch      = 100
+)
 
-// TakeBatch returns all changes since the last one.
+// TakeBatch returns the changes of jobs that no other batch under way holds.
 func (m *Machine) TakeBatch() (*Batch, error) {
-	b := &Batch{ends: make(map[domain.WorkerID]int64)}
+	b := &Batch{}
+	var left []*job
 	for _, j := range m.dirty {
 		if !j.dirty {
 			continue
 		}
-		j.dirty, j.written = false, true
-		state, err := cbor.Marshal(j.stateRecord())
-		if err != nil {
-			return nil, fmt.Errorf("encode state of job %s: %w", j.id, err)
+		if j.writing || len(b.Jobs) >= maxJobsPerBatch {
+			left = append(left, j)
+			continue
 		}
-		stored := StoredJob{ID: j.id, State: state, Ended: j.state.Terminal()}
-		if !j.durable {
-			stored.Job, err = cbor.Marshal(j.record())
-			if err != nil {
-				return nil, fmt.Errorf("encode job %s: %w", j.id, err)
-			}
+		stored, err := j.stored()
+		if err != nil {
+			return nil, err
 		}
+		j.dirty, j.written, j.writing = false, true, true
 		b.Jobs = append(b.Jobs, stored)
-		b.done = append(b.done, j)
-		b.show = append(b.show, j.state)
+		b.taken = append(b.taken, takenJob{j, j.version, j.state})
 	}
-	m.dirty = nil
+	m.dirty = left
 	n := min(len(m.forgotten), maxForgottenPerBatch)
 	b.Forgotten = append(b.Forgotten, m.forgotten[:n]...)
 	m.forgotten = m.forgotten[n:]
-	for _, w := range m.order {
-		if w.lastEnd > w.storedEnd {
-			b.ends[w.id] = w.lastEnd
-		}
-	}
-	if m.membersChanged {
-		m.membersChanged = false
+	if m.membersChanged && !m.membersWriting {
+		m.membersChanged, m.membersWriting = false, true
 		b.Members = m.members()
 	}
 	return b, nil
 }
 
+func (j *job) stored() (StoredJob, error) {
+	stored := StoredJob{ID: j.id, Ended: j.state.Terminal()}
+	var err error
+	if stored.State, err = cbor.Marshal(j.stateRecord()); err != nil {
+		return stored, fmt.Errorf("encode state of job %s: %w", j.id, err)
+	}
+	if !j.durable {
+		if stored.Job, err = cbor.Marshal(j.record()); err != nil {
+			return stored, fmt.Errorf("encode job %s: %w", j.id, err)
+		}
+	}
+	return stored, nil
+}
+
 // HasChanges reports whether TakeBatch has something to write.
 func (m *Machine) HasChanges() bool {
-	return len(m.dirty) > 0 || len(m.forgotten) > 0 || m.membersChanged
+	if len(m.forgotten) > 0 || m.membersChanged && !m.membersWriting {
+		return true
+	}
+	for _, j := range m.dirty {
+		if j.dirty && !j.writing {
+			return true
+		}
+	}
+	return false
 }
 
 // members lists the workers that may have tasks, also those of a former owner.
@@ -127,20 +147,20 @@
 	return list
 }
 
-// Stored tells that the batch is in the store. It returns the last end of each
-// worker that may be acknowledged.
-func (m *Machine) Stored(b *Batch) map[domain.WorkerID]int64 {
-	for i, j := range b.done {
+// Stored tells that the batch is in the store.
+func (m *Machine) Stored(b *Batch) {
+	for _, taken := range b.taken {
+		j := taken.job
+		j.writing = false
 		j.durable = true
-		j.shownState = b.show[i]
-		if b.show[i].Terminal() {
+		j.storedVersion = taken.version
+		j.shownState = taken.state
+		if taken.state.Terminal() {
 			m.stopJob(j)
 		}
 	}
-	for id, n := range b.ends {
-		if w, ok := m.workers[id]; ok && n <= w.lastEnd {
-			w.storedEnd = n
-		}
+	if b.Members != nil {
+		m.membersWriting = false
 	}
 	for _, id := range b.Members {
 		if w, ok := m.workers[id]; ok {
@@ -148,7 +168,22 @@
 		}
 	}
 	m.needsPass = true
-	return b.ends
+}
+
+// Acknowledgeable returns the last end of the worker that may be acknowledged:
+// all effects of the ends up to it are stored.
+func (m *Machine) Acknowledgeable(id domain.WorkerID) int64 {
+	w, ok := m.workers[id]
+	if !ok {
+		return 0
+	}
+	for len(w.pending) > 0 && w.pending[0].job.storedVersion >= w.pending[0].version {
+		w.pending = w.pending[1:]
+	}
+	if len(w.pending) > 0 {
+		return w.pending[0].number - 1
+	}
+	return w.lastEnd
 }
 
 func (j *job) record() JobRecord {
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -85,7 +85,15 @@
 	for _, e := range r.Ends {
 		if e.Number > w.lastEnd {
 			w.lastEnd = e.Number
+			j := m.jobs[e.Task.Job]
+			before := 0
+			if j != nil {
+				before = j.version
+			}
 			m.takeEnd(w, e)
+			if j != nil && j.version != before {
+				w.pending = append(w.pending, pendingEnd{e.Number, j, j.version})
+			}
 		}
 	}
 	seen := make(map[TaskID]int, len(r.Running))
@@ -109,7 +117,7 @@
 		m.dropRuns(w)
 	}
 	w.bornMS = bornMS
-	w.lastEnd, w.storedEnd = 0, 0
+	w.lastEnd, w.pending = 0, nil
 	w.clockKnown = false
 	w.health = health{}
 }
