Acknowledge a gang member's end only once the gang's end is stored

Cause: the second member's end changed nothing in memory and was acknowledged at once, while the gang's end, known from the first, waited for the store. Ruled out: a write that took effect late (the claim's revision refuses it). Test: TestEndsWaitForTheStore fails before.

--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -191,3 +191,36 @@
 		t.Fatalf("starts after the gang ended: %+v, want both members in run 2", starts)
 	}
 }
+
+// Guards against the end of a gang member that is acknowledged before the end
+// of the gang, known from another member, is stored.
+func TestEndsWaitForTheStore(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	spec := Spec{Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000, Gang: true}}}
+	m.Submit("j", q, "team", &spec)
+	take := func() *Batch {
+		t.Helper()
+		b, err := m.TakeBatch()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	m.Stored(take())
+	first, second := TaskID{Job: "j"}, TaskID{Job: "j", Index: 1}
+	report(m, nil, RunReport{Task: first, Run: 1}, RunReport{Task: second, Run: 1})
+	m.Advance(1000, 1000)
+	report(m, []EndReport{{Number: 1, Task: first, Run: 1, Kind: EndSucceeded}}, RunReport{Task: second, Run: 1})
+	b := take()
+	m.Advance(1010, 1010)
+	report(m, []EndReport{{Number: 1, Task: first, Run: 1, Kind: EndSucceeded}, {Number: 2, Task: second, Run: 1, Kind: EndSucceeded}})
+	if n := m.Acknowledgeable("w"); n != 0 {
+		t.Fatalf("ends up to %d may be acknowledged before the job's end is stored, want none", n)
+	}
+	m.Stored(b)
+	if n := m.Acknowledgeable("w"); n != 2 {
+		t.Fatalf("ends up to %d may be acknowledged after the job's end is stored, want 2", n)
+	}
+}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -85,13 +85,10 @@
 	for _, e := range r.Ends {
 		if e.Number > w.lastEnd {
 			w.lastEnd = e.Number
-			j := m.jobs[e.Task.Job]
-			before := 0
-			if j != nil {
-				before = j.version
-			}
 			m.takeEnd(w, e)
-			if j != nil && j.version != before {
+			// The end may add nothing to what is known, as with the other members of a
+			// gang, but what is known may not be stored yet.
+			if j := m.jobs[e.Task.Job]; j != nil && j.version > j.storedVersion {
 				w.pending = append(w.pending, pendingEnd{e.Number, j, j.version})
 			}
 		}
