--- /dev/null
+++ b/internal/app/owner/owner_test.go
@@ -0,0 +1,262 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/cellworker"
+	"auburnpier/internal/standin/leasestore"
+)
+
+// fixedRegistry lists workers that never change.
+type fixedRegistry []jobs.WorkerInfo
+
+func (r fixedRegistry) Workers(context.Context) ([]jobs.WorkerInfo, int, int64, error) {
+	return r, 0, 1, nil
+}
+
+func (r fixedRegistry) Changes(ctx context.Context, after int64, wait time.Duration) (port.RegistryChanges, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return port.RegistryChanges{Revision: after}, nil
+}
+
+type noApprovers struct{}
+
+func (noApprovers) Approver(port.Hello) port.Approver { return nil }
+
+type cellTest struct {
+	t       *testing.T
+	store   *leasestore.Store
+	fleet   *cellworker.Fleet
+	ids     []domain.WorkerID
+	queue   jobs.Queue
+	runTime time.Duration
+}
+
+func newCellTest(t *testing.T, runTime time.Duration) *cellTest {
+	c := &cellTest{t: t, store: leasestore.New(), runTime: runTime,
+		queue: jobs.Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}}
+	for i := range 4 {
+		c.ids = append(c.ids, domain.WorkerID(fmt.Sprintf("w%d", i)))
+	}
+	c.fleet = cellworker.New(runTime, c.ids...)
+	return c
+}
+
+// instance is one process that campaigns for the cell.
+type instance struct {
+	stop  context.CancelFunc
+	done  chan struct{}
+	seats chan Seat
+	cell  *Cell
+}
+
+func (c *cellTest) start(name string) *instance {
+	var registry fixedRegistry
+	for _, id := range c.ids {
+		registry = append(registry, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", BornMS: 1,
+			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
+	}
+	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: 300 * time.Millisecond,
+		ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond, WorkerLease: 2 * time.Second,
+		Machine: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
+			RetentionMS: 60_000, FarFactor: 2}},
+		Ports{Store: c.store, Workers: c.fleet, Registry: registry, Approvers: noApprovers{}}, zap.NewNop(), metrics.New())
+	ctx, stop := context.WithCancel(context.Background())
+	i := &instance{stop: stop, done: make(chan struct{}), seats: make(chan Seat, 64)}
+	config := &port.CellConfig{Version: 1, Routes: []port.QueueRoute{{Queue: c.queue}}}
+	go func() {
+		defer close(i.done)
+		o.Campaign(ctx, func() *port.CellConfig { return config }, func(s Seat) { i.seats <- s })
+	}()
+	c.t.Cleanup(func() { i.stop(); <-i.done })
+	return i
+}
+
+// owned waits until the instance owns the cell.
+func (i *instance) owned(t *testing.T) *Cell {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		select {
+		case s := <-i.seats:
+			if s.Local != nil {
+				i.cell = s.Local
+				return s.Local
+			}
+		case <-deadline:
+			t.Fatal("the instance does not own the cell after 10 s")
+		}
+	}
+}
+
+func (c *cellTest) spec(tasks int) jobs.Spec {
+	return jobs.Spec{Steps: []jobs.StepSpec{{Tasks: tasks, Need: domain.Resources{CPUMilli: 500, MemoryMB: 100}, EstimateMS: c.runTime.Milliseconds()}}}
+}
+
+func (c *cellTest) submit(cell *Cell, id string, tasks int) port.SubmitReply {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := cell.Submit(ctx, port.SubmitCall{Job: domain.JobID(id), Queue: c.queue, Team: "team", Spec: c.spec(tasks)})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return r
+}
+
+// completed waits until the job is shown as completed by the instance's present reign.
+func (c *cellTest) completed(i *instance, id string) {
+	c.t.Helper()
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		select {
+		case s := <-i.seats:
+			if s.Local != nil {
+				i.cell = s.Local
+			}
+		default:
+		}
+		r, err := i.cell.State(context.Background(), port.JobCall{Job: domain.JobID(id), Team: "team"})
+		if err == nil && r.Known && r.State == jobs.Completed {
+			return
+		}
+	}
+	c.t.Fatalf("job %s is not completed after 15 s", id)
+}
+
+func (c *cellTest) check() {
+	c.t.Helper()
+	for _, f := range c.fleet.Faults() {
+		c.t.Error(f)
+	}
+}
+
+// Guards against a job that is not carried through, or runs more than once.
+func TestJobRuns(t *testing.T) {
+	c := newCellTest(t, 50*time.Millisecond)
+	i := c.start("a")
+	cell := i.owned(t)
+	if r := c.submit(cell, "j1", 8); !r.Accepted {
+		t.Fatalf("submission was answered with %+v", r)
+	}
+	c.completed(i, "j1")
+	if r := c.submit(cell, "j1", 8); !r.Accepted {
+		t.Fatalf("the same submission again was answered with %+v", r)
+	}
+	if n := c.fleet.Starts(); n != 8 {
+		t.Errorf("%d starts for 8 tasks", n)
+	}
+	c.check()
+}
+
+// Guards against work that is lost, done twice or forgotten when the owner
+// ends: gracefully, or by losing its claim without a word.
+func TestOwnerChanges(t *testing.T) {
+	for name, graceful := range map[string]bool{"graceful": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newCellTest(t, 700*time.Millisecond)
+			a := c.start("a")
+			first := a.owned(t)
+			b := c.start("b")
+			c.submit(first, "j1", 8)
+			time.Sleep(100 * time.Millisecond)
+			if graceful {
+				a.stop()
+			} else {
+				first.cancel()
+				a.stop()
+			}
+			b.owned(t)
+			c.completed(b, "j1")
+			if n := c.fleet.Starts(); n != 8 {
+				t.Errorf("%d starts for 8 tasks, the successor should have taken over what ran", n)
+			}
+			c.check()
+		})
+	}
+}
+
+// Guards against a second run of a task whose worker cannot be reached by the
+// successor while its lease may still last.
+func TestSuccessorWaitsForUnreachableWorker(t *testing.T) {
+	c := newCellTest(t, 500*time.Millisecond)
+	a := c.start("a")
+	first := a.owned(t)
+	b := c.start("b")
+	c.submit(first, "j1", 8)
+	time.Sleep(100 * time.Millisecond)
+	for _, id := range c.ids[:2] {
+		c.fleet.Cut(id, true)
+	}
+	first.cancel()
+	a.stop()
+	b.owned(t)
+	time.Sleep(4 * time.Second)
+	for _, id := range c.ids[:2] {
+		c.fleet.Cut(id, false)
+	}
+	c.completed(b, "j1")
+	c.check()
+}
+
+// Guards against broken promises under each fault of the store and of answers.
+func TestStoreFaults(t *testing.T) {
+	for name, fault := range map[string]leasestore.Fault{"answers lost": leasestore.AnswerLost, "late writes": leasestore.Late, "down": leasestore.Down} {
+		t.Run(name, func(t *testing.T) {
+			c := newCellTest(t, 60*time.Millisecond)
+			c.fleet.LoseEvery(4)
+			i := c.start("a")
+			cell := i.owned(t)
+			c.submit(cell, "before", 6)
+			c.store.SetFault(fault)
+			replies := make(chan port.SubmitReply, 1)
+			go func() { replies <- c.submit(cell, "meanwhile", 6) }()
+			time.Sleep(250 * time.Millisecond)
+			c.store.SetFault(leasestore.None)
+			r := <-replies
+			if !r.Accepted && !r.Unknown && r.Reason == "" {
+				t.Errorf("the submission under the fault has no answer: %+v", r)
+			}
+			c.completed(i, "before")
+			if r.Accepted {
+				c.completed(i, "meanwhile")
+			}
+			c.check()
+		})
+	}
+}
+
+// Guards against a submission that waits for a store that is down although it
+// could be told that it has not run.
+func TestRefusedWhileStoreIsDown(t *testing.T) {
+	c := newCellTest(t, 50*time.Millisecond)
+	i := c.start("a")
+	cell := i.owned(t)
+	c.submit(cell, "before", 1)
+	c.completed(i, "before")
+	c.store.SetFault(leasestore.Down)
+	for n := range writeLanes {
+		go c.submit(cell, fmt.Sprintf("taken%d", n), 1)
+		time.Sleep(2 * laneInterval)
+	}
+	begun := time.Now()
+	r := c.submit(cell, "late", 1)
+	if r.Accepted || r.Unknown || r.RetryAfterMS == 0 {
+		t.Errorf("submission while the store is down was answered with %+v, want a refusal with a time to come back", r)
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Errorf("the refusal took %v", took)
+	}
+	c.store.SetFault(leasestore.None)
+}
--- /dev/null
+++ b/internal/standin/cellworker/worker.go
@@ -0,0 +1,208 @@
+// Package cellworker is a small stand-in of workers that run tasks under
+// fences and leases. It records every run and checks that no task runs twice.
+package cellworker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Fleet is a set of workers by address.
+type Fleet struct {
+	mu        sync.Mutex
+	workers   map[domain.WorkerID]*worker
+	began     time.Time
+	runTime   time.Duration
+	loseEvery int
+	calls     int
+	running   map[jobs.TaskID]int
+	done      map[jobs.TaskID]bool
+	starts    int
+	faults    []string
+}
+
+type worker struct {
+	id      domain.WorkerID
+	fence   int64
+	cut     bool
+	until   int64
+	running map[jobs.TaskID]int
+	over    map[jobs.TaskID]int
+	ends    []jobs.EndReport
+	lastEnd int64
+	news    chan struct{}
+}
+
+// New returns workers with the IDs, whose tasks take runTime.
+func New(runTime time.Duration, ids ...domain.WorkerID) *Fleet {
+	f := &Fleet{workers: make(map[domain.WorkerID]*worker), began: time.Now(), runTime: runTime,
+		running: make(map[jobs.TaskID]int), done: make(map[jobs.TaskID]bool)}
+	for _, id := range ids {
+		f.workers[id] = &worker{id: id, running: make(map[jobs.TaskID]int), over: make(map[jobs.TaskID]int), news: make(chan struct{})}
+	}
+	return f
+}
+
+// LoseEvery loses the answer of every n-th start; zero loses none.
+func (f *Fleet) LoseEvery(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseEvery = n
+}
+
+// Cut lets calls to a worker go unanswered, without effect.
+func (f *Fleet) Cut(id domain.WorkerID, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].cut = cut
+}
+
+// Starts returns the number of runs that began.
+func (f *Fleet) Starts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
+
+// Faults lists broken promises.
+func (f *Fleet) Faults() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.faults...)
+}
+
+func (f *Fleet) clock() int64 { return time.Since(f.began).Milliseconds() }
+
+var errCut = errors.New("the stand-in is cut off")
+
+// Start implements port.WorkerCalls.
+func (f *Fleet) Start(_ context.Context, fence int64, o jobs.StartOrder) (jobs.StartOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[o.Worker]
+	f.lapse(w)
+	switch {
+	case w.cut:
+		return jobs.StartUnanswered, errCut
+	case fence < w.fence:
+		return jobs.StartFenced, fmt.Errorf("fence %d is below %d", fence, w.fence)
+	case f.clock() > o.LimitClockMS:
+		return jobs.StartTooLate, errors.New("the limit has passed")
+	}
+	w.fence = fence
+	if w.running[o.Task] == o.Run {
+		return jobs.StartAccepted, nil
+	}
+	if w.over[o.Task] >= o.Run {
+		return jobs.StartSuperseded, errors.New("the run is over")
+	}
+	w.until = max(w.until, o.LimitClockMS)
+	f.begin(w, o)
+	f.calls++
+	if f.loseEvery > 0 && f.calls%f.loseEvery == 0 {
+		return jobs.StartUnanswered, errors.New("the stand-in loses the answer")
+	}
+	return jobs.StartAccepted, nil
+}
+
+func (f *Fleet) begin(w *worker, o jobs.StartOrder) {
+	f.starts++
+	if f.done[o.Task] {
+		f.faults = append(f.faults, fmt.Sprintf("%v begins again after its success was acknowledged", o.Task))
+	}
+	if f.running[o.Task]++; f.running[o.Task] > 1 {
+		f.faults = append(f.faults, fmt.Sprintf("%v runs twice", o.Task))
+	}
+	w.running[o.Task] = o.Run
+	time.AfterFunc(f.runTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.lapse(w)
+		f.end(w, o.Task, o.Run, jobs.EndSucceeded)
+	})
+}
+
+func (f *Fleet) end(w *worker, id jobs.TaskID, run int, kind jobs.EndKind) {
+	if w.running[id] != run {
+		return
+	}
+	delete(w.running, id)
+	f.running[id]--
+	w.over[id] = run
+	w.lastEnd++
+	w.ends = append(w.ends, jobs.EndReport{Number: w.lastEnd, Task: id, Run: run, Kind: kind})
+	close(w.news)
+	w.news = make(chan struct{})
+}
+
+// lapse ends what runs where the lease has expired.
+func (f *Fleet) lapse(w *worker) {
+	if f.clock() <= w.until {
+		return
+	}
+	for id, run := range w.running {
+		f.end(w, id, run, jobs.EndLapsed)
+	}
+}
+
+// Stop implements port.WorkerCalls.
+func (f *Fleet) Stop(_ context.Context, fence int64, o jobs.StopOrder) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[o.Worker]
+	if w.cut || fence < w.fence {
+		return &port.WorkerUnreachableError{Address: o.Address, Err: errCut}
+	}
+	if w.running[o.Task] == o.Run {
+		f.end(w, o.Task, o.Run, jobs.EndStopped)
+	}
+	w.over[o.Task] = max(w.over[o.Task], o.Run)
+	return nil
+}
+
+// Look implements port.WorkerCalls.
+func (f *Fleet) Look(ctx context.Context, id domain.WorkerID, address string, r port.LookRequest) (jobs.WorkerReport, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	f.lapse(w)
+	if w.cut {
+		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
+	}
+	if r.Fence < w.fence {
+		return jobs.WorkerReport{}, &port.FencedError{Worker: id}
+	}
+	w.fence = r.Fence
+	w.until = max(w.until, r.LimitClockMS)
+	for len(w.ends) > 0 && w.ends[0].Number <= r.Acknowledged {
+		if w.ends[0].Kind == jobs.EndSucceeded {
+			f.done[w.ends[0].Task] = true
+		}
+		w.ends = w.ends[1:]
+	}
+	if len(w.ends) == 0 && r.Wait > 0 {
+		news := w.news
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-news:
+		case <-time.After(r.Wait):
+		}
+		f.mu.Lock()
+	}
+	if w.cut {
+		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
+	}
+	report := jobs.WorkerReport{Worker: id, BornMS: 1, ClockMS: f.clock(), Ends: append([]jobs.EndReport(nil), w.ends...)}
+	for task, run := range w.running {
+		report.Running = append(report.Running, jobs.RunReport{Task: task, Run: run})
+	}
+	return report, nil
+}
