--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -263,26 +263,21 @@
 // Guards against a handover that waits for a moment without changes, which
 // under load never comes.
 func TestResignUnderLoad(t *testing.T) {
-	c := newCellTest(t, 30*time.Millisecond)
+	c := newCellTest(t, 100*time.Millisecond)
 	a := c.start("a")
 	first := a.owned(t)
 	b := c.start("b")
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	c.store.SetFault(leasestore.Slow)
+	// More than two seconds of work, so that tasks start and end throughout.
 	for k := range 8 {
-		go func() {
-			for n := 0; ctx.Err() == nil; n++ {
-				c.submit(first, fmt.Sprintf("load%d-%d", k, n), 4)
-			}
-		}()
+		c.submit(first, fmt.Sprintf("load%d", k), 100)
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	begun := time.Now()
 	a.stop()
 	b.owned(t)
 	if took := time.Since(begun); took > resignTimeout/2 {
 		t.Errorf("the handover under load took %v, want at most %v", took, resignTimeout/2)
 	}
-	cancel()
 	c.check()
 }
--- a/internal/standin/leasestore/store.go
+++ b/internal/standin/leasestore/store.go
@@ -23,6 +23,8 @@
 	Down
 	// AnswerLost does writes and loses their answers.
 	AnswerLost
+	// Slow answers writes after SlowBy.
+	Slow
 	// Late loses the answers of writes and does them after LateBy, where their conditions still hold.
 	Late
 )
@@ -30,6 +32,9 @@
 // LateBy is how late a write is done under the fault Late.
 const LateBy = 150 * time.Millisecond
 
+// SlowBy is how long a write takes under the fault Slow.
+const SlowBy = 60 * time.Millisecond
+
 // Store is the stand-in.
 type Store struct {
 	mu       sync.Mutex
@@ -212,6 +217,11 @@
 // Commit implements port.LeaseStore.
 func (s *Store) Commit(_ context.Context, txn port.Txn) (int64, error) {
 	s.mu.Lock()
+	if s.fault == Slow {
+		s.mu.Unlock()
+		time.Sleep(SlowBy)
+		s.mu.Lock()
+	}
 	defer s.mu.Unlock()
 	if err := s.down("commit"); err != nil {
 		return 0, err
