Move what resumes from a checkpoint away from leaving workers

Cause: tasks on a draining worker ended with it, and were started elsewhere only once its lease had lapsed 4.7 s later. What would not end in the time that the worker announces is stopped, which saves it, and started elsewhere; lasting tasks move at once. Test: TestWorkLeavesDrainingWorker fails before.

--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -112,6 +112,14 @@
 		return
 	}
 	s := r.task.step
+	if w.draining && m.leaves(r) {
+		if s.spec.Gang {
+			m.stopGang(s, "worker leaves")
+		} else {
+			m.stopRun(r, "worker leaves")
+		}
+		return
+	}
 	if r.phase != runConfirmed || s.spec.Lasting || s.spec.UsesLeftover || !r.listed {
 		return
 	}
@@ -134,6 +142,21 @@
 	}
 }
 
+// leaves reports whether a run should leave its draining worker: it would not
+// end in time, and it resumes from its checkpoint or has to run anyway.
+func (m *Machine) leaves(r *run) bool {
+	spec := r.task.step.spec
+	if r.phase != runConfirmed {
+		return false
+	}
+	if spec.Lasting {
+		return true
+	}
+	left := r.worker.leavesMS - m.nowMS
+	needed := spec.EstimateMS * int64(100-min(r.percent, 100)) / 100
+	return spec.Checkpointable && needed > left
+}
+
 // lastProgressMS is when any member of the gang was last seen to progress.
 func (s *step) lastProgressMS() int64 {
 	last := int64(0)
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -42,6 +42,8 @@
 	Capacity domain.Resources
 	BornMS   int64
 	Draining bool
+	// LeavesInMS is the least time that a draining worker still runs.
+	LeavesInMS int64
 }
 
 // Machine decides for one cell. It is used by one goroutine.
@@ -177,6 +179,7 @@
 	}
 	if info.Draining && !w.draining {
 		m.out.note("worker_draining", w.id, "")
+		w.leavesMS = m.nowMS + info.LeavesInMS
 	}
 	w.registered = true
 	w.address, w.zone, w.service, w.rack = info.Address, info.Zone, info.Service, info.Rack
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -191,6 +191,8 @@
 	capacity domain.Resources
 	bornMS   int64
 	draining bool
+	// leavesMS is when a draining worker may be gone.
+	leavesMS int64
 	// registered tells that the platform lists the worker.
 	registered bool
 	// contacted tells that the worker answered under this owner's fence.
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -224,3 +224,34 @@
 		t.Fatalf("ends up to %d may be acknowledged after the job's end is stored, want 2", n)
 	}
 }
+
+// Guards against work that is lost with a worker which said that it leaves:
+// what resumes from a checkpoint and would not end in time moves, the rest stays.
+func TestWorkLeavesDrainingWorker(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	cases := []struct {
+		name    string
+		spec    StepSpec
+		percent int
+		moves   bool
+	}{
+		{"long and saved", StepSpec{EstimateMS: 9000, Checkpointable: true}, 10, true},
+		{"nearly done", StepSpec{EstimateMS: 9000, Checkpointable: true}, 90, false},
+		{"not saved", StepSpec{EstimateMS: 9000}, 10, false},
+		{"lasting", StepSpec{EstimateMS: 1, Lasting: true}, 100, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := New(testConfig(), 0, 0)
+			oneWorker(m)
+			c.spec.Tasks, c.spec.Need = 1, domain.Resources{CPUMilli: 1}
+			m.Submit("j", q, "team", &Spec{Steps: []StepSpec{c.spec}})
+			report(m, nil, RunReport{Task: TaskID{Job: "j"}, Run: 1, Percent: c.percent})
+			m.ListWorkers([]WorkerInfo{{ID: "w", Service: "svc", Capacity: workerSize, BornMS: 1, Draining: true, LeavesInMS: 2500}})
+			m.Advance(watchIntervalMS, watchIntervalMS)
+			if stops := len(m.Drain().Stops); (stops > 0) != c.moves {
+				t.Errorf("%d stops, want a move: %v", stops, c.moves)
+			}
+		})
+	}
+}
