Bound how long a silently cut watch hides changes, forget lapsed suspects

Cause: while the store dropped its history, the watch of the registry was cut without a word and answered only after 16 s, so crashed workers stayed listed and new ones unknown. Ruled out: applied_late (looks were answered again within 0.2 s). Test: TestLapsedSuspectsAreForgotten fails before.

--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -13,8 +13,8 @@
 
 // Figures of the campaign for the cell.
 const (
-	// claimWatchWait is how long a watch of the claim waits.
-	claimWatchWait = 20 * time.Second
+	// claimWatchWait is how long a watch of the claim waits, for the same reason as registryWait.
+	claimWatchWait = 2 * time.Second
 	// claimRetry is the pause after a store call without an answer.
 	claimRetry = 200 * time.Millisecond
 	// claimJitter spreads the claims of instances that see the cell free at once.
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -59,8 +59,9 @@
 	writeRetry = 60 * time.Millisecond
 	// storeDown is how long a write may be under way before submissions are refused at once.
 	storeDown = 450 * time.Millisecond
-	// registryWait is how long a watch of the registry waits.
-	registryWait = 15 * time.Second
+	// registryWait is how long a watch of the registry waits. The store may cut a
+	// waiting watch without a word, so it bounds how long changes go unseen.
+	registryWait = 1500 * time.Millisecond
 	// registryPause collects changes of the registry, whose entries change with
 	// each heartbeat. It is a third of the time in which a draining worker may
 	// still get work.
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -204,6 +204,7 @@
 	for id, until := range m.suspects {
 		if m.nowMS >= until {
 			delete(m.suspects, id)
+			m.membersChanged = true
 			m.out.note("suspect_lapsed", id, "")
 			m.needsPass = true
 		}
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -255,3 +255,24 @@
 		})
 	}
 }
+
+// Guards against workers that are gone for good and delay each later owner,
+// because the stored set of workers still names them.
+func TestLapsedSuspectsAreForgotten(t *testing.T) {
+	m := New(testConfig(), 0, 0)
+	m.SuspectWorkers([]domain.WorkerID{"gone"})
+	oneWorker(m)
+	report(m, nil)
+	if _, err := m.TakeBatch(); err != nil {
+		t.Fatal(err)
+	}
+	m.membersWriting = false
+	m.Advance(m.cfg.FormerLeaseMS, m.cfg.FormerLeaseMS)
+	b, err := m.TakeBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Members) != 1 || b.Members[0] != "w" {
+		t.Errorf("the stored set is %v after the suspect lapsed, want the present worker only", b.Members)
+	}
+}
