--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -47,7 +47,7 @@
 		}
 		r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: c.acked[id]}
 		if l.reported {
-			limit, ok := c.machine.LeaseLimit(id, c.options.WorkerLease.Milliseconds())
+			limit, ok := c.machine.LeaseLimit(id)
 			if ok {
 				r.LimitClockMS = limit
 				r.Wait = lookWait
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -29,8 +29,6 @@
 	ClaimDelay func() time.Duration
 	// UnconfirmedTTL is how long after the claim's last proof the owner still speaks to workers.
 	UnconfirmedTTL time.Duration
-	// WorkerLease is how far ahead leases of workers are extended.
-	WorkerLease time.Duration
 	Machine     jobs.Config
 }
 
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -69,7 +69,7 @@
 			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
 	}
 	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: 300 * time.Millisecond,
-		ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond, WorkerLease: 2 * time.Second,
+		ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
 		Machine: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
 			RetentionMS: 60_000, FarFactor: 2}},
 		Ports{Store: c.store, Workers: c.fleet, Registry: registry, Approvers: noApprovers{}}, zap.NewNop(), metrics.New())
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -115,7 +115,7 @@
 	lease := min(workerLease, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
-		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL, WorkerLease: lease,
+		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL,
 		ClaimDelay: i.claimDelay,
 		Machine: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -266,7 +266,7 @@
 				r.Ends = append(r.Ends, e)
 			}
 		}
-		f.m.LeaseLimit(w.id, 6000)
+		f.m.LeaseLimit(w.id)
 		f.m.Report(r)
 		if len(r.Ends) == 0 {
 			f.after(500, func() { f.look(w) })
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -9,9 +9,9 @@
 
 // Figures of gangs.
 const (
-	// gangRepairMS is how long a member that was refused may be placed elsewhere
-	// before the gang is stopped. It stays under the time that members wait.
-	gangRepairMS = 1500
+	// gangRepairShare of the time that members wait for each other is how long one
+	// that was refused may be placed elsewhere before the gang is stopped.
+	gangRepairShare = 0.5
 	// reservationMS is how long room is kept for a gang before the plan is made anew.
 	reservationMS = 3000
 	// minReservations and workersPerReservation bound the room that waiting gangs take from others.
@@ -178,7 +178,8 @@
 // repairGang places members that were refused while the others wait for them,
 // and stops a gang that cannot be completed.
 func (m *Machine) repairGang(s *step) {
-	repairable := !s.gangBroken && m.nowMS-s.gangPlacedMS < gangRepairMS
+	repairMS := int64(float64(m.cfg.GangWaitMS) * gangRepairShare)
+	repairable := !s.gangBroken && m.nowMS-s.gangPlacedMS < repairMS
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
 			repairable = repairable && r.phase != runStopping && r.number == s.gangRun
@@ -194,7 +195,7 @@
 		}
 		m.start(t, w, s.gangRun)
 	}
-	if s.waiting > 0 && m.nowMS-s.gangPlacedMS >= gangRepairMS {
+	if s.waiting > 0 && m.nowMS-s.gangPlacedMS >= repairMS {
 		m.stopGang(s, "member missing")
 	}
 }
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -166,7 +166,6 @@
 	confirmedMS int64
 	// startLimit is the worker-clock limit after which the order has no effect.
 	startLimit int64
-	bornMS     int64
 	// listed tells that a report of the worker showed the run.
 	listed      bool
 	percent     int
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -33,10 +33,8 @@
 	SentMS, ReceivedMS int64
 	// ClockMS is the worker's clock at the answer.
 	ClockMS int64
-	// Extended tells that the call extended the lease of the worker's tasks.
-	Extended bool
-	Running  []RunReport
-	Ends     []EndReport
+	Running []RunReport
+	Ends    []EndReport
 }
 
 // clockDriftPercent is how much slower than this clock a worker's may be.
@@ -48,13 +46,13 @@
 // LeaseLimit returns the worker-clock time to which a call may extend the
 // lease of the worker's tasks. It reports false until the clock is known.
 // The caller sends the call before it asks again.
-func (m *Machine) LeaseLimit(id domain.WorkerID, leaseMS int64) (int64, bool) {
+func (m *Machine) LeaseLimit(id domain.WorkerID) (int64, bool) {
 	w, ok := m.workers[id]
 	if !ok || !w.clockKnown {
 		return 0, false
 	}
-	m.extend(w, leaseMS)
-	return m.nowMS + w.clockOffset + leaseMS, true
+	m.extend(w, m.cfg.LeaseMS)
+	return m.nowMS + w.clockOffset + m.cfg.LeaseMS, true
 }
 
 // extend notes the latest time at which the worker's tasks may still run.
@@ -74,13 +72,8 @@
 	w.contacted = true
 	delete(m.suspects, w.id)
 	w.lastMS = m.nowMS
-	offset := r.ClockMS - r.ReceivedMS
-	if !w.clockKnown || offset > w.clockOffset {
-		w.clockOffset = offset
-	} else {
-		// A slow worker clock falls behind; follow it at once.
-		w.clockOffset = offset
-	}
+	// The answer was under way for a while, so this is at most the worker's clock.
+	w.clockOffset = r.ClockMS - r.ReceivedMS
 	w.clockKnown = true
 	for _, e := range r.Ends {
 		if e.Number > w.lastEnd {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -307,7 +307,7 @@
 // place reserves the room of a run.
 func (m *Machine) place(t *task, w *worker, number int) *run {
 	s := t.step
-	r := &run{task: t, number: number, worker: w, reserved: s.spec.Reserved(), need: s.spec.Need, bornMS: w.bornMS}
+	r := &run{task: t, number: number, worker: w, reserved: s.spec.Reserved(), need: s.spec.Need}
 	w.runs[t.id()] = r
 	w.used = w.used.Add(r.reserved)
 	s.job.team.used = s.job.team.used.Add(r.need)
