--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -29,7 +29,7 @@
 	ClaimDelay func() time.Duration
 	// UnconfirmedTTL is how long after the claim's last proof the owner still speaks to workers.
 	UnconfirmedTTL time.Duration
-	Machine     jobs.Config
+	Machine        jobs.Config
 }
 
 // Figures of the owner's loop.
