--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -29,6 +29,16 @@
 	m.ListWorkers([]WorkerInfo{{ID: "w", Address: "10.0.0.1:1", Service: "svc", Capacity: workerSize, BornMS: 1}})
 }
 
+// storeAll stores all changes at once.
+func storeAll(t *testing.T, m *Machine) {
+	t.Helper()
+	b, err := m.TakeBatch()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Stored(b)
+}
+
 func report(m *Machine, ends []EndReport, running ...RunReport) {
 	m.Report(WorkerReport{Worker: "w", BornMS: 1, SentMS: m.nowMS, ReceivedMS: m.nowMS, ClockMS: m.nowMS, Ends: ends, Running: running})
 }
@@ -63,19 +73,12 @@
 	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
 	m := New(testConfig(), 0, 0)
 	oneWorker(m)
-	b, err := m.TakeBatch()
-	if err != nil {
-		t.Fatal(err)
-	}
-	m.Stored(b)
+	storeAll(t, m)
 	stranger := RunReport{Task: TaskID{Job: "unknown"}, Run: 3}
 	report(m, nil, stranger)
 	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
 	m.Submit("j", q, "team", &spec)
-	if b, err = m.TakeBatch(); err != nil {
-		t.Fatal(err)
-	}
-	m.Stored(b)
+	storeAll(t, m)
 	m.Schedule()
 	out := m.Drain()
 	if len(out.Starts) != 0 || len(out.Stops) != 1 {
@@ -95,23 +98,15 @@
 	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
 	m := New(testConfig(), 0, 0)
 	oneWorker(m)
-	store := func() {
-		t.Helper()
-		b, err := m.TakeBatch()
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.Stored(b)
-	}
-	store()
+	storeAll(t, m)
 	report(m, nil)
 	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
 	m.Submit("j", q, "team", &spec)
-	store()
+	storeAll(t, m)
 	m.Schedule()
 	m.Advance(50, 50)
 	m.Cancel("j", "team")
-	store()
+	storeAll(t, m)
 	report(m, nil)
 	if m.workers["w"].used.IsZero() {
 		t.Fatal("the room of an unconfirmed start was given away after its stop was ordered")
@@ -157,19 +152,11 @@
 	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
 	m := New(testConfig(), 0, 0)
 	oneWorker(m)
-	store := func() {
-		t.Helper()
-		b, err := m.TakeBatch()
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.Stored(b)
-	}
-	store()
+	storeAll(t, m)
 	report(m, nil)
 	spec := Spec{Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000, Gang: true}}}
 	m.Submit("j", q, "team", &spec)
-	store()
+	storeAll(t, m)
 	m.Schedule()
 	if n := len(m.Drain().Starts); n != 2 {
 		t.Fatalf("%d members started, want 2", n)
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -96,12 +96,12 @@
 // Faults lists every wrong field with its remedy.
 func (s *Spec) Faults() fault.List {
 	var l fault.List
-	checkRange(&l, "payload (bytes)", int64(len(s.Payload)), 0, MaxPayloadBytes)
-	checkRange(&l, "steps (count)", int64(len(s.Steps)), 1, MaxSteps)
-	checkRange(&l, "occurrences", int64(s.Occurrences), 0, MaxOccurrences)
+	l.CheckRange("payload (bytes)", int64(len(s.Payload)), 0, MaxPayloadBytes)
+	l.CheckRange("steps (count)", int64(len(s.Steps)), 1, MaxSteps)
+	l.CheckRange("occurrences", int64(s.Occurrences), 0, MaxOccurrences)
 	if s.Recurring() {
-		checkRange(&l, "first_unix_ms", s.FirstUnixMS, 0, math.MaxInt64/4)
-		checkRange(&l, "period_ms", s.PeriodMS, 0, math.MaxInt64/4/MaxOccurrences)
+		l.CheckRange("first_unix_ms", s.FirstUnixMS, 0, math.MaxInt64/4)
+		l.CheckRange("period_ms", s.PeriodMS, 0, math.MaxInt64/4/MaxOccurrences)
 	}
 	for i := range s.Steps {
 		s.Steps[i].faults(&l, i)
@@ -111,22 +111,16 @@
 
 func (s *StepSpec) faults(l *fault.List, number int) {
 	path := func(field string) string { return fmt.Sprintf("steps[%d].%s", number, field) }
-	checkRange(l, path("tasks"), int64(s.Tasks), 1, MaxTasksPerStep)
-	checkRange(l, path("cpu_milli"), s.Need.CPUMilli, 0, maxAmount)
-	checkRange(l, path("memory_mb"), s.Need.MemoryMB, 0, maxAmount)
-	checkRange(l, path("accelerators"), s.Need.Accelerators, 0, maxAmount)
-	checkRange(l, path("estimate_ms"), s.EstimateMS, 0, domain.MaxRunTimeMS)
-	checkRange(l, path("max_per_worker"), int64(s.MaxPerWorker), 0, MaxTasksPerStep)
-	checkRange(l, path("disruption_budget"), int64(s.DisruptionBudget), 0, MaxTasksPerStep)
-	checkRange(l, path("latency_target_ms"), s.LatencyTargetMS, 0, domain.MaxRunTimeMS)
+	l.CheckRange(path("tasks"), int64(s.Tasks), 1, MaxTasksPerStep)
+	l.CheckRange(path("cpu_milli"), s.Need.CPUMilli, 0, maxAmount)
+	l.CheckRange(path("memory_mb"), s.Need.MemoryMB, 0, maxAmount)
+	l.CheckRange(path("accelerators"), s.Need.Accelerators, 0, maxAmount)
+	l.CheckRange(path("estimate_ms"), s.EstimateMS, 0, domain.MaxRunTimeMS)
+	l.CheckRange(path("max_per_worker"), int64(s.MaxPerWorker), 0, MaxTasksPerStep)
+	l.CheckRange(path("disruption_budget"), int64(s.DisruptionBudget), 0, MaxTasksPerStep)
+	l.CheckRange(path("latency_target_ms"), s.LatencyTargetMS, 0, domain.MaxRunTimeMS)
 	for _, after := range s.After {
-		checkRange(l, path("after"), int64(after), 0, int64(number)-1)
-	}
-}
-
-func checkRange(l *fault.List, path string, value, low, high int64) {
-	if value < low || value > high {
-		l.Add(path, fmt.Sprint(value), fmt.Sprintf("%d to %d", low, high), "set a value in that range")
+		l.CheckRange(path("after"), int64(after), 0, int64(number)-1)
 	}
 }
 
--- a/internal/domain/validate.go
+++ b/internal/domain/validate.go
@@ -51,13 +51,13 @@
 	checkName(&l, "region", string(s.Region), false)
 	checkOneOf(&l, "kind", s.Kind, JobBatch, JobService, JobGang)
 	checkOneOf(&l, "priority", s.Priority, PriorityUrgent, PriorityNormal, PriorityLow)
-	checkRange(&l, "tasks", int64(s.Tasks), 1, MaxTasksPerJob)
-	checkRange(&l, "resources.cpu_milli", s.Resources.CPUMilli, 1, MaxTaskCPUMilli)
-	checkRange(&l, "resources.memory_mb", s.Resources.MemoryMB, 1, MaxTaskMemoryMB)
-	checkRange(&l, "resources.accelerators", s.Resources.Accelerators, 0, MaxTaskAccelerators)
-	checkRange(&l, "run_time_ms", s.RunTimeMS, 0, MaxRunTimeMS)
-	checkRange(&l, "max_attempts", int64(s.MaxAttempts), 0, MaxAttemptsLimit)
-	checkRange(&l, "zones (count)", int64(len(s.Zones)), 0, MaxZonesPerJob)
+	l.CheckRange("tasks", int64(s.Tasks), 1, MaxTasksPerJob)
+	l.CheckRange("resources.cpu_milli", s.Resources.CPUMilli, 1, MaxTaskCPUMilli)
+	l.CheckRange("resources.memory_mb", s.Resources.MemoryMB, 1, MaxTaskMemoryMB)
+	l.CheckRange("resources.accelerators", s.Resources.Accelerators, 0, MaxTaskAccelerators)
+	l.CheckRange("run_time_ms", s.RunTimeMS, 0, MaxRunTimeMS)
+	l.CheckRange("max_attempts", int64(s.MaxAttempts), 0, MaxAttemptsLimit)
+	l.CheckRange("zones (count)", int64(len(s.Zones)), 0, MaxZonesPerJob)
 	for i, z := range s.Zones {
 		checkName(&l, fmt.Sprintf("zones[%d]", i), string(z), true)
 	}
@@ -66,12 +66,12 @@
 }
 
 func (s JobSpec) checkCommand(l *fault.List) {
-	checkRange(l, "command (words)", int64(len(s.Command)), 0, MaxCommandWords)
+	l.CheckRange("command (words)", int64(len(s.Command)), 0, MaxCommandWords)
 	size := 0
 	for _, word := range s.Command {
 		size += len(word)
 	}
-	checkRange(l, "command (bytes)", int64(size), 0, MaxCommandBytes)
+	l.CheckRange("command (bytes)", int64(size), 0, MaxCommandBytes)
 }
 
 func checkName(l *fault.List, path, value string, required bool) {
@@ -83,12 +83,6 @@
 	}
 }
 
-func checkRange(l *fault.List, path string, value, low, high int64) {
-	if value < low || value > high {
-		l.Add(path, fmt.Sprint(value), fmt.Sprintf("%d to %d", low, high), "set a value in that range")
-	}
-}
-
 func checkOneOf[T ~string](l *fault.List, path string, value T, allowed ...T) {
 	if !slices.Contains(allowed, value) {
 		l.Add(path, fmt.Sprintf("%.80q", string(value)), fmt.Sprintf("one of %q", allowed), "choose one of them")
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -32,6 +32,13 @@
 	*l = append(*l, Fault{Path: path, Given: given, Allowed: allowed, Remedy: remedy})
 }
 
+// CheckRange appends a fault where value is not between low and high.
+func (l *List) CheckRange(path string, value, low, high int64) {
+	if value < low || value > high {
+		l.Add(path, fmt.Sprint(value), fmt.Sprintf("%d to %d", low, high), "set a value in that range")
+	}
+}
+
 // String returns one line for each fault.
 func (l List) String() string {
 	lines := make([]string, 0, len(l))
