--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -77,7 +77,7 @@
 		reason := refusalReasons[result.Refusal]
 		c.metrics.Counter("refusal." + reason).Inc(1)
 		c.log.Info("job_refused", zap.String("job", string(s.Job)), zap.String("team", string(s.Team)),
-			zap.String("queue", string(s.Queue.Name)), zap.String("reason", reason), zap.Int64("retry_after_ms", result.RetryAfterMS))
+			zap.String("queue", string(s.Queue.Name)), zap.String("reason", reason), zap.String("detail", result.Detail), zap.Int64("retry_after_ms", result.RetryAfterMS))
 		reply(port.SubmitReply{Reason: reason, RetryAfterMS: result.RetryAfterMS})
 	case result.Durable:
 		reply(port.SubmitReply{Accepted: true})
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"math"
 
 	"auburnpier/internal/domain"
@@ -27,6 +28,8 @@
 	Refusal Refusal
 	// RetryAfterMS tells when a refused job may be handed in again.
 	RetryAfterMS int64
+	// Detail names what stood against a refused job.
+	Detail string
 	// Durable tells that the job is known and stored already.
 	Durable bool
 }
@@ -44,8 +47,8 @@
 		return SubmitResult{Durable: j.durable}
 	}
 	t := m.teamOf(teamID)
-	if !m.everFits(queue, spec) {
-		return SubmitResult{Refusal: RefusedNeverFits, RetryAfterMS: neverFitsRetryMS}
+	if detail, fits := m.everFits(queue, spec); !fits {
+		return SubmitResult{Refusal: RefusedNeverFits, RetryAfterMS: neverFitsRetryMS, Detail: detail}
 	}
 	if !t.everFits(spec, m.cfg.LimitOvershoot) {
 		return SubmitResult{Refusal: RefusedLimit, RetryAfterMS: neverFitsRetryMS}
@@ -134,9 +137,9 @@
 	return longest
 }
 
-// everFits reports whether each task fits an empty worker of the service. With
-// no worker known the answer is yes.
-func (m *Machine) everFits(q *Queue, spec *Spec) bool {
+// everFits reports whether each task fits an empty worker of the service, and
+// otherwise which does not. With no worker known the answer is yes.
+func (m *Machine) everFits(q *Queue, spec *Spec) (string, bool) {
 	known := false
 	for i := range spec.Steps {
 		need := spec.Steps[i].Reserved()
@@ -152,10 +155,11 @@
 			}
 		}
 		if known && !fits {
-			return false
+			return fmt.Sprintf("no worker fits step %d: %d milli-cores, %d MB, %d accelerators, label %q",
+				i, need.CPUMilli, need.MemoryMB, need.Accelerators, spec.Steps[i].Label), false
 		}
 	}
-	return true
+	return "", true
 }
 
 // everFits reports whether the limit permits each task, and each gang as a whole.
