Give each occurrence its own deadline, bound passes by the fleet's size

Cause: occurrences of a recurring job were ordered by the job's acceptance, so later ones came after everything else; a pass looked at 120 steps whatever the fleet, and short jobs waited behind. Test: TestOccurrencesHaveTheirOwnDeadline fails before.

--- a/internal/core/jobs/load_test.go
+++ b/internal/core/jobs/load_test.go
@@ -156,3 +156,34 @@
 		})
 	}
 }
+
+// Guards against occurrences of a recurring job that are judged late by the
+// time of the job's acceptance, and against one that starts before its time.
+func TestOccurrencesHaveTheirOwnDeadline(t *testing.T) {
+	f := newFleet(t, 4, workerSize)
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 500}
+	f.m.Configure([]Queue{*q}, nil)
+	f.work = func(StartOrder) int64 { return 100 }
+	spec := Spec{Occurrences: 5, FirstUnixMS: f.m.unixMS + 10_000, PeriodMS: 5000,
+		Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1000}, EstimateMS: 100}}}
+	began := make(map[int]int64)
+	f.refuse = func(o StartOrder) (StartOutcome, bool) {
+		began[o.Task.Occurrence] = f.m.unixMS
+		if rank := f.m.rank(f.m.find(o.Task).step); rank != rankNormal {
+			t.Errorf("occurrence %d has rank %d at its start", o.Task.Occurrence, rank)
+		}
+		return 0, false
+	}
+	f.submit("timed", q, "team", spec)
+	f.runUntil(40_000)
+	f.check()
+	for k := range spec.Occurrences {
+		due := spec.FirstUnixMS + int64(k)*spec.PeriodMS
+		if at, ok := began[k]; !ok || at < due || at > due+300 {
+			t.Errorf("occurrence %d began at %d, due at %d", k, at, due)
+		}
+	}
+	if len(f.completed) != 1 {
+		t.Error("the recurring job is not completed after its last occurrence")
+	}
+}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -13,13 +13,11 @@
 )
 
 type job struct {
-	id    domain.JobID
-	queue *Queue
-	team  *team
-	spec  *Spec
-	// acceptedUnixMS and deadlineMS (steady) order the job.
+	id             domain.JobID
+	queue          *Queue
+	team           *team
+	spec           *Spec
 	acceptedUnixMS int64
-	deadlineMS     int64
 	// chainMS is the longest chain of estimated work.
 	chainMS int64
 	// epoch is the owner epoch at acceptance; run numbers grow with later epochs.
@@ -57,7 +55,10 @@
 type occurrence struct {
 	job    *job
 	number int
-	steps  []*step
+	// deadlineMS is when callers want it done: its due time, or the job's
+	// acceptance, and the objective.
+	deadlineMS int64
+	steps      []*step
 	// open is the number of steps that are not done.
 	open int
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -262,7 +262,6 @@
 	}
 	j := m.newJob(id, &queue, m.teamOf(rec.Team), &rec.Spec)
 	j.acceptedUnixMS, j.epoch = rec.AcceptedUnixMS, rec.Epoch
-	j.deadlineMS = m.nowMS + rec.AcceptedUnixMS + j.objectiveMS() - m.unixMS
 	j.written, j.durable, j.recovered, j.everActive = true, true, true, state.Started
 	for _, k := range state.DoneOccs {
 		j.doneOccs[k] = true
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -27,9 +27,9 @@
 	}
 	remaining := s.spec.EstimateMS
 	switch {
-	case m.nowMS+remaining > j.deadlineMS+(lateFactor-1)*j.objectiveMS():
+	case m.nowMS+remaining > s.occ.deadlineMS+(lateFactor-1)*j.objectiveMS():
 		return rankHopeless
-	case m.nowMS+remaining > j.deadlineMS:
+	case m.nowMS+remaining > s.occ.deadlineMS:
 		return rankLate
 	case j.overRate:
 		return rankOverRate
@@ -43,8 +43,11 @@
 
 // Bounds of one pass. Steps that come later in the order wait for the next one.
 const (
-	maxScansPerPass = 120
-	minGangsPerPass = 10
+	// scansTimesWorkers bounds the work of a pass whatever the size of the fleet.
+	scansTimesWorkers = 42_000
+	minScansPerPass   = 60
+	maxScansPerPass   = 400
+	minGangsPerPass   = 10
 	// workersPerGang lets a large fleet place more gangs in a pass.
 	workersPerGang = 10
 )
@@ -124,7 +127,7 @@
 	return cmp.Or(
 		cmp.Compare(a.orderKey, b.orderKey),
 		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-		cmp.Compare(a.job.deadlineMS, b.job.deadlineMS),
+		cmp.Compare(a.occ.deadlineMS, b.occ.deadlineMS),
 		cmp.Compare(a.job.id, b.job.id),
 		cmp.Compare(a.number, b.number),
 	)
@@ -142,7 +145,7 @@
 	}
 	p := m.passOf(s)
 	s.waitReason = waitTurn
-	if p.scans >= maxScansPerPass {
+	if p.scans >= min(maxScansPerPass, max(minScansPerPass, scansTimesWorkers/max(1, len(p.usable)))) {
 		return
 	}
 	if s.spec.Gang {
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -60,7 +60,6 @@
 	j.acceptedUnixMS = m.unixMS
 	j.epoch = m.cfg.Epoch
 	j.overRate = !t.takeToken(m.nowMS)
-	j.deadlineMS = m.nowMS + j.objectiveMS()
 	m.insert(j)
 	m.markDirty(j)
 	return SubmitResult{}
@@ -244,7 +243,12 @@
 }
 
 func (m *Machine) openOccurrence(j *job, number int) *occurrence {
-	o := &occurrence{job: j, number: number, open: len(j.spec.Steps)}
+	begin := j.acceptedUnixMS
+	if j.spec.Recurring() {
+		begin = j.spec.FirstUnixMS + int64(number)*j.spec.PeriodMS
+	}
+	o := &occurrence{job: j, number: number, open: len(j.spec.Steps),
+		deadlineMS: m.nowMS + begin - m.unixMS + j.objectiveMS()}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
 		s := &step{job: j, occ: o, number: i, spec: spec, open: spec.Tasks, waiting: spec.Tasks,
