--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -66,14 +66,21 @@
 	if s.asking || m.nowMS < s.askAgainMS || len(suits) == 0 {
 		return
 	}
-	q := s.job.queue
 	if !s.spec.Gang {
 		suits = someOf(s, suits)
 	}
 	m.orderCandidates(s, suits)
-	n := m.approvalCount(s, suits)
-	ids := make([]domain.WorkerID, 0, n)
-	for _, w := range suits[:min(n, len(suits))] {
+	m.askFor(s, suits[:min(m.approvalCount(s, suits), len(suits))])
+}
+
+// askFor requests approvals for these workers, unless a request is under way.
+func (m *Machine) askFor(s *step, workers []*worker) {
+	if s.asking || m.nowMS < s.askAgainMS || len(workers) == 0 {
+		return
+	}
+	q := s.job.queue
+	ids := make([]domain.WorkerID, 0, len(workers))
+	for _, w := range workers[:min(len(workers), MaxApprovalWorkers)] {
 		ids = append(ids, w.id)
 	}
 	s.asking = true
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -218,9 +218,15 @@
 func (m *Machine) prepareGang(s *step) {
 	s.waitReason = waitApproval
 	if s.job.queue.Approval != nil {
+		if s.asking && s.reservation != nil && m.nowMS < s.reservedUntilMS {
+			m.holdReservation(s)
+			return
+		}
 		if plan := m.planGang(s, known, m.freeNow); plan != nil {
-			m.hold(s, plan)
-			m.askApproval(s, m.suits(s, known))
+			// The same room is kept until the approvals for just these workers arrive.
+			m.reserve(s, plan)
+			m.holdReservation(s)
+			m.askFor(s, distinct(plan))
 			return
 		}
 		if !s.asked || m.unasked(s) > 0 {
@@ -238,7 +244,7 @@
 			m.reserve(s, plan)
 			if s.job.queue.Approval != nil {
 				// The approvals arrive about when the room is free.
-				m.askApproval(s, distinct(plan))
+				m.askFor(s, distinct(plan))
 			}
 		}
 	}
@@ -253,6 +259,11 @@
 	if s.reservation != nil {
 		s.waitReason = waitReserved
 	}
+	m.holdReservation(s)
+}
+
+// holdReservation keeps the reserved room from steps that come later in this pass.
+func (m *Machine) holdReservation(s *step) {
 	for w, r := range s.reservation {
 		w.held = w.held.Add(r)
 	}
