--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -179,9 +179,6 @@
 func (c *Cell) dispatch(out jobs.Output) {
 	c.logNotes(out.Notes)
 	for _, o := range out.Starts {
-		if l, ok := c.looks[o.Worker]; ok && l.retryMS == 0 {
-			l.notBefore = 0
-		}
 		c.send(func() { c.sendStart(o) })
 	}
 	for _, o := range out.Stops {
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -101,7 +101,6 @@
 		c.acked[id], c.processed[id] = 0, 0
 	}
 	c.machine.Report(report)
-	l.notBefore = steady.NowMS() + c.machine.IdlePauseMS(id)
 	for _, e := range report.Ends {
 		c.processed[id] = max(c.processed[id], e.Number)
 	}
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -51,9 +51,6 @@
 	// hundred workers; VMs with less wait up to maxClaimDelay before they claim.
 	ampleCPUShare = 0.8
 	maxClaimDelay = 400 * time.Millisecond
-	// idleLook is the pause between looks at an idle worker of a large fleet. An
-	// idle worker that crashed costs the repeats of one start.
-	idleLook = 3 * time.Second
 	// startLimit bounds how late an unanswered start may take effect.
 	startLimit = 1500 * time.Millisecond
 	// keyTrustShare of the revocation bound leaves time for a watch that hears
@@ -123,7 +120,7 @@
 		Machine: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
 			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
-			RetentionMS: s.Bounds.RetentionMS, IdleLookMS: idleLook.Milliseconds(), FarFactor: s.Bounds.FarFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
+			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
 		},
 	}, owner.Ports{Store: relay, Workers: a.Workers, Registry: a.Registry(relay), Approvers: dialer}, log, i.metrics)
 	return i
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -27,8 +27,6 @@
 	// LimitOvershoot is the part of a team's limit by which it may be exceeded, for
 	// a gang that is a little wider than the limit and runs alone.
 	LimitOvershoot float64
-	// IdleLookMS is the pause between looks at a worker without tasks, in a large fleet.
-	IdleLookMS int64
 	// FarFactor multiplies the run time off the data's rack or across racks.
 	FarFactor float64
 }
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -204,20 +204,7 @@
 // usable reports whether the worker may get work at all.
 func (m *Machine) usable(w *worker) bool {
 	return w.registered && w.contacted && w.recorded && w.clockKnown && w.strangers == 0 && !w.draining &&
-		m.nowMS >= w.health.avoidUntilMS && m.nowMS-w.lastMS < silentMS+m.IdlePauseMS(w.id)
-}
-
-// largeFleet is the number of workers from which idle ones are looked at less
-// often: at 3,000 workers a look a second at each takes a whole core.
-const largeFleet = 200
-
-// IdlePauseMS is how long the next look at the worker may wait: zero where it
-// has tasks or the fleet is small.
-func (m *Machine) IdlePauseMS(id domain.WorkerID) int64 {
-	if w, ok := m.workers[id]; !ok || len(w.runs) > 0 || len(m.order) < largeFleet {
-		return 0
-	}
-	return m.cfg.IdleLookMS
+		m.nowMS >= w.health.avoidUntilMS && m.nowMS-w.lastMS < silentMS
 }
 
 // silentMS is how long a worker may be unheard of before it gets no new work.
