--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -83,6 +83,7 @@
 	l.underWay = false
 	if err != nil {
 		l.reported = false
+		c.machine.LookFailed(id)
 		if l.retryMS == 0 {
 			c.log.Info("worker does not answer", zap.String("worker", string(id)), zap.Error(err))
 		}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -211,7 +211,9 @@
 	}
 	kept := m.order[:0]
 	for _, w := range m.order {
-		if m.nowMS >= w.deadMS && len(w.runs) > 0 {
+		// A worker that was not looked at in time, by an owner short of processor
+		// time, still lists how its runs ended; only one that does not answer is given up.
+		if m.nowMS >= w.deadMS && len(w.runs) > 0 && w.unanswered {
 			m.out.note("worker_lapsed", w.id, "")
 			m.dropRuns(w)
 		}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -206,6 +206,8 @@
 	// clockOffset added to the steady clock gives at most the worker's clock.
 	clockOffset int64
 	clockKnown  bool
+	// unanswered tells that the last look at the worker had no answer.
+	unanswered bool
 	// deadMS is when everything on the worker has ended if it is not heard of again.
 	deadMS int64
 	used   domain.Resources
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -263,3 +263,23 @@
 		t.Errorf("the stored set is %v after the suspect lapsed, want the present worker only", b.Members)
 	}
 }
+
+// Guards against an owner that is late with its looks and starts again what
+// has ended at a worker that would have told so.
+func TestLateOwnerAsksBeforeItGivesUp(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+	storeAll(t, m)
+	report(m, nil, RunReport{Task: TaskID{Job: "j"}, Run: 1})
+	m.Advance(60_000, 60_000)
+	if len(m.workers["w"].runs) != 1 {
+		t.Fatal("a run was given up although no look failed")
+	}
+	m.LookFailed("w")
+	m.Advance(61_000, 61_000)
+	if len(m.workers["w"].runs) != 0 {
+		t.Fatal("a run is kept at a worker that does not answer, after its lease")
+	}
+}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -70,6 +70,7 @@
 		m.reborn(w, r.BornMS)
 	}
 	w.contacted = true
+	w.unanswered = false
 	delete(m.suspects, w.id)
 	w.lastMS = m.nowMS
 	// The answer was under way for a while, so this is at most the worker's clock.
@@ -101,6 +102,13 @@
 	m.needsPass = true
 }
 
+// LookFailed tells that a look at the worker had no answer.
+func (m *Machine) LookFailed(id domain.WorkerID) {
+	if w, ok := m.workers[id]; ok {
+		w.unanswered = true
+	}
+}
+
 func (m *Machine) reborn(w *worker, bornMS int64) {
 	if w.bornMS != 0 {
 		m.out.note("worker_reborn", w.id, "")
