Count what fits in one place, drop a wrapper and an unused field

fitCount repeated fitsIn, freeNow only called freeFor, and blockedBy was never read. Behaviour is unchanged. Run: gofmt, vet and staticcheck on the packages concerned, tests of internal/core/jobs, internal/app/owner and platform.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -198,21 +198,11 @@
 }
 
 func (m *Machine) fitCount(s *step, w *worker, need domain.Resources) int {
-	free := m.freeFor(s, w)
-	n := s.waiting
+	most := s.waiting
 	if s.spec.MaxPerWorker > 0 {
-		n = min(n, s.spec.MaxPerWorker-s.perWorker[w.id])
+		most = min(most, s.spec.MaxPerWorker-s.perWorker[w.id])
 	}
-	if need.CPUMilli > 0 {
-		n = min(n, int(free.CPUMilli/need.CPUMilli))
-	}
-	if need.MemoryMB > 0 {
-		n = min(n, int(free.MemoryMB/need.MemoryMB))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int(free.Accelerators/need.Accelerators))
-	}
-	return max(n, 0)
+	return fitsIn(need, m.freeFor(s, w), most)
 }
 
 // Approval is one approved worker of an answer.
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -44,7 +44,7 @@
 		}
 		return
 	}
-	if plan := m.planGang(s, m.approved, m.freeNow); plan != nil {
+	if plan := m.planGang(s, m.approved, m.freeFor); plan != nil {
 		if !j.durable {
 			s.waitReason = waitNotStored
 			m.hold(s, plan)
@@ -72,8 +72,6 @@
 
 type roomFunc func(s *step, w *worker) domain.Resources
 
-func (m *Machine) freeNow(s *step, w *worker) domain.Resources { return m.freeFor(s, w) }
-
 // planGang finds a worker for each member, in one rack where the step wants that.
 func (m *Machine) planGang(s *step, approved func(*step, *worker) bool, room roomFunc) gangPlan {
 	if !s.spec.SameRack {
@@ -222,7 +220,7 @@
 			m.holdReservation(s)
 			return
 		}
-		if plan := m.planGang(s, known, m.freeNow); plan != nil {
+		if plan := m.planGang(s, known, m.freeFor); plan != nil {
 			// The same room is kept until the approvals for just these workers arrive.
 			m.reserve(s, plan)
 			m.holdReservation(s)
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -76,7 +76,6 @@
 	lastAges, lastLapse int64
 	out                 Output
 	needsPass           bool
-	blockedBy           map[string]int
 	lastHungMS          int64
 }
 
@@ -91,7 +90,6 @@
 		recurring: make(map[domain.JobID]*job),
 		suspects:  make(map[domain.WorkerID]int64),
 		approvals: make(map[domain.QueueID]*approvalStats),
-		blockedBy: make(map[string]int),
 	}
 }
 
