Choose the ports of tests where no other process takes them

Cause: the test asked the system for free ports, closed them and handed them to the instance; another test's connection took one in between, the instance ended with "address already in use", and the test hid that error.

Ruled out: slowness.

The choice of ports moves to internal/standin/loopback, which all tests and the demo share: ports below the range of outgoing connections (as the tests of peering did already, which had met this before) and an IP address of its own for each process.

--- a/internal/adapter/peergnet/socket_test.go
+++ b/internal/adapter/peergnet/socket_test.go
@@ -8,16 +8,15 @@
 	"auburnpier/internal/core/membership"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
+	"auburnpier/internal/standin/loopback"
 )
 
 func listen(t *testing.T, secret []byte, queue int) (*Socket, string, *metrics.Registry) {
 	t.Helper()
-	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := probe.LocalAddr().String()
-	probe.Close()
 	m := metrics.New()
 	s, err := Listen(Options{Address: address, Secret: secret, Queue: queue, Clock: port.SystemClock{}, Metrics: m})
 	if err != nil {
--- a/internal/app/peering/helper_test.go
+++ b/internal/app/peering/helper_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +10,7 @@
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
+	"auburnpier/internal/standin/loopback"
 )
 
 var testSecret = []byte("a secret of the peering tests")
@@ -26,31 +24,13 @@
 	crashed bool
 }
 
-// nextPort numbers the ports of the tests. They lie below the range from which
-// the system takes ports for outgoing connections, which may otherwise take a
-// port between its choice and its use.
-var nextPort atomic.Uint32
-
-const (
-	firstPort = 20_000
-	portCount = 12_000
-)
-
-// freeAddress returns a loopback address on which nothing listens.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	start := uint32(os.Getpid()) * 211
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(start+nextPort.Add(1))%portCount)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		return address
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return address
 }
 
 func startInstance(t *testing.T, s Settings) *instance {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,6 +20,7 @@
 	"auburnpier/internal/daemon"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/settings"
+	"auburnpier/internal/standin/loopback"
 	"auburnpier/internal/standin/platform"
 )
 
@@ -114,7 +115,7 @@
 	s := settings.Default()
 	s.Instance = "demo-1"
 	s.Location = settings.Location{Region: "lulea", Zone: "lulea-a"}
-	peers, err := platform.FreeAddress()
+	peers, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -29,6 +29,7 @@
 	_ "auburnpier/internal/daemon"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/settings"
+	"auburnpier/internal/standin/loopback"
 	"auburnpier/internal/standin/platform"
 )
 
@@ -176,7 +177,7 @@
 }
 
 func (c *cell) freeAddress() string {
-	address, err := platform.FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -147,14 +147,3 @@
 		b.Close()
 	}
 }
-
-// FreeAddress returns a loopback address that was free a moment ago, for a
-// process that reads its addresses from settings.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
