Send submissions that meet a handover to the next owner

Causes, each seen in a test without the bench that fails before: - A submission whose event the loop had not begun was answered "unknown" when the reign ended. - The caller's wait ended with the reign's context, before the loop had answered what it knows. - The loop took new submissions after the reign had ended and began a write that could not be sent, which left them unknown. - A resigning owner refused with a time to come back of 1 s, while the next owner is often known within 100 ms. All four now answer *port.NotOwnerError, and the entry asks the next owner. A job that a write has taken up is still answered as unknown when the reign ends.

Ruled out: a job accepted twice or lost; the tests of the owner's changes and of lost answers pass, and a withdrawn job is forgotten before the answer.

The entry now writes one line with the job's ID for each submission, also where no owner is known; before, that refusal left only a counter.

--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -145,6 +145,22 @@
 
 // Submit hands a job to the owner.
 func (s *Service) Submit(ctx context.Context, c Call, id domain.JobID, spec jobs.Spec, deadline time.Duration) *Rejection {
+	rejection := s.submit(ctx, c, id, spec, deadline)
+	if rejection == nil {
+		s.log.Info("job_accepted", zap.String("job", string(id)))
+		return nil
+	}
+	event := "job_refused"
+	if rejection.Kind == Unknown {
+		event = "job_outcome_unknown"
+	}
+	s.log.Info(event, zap.String("job", string(id)), zap.String("queue", string(c.Route.Queue.Name)),
+		zap.String("team", string(c.Team)), zap.String("kind", rejection.Kind.String()),
+		zap.String("reason", rejection.Remedy), zap.Duration("retry_after", rejection.RetryAfter))
+	return rejection
+}
+
+func (s *Service) submit(ctx context.Context, c Call, id domain.JobID, spec jobs.Spec, deadline time.Duration) *Rejection {
 	if faults := spec.Faults(); len(faults) > 0 {
 		return s.reject(Invalid, 0, faults.String())
 	}
@@ -163,10 +179,10 @@
 			continue
 		}
 		if err != nil {
-			s.log.Warn("submission without an answer", zap.String("job", string(id)), zap.Error(err))
+			s.log.Warn("owner did not answer a submission", zap.String("job", string(id)), zap.Error(err))
 			return s.reject(Unknown, 0, "the job may have been accepted, send it again under the same ID")
 		}
-		return s.submitted(id, reply)
+		return s.submitted(reply)
 	}
 	return s.reject(NoOwner, retryAfter, "the owner of the cell changes, come back")
 }
@@ -181,15 +197,13 @@
 	return errors.As(err, &notOwner) || errors.As(err, &unreachable) && unreachable.NotSent
 }
 
-func (s *Service) submitted(id domain.JobID, r port.SubmitReply) *Rejection {
+func (s *Service) submitted(r port.SubmitReply) *Rejection {
 	switch {
 	case r.Accepted:
-		s.log.Info("job_accepted", zap.String("job", string(id)))
 		return nil
 	case r.Unknown:
 		return s.reject(Unknown, 0, "the job may have been accepted, send it again under the same ID")
 	}
-	s.log.Info("job_refused", zap.String("job", string(id)), zap.String("reason", r.Reason))
 	return &Rejection{Kind: Refused, RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, Remedy: r.Reason}
 }
 
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -23,14 +23,16 @@
 	orders  chan struct{}
 	cancel  context.CancelFunc
 	ctx     context.Context
+	// ended is closed once the loop has answered everything that waits.
+	ended chan struct{}
 
 	// confirmedMS is the steady time up to which the claim certainly holds.
 	confirmedMS atomic.Int64
 
 	// The rest is used by the loop only.
 	config     *port.CellConfig
-	submitters map[domain.JobID][]func(port.SubmitReply)
-	cancellers map[domain.JobID][]func(port.CancelReply)
+	submitters map[domain.JobID][]func(port.SubmitReply, error)
+	cancellers map[domain.JobID][]func(port.CancelReply, error)
 	looks      map[domain.WorkerID]*look
 	relays     relays
 	lanes      []*lane
@@ -52,10 +54,10 @@
 	now := steady.NowMS()
 	c := &Cell{
 		Owner: o, reign: r, machine: jobs.New(mc, now, time.Now().UnixMilli()),
-		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel,
+		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel, ended: make(chan struct{}),
 		config:     config,
-		submitters: make(map[domain.JobID][]func(port.SubmitReply)),
-		cancellers: make(map[domain.JobID][]func(port.CancelReply)),
+		submitters: make(map[domain.JobID][]func(port.SubmitReply, error)),
+		cancellers: make(map[domain.JobID][]func(port.CancelReply, error)),
 		looks:      make(map[domain.WorkerID]*look),
 		acked:      make(map[domain.WorkerID]int64),
 		processed:  make(map[domain.WorkerID]int64),
@@ -95,6 +97,7 @@
 
 // run serves the cell until the reign ends.
 func (c *Cell) run() {
+	defer close(c.ended)
 	c.configure(c.config)
 	go c.keep(c.ctx, c.reign, c.confirmedMS.Store, func() { c.end("claim expired") })
 	go c.followRegistry()
@@ -107,11 +110,14 @@
 			return
 		case event := <-c.events:
 			c.advance()
-			event()
+			c.handle(event)
 			c.drainEvents()
 		case <-ticker.C:
 			c.advance()
 		}
+		if c.ctx.Err() != nil {
+			continue
+		}
 		c.settle()
 		if c.resigning && c.writing == 0 && !c.machine.HasChanges() {
 			c.end("resigned")
@@ -124,6 +130,14 @@
 	c.post(func() { c.resigning = true })
 }
 
+// handle runs an event unless the reign has ended: a submission that begins
+// then could not be stored, and its caller would learn nothing.
+func (c *Cell) handle(event func()) {
+	if c.ctx.Err() == nil {
+		event()
+	}
+}
+
 // maxEventsPerPass bounds the events between two placement passes.
 const maxEventsPerPass = 512
 
@@ -131,7 +145,7 @@
 	for range maxEventsPerPass {
 		select {
 		case event := <-c.events:
-			event()
+			c.handle(event)
 		default:
 			return
 		}
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"auburnpier/internal/port"
 	"auburnpier/internal/standin/cellworker"
 	"auburnpier/internal/standin/leasestore"
+	"auburnpier/internal/steady"
 )
 
 // fixedRegistry lists workers that never change.
@@ -281,3 +283,78 @@
 	}
 	c.check()
 }
+
+// Guards against a caller that is told "unknown" or "overloaded" during a
+// handover although the job has certainly not run, so that the next owner can
+// take it at once.
+func TestSubmissionsDuringHandover(t *testing.T) {
+	for name, end := range map[string]func(*Cell){"graceful": (*Cell).Resign, "silent": func(c *Cell) { c.end("test") }} {
+		t.Run(name, func(t *testing.T) {
+			c := newCellTest(t, 50*time.Millisecond)
+			i := c.start("a")
+			cell := i.owned(t)
+			// The loop is held, so that submissions are queued when the reign ends.
+			held, begun := make(chan struct{}), make(chan struct{})
+			cell.post(func() { close(begun); <-held })
+			<-begun
+			type outcome struct {
+				reply port.SubmitReply
+				err   error
+			}
+			const submissions = 200
+			outcomes := make(chan outcome, submissions)
+			end(cell)
+			for n := range submissions {
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					defer cancel()
+					r, err := cell.Submit(ctx, port.SubmitCall{Job: domain.JobID(fmt.Sprintf("j%d", n)), Queue: c.queue, Team: "team", Spec: c.spec(1)})
+					outcomes <- outcome{r, err}
+				}()
+			}
+			time.Sleep(50 * time.Millisecond)
+			close(held)
+			for range submissions {
+				o := <-outcomes
+				var notOwner *port.NotOwnerError
+				if !errors.As(o.err, &notOwner) {
+					t.Fatalf("a submission that has not run was answered with %+v and error %v, want a *port.NotOwnerError", o.reply, o.err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a submission that is answered with "unknown" because the
+// reign ended before the loop had answered what it knows.
+func TestEndOfReignAnswersWaiters(t *testing.T) {
+	for range 20 {
+		c := newCellTest(t, 50*time.Millisecond)
+		i := c.start("a")
+		cell := i.owned(t)
+		held, begun := make(chan struct{}), make(chan struct{})
+		errs := make(chan error, 1)
+		replies := make(chan port.SubmitReply, 1)
+		cell.post(func() {
+			close(begun)
+			<-held
+			cell.lastWrite = steady.NowMS() + time.Hour.Milliseconds()
+		})
+		<-begun
+		go func() {
+			r, err := cell.Submit(context.Background(), port.SubmitCall{Job: "j", Queue: c.queue, Team: "team", Spec: c.spec(1)})
+			replies <- r
+			errs <- err
+		}()
+		time.Sleep(5 * time.Millisecond)
+		close(held)
+		time.Sleep(5 * time.Millisecond)
+		cell.end("test")
+		r, err := <-replies, <-errs
+		var notOwner *port.NotOwnerError
+		if !errors.As(err, &notOwner) {
+			t.Fatalf("a submission that no write has taken up was answered with %+v and error %v, want a *port.NotOwnerError", r, err)
+		}
+		i.stop()
+	}
+}
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -14,7 +16,6 @@
 // Reasons of refusals, as counters and callers see them.
 const (
 	reasonStore       = "store_unavailable"
-	reasonOwnerChange = "owner_changes"
 	reasonOverload    = "objective_out_of_reach"
 	reasonNeverFits   = "never_fits"
 	reasonLimit       = "limit_too_small"
@@ -26,31 +27,51 @@
 	jobs.RefusedTaken: reasonTaken,
 }
 
-// ask runs f on the loop and waits for its answer.
-func ask[T any](ctx context.Context, c *Cell, f func(reply func(T))) (T, error) {
+// answer is what the loop replies to a call.
+type answer[T any] struct {
+	value T
+	err   error
+}
+
+// ask runs f on the loop and waits for its answer. A call that the loop has not
+// begun when its reign or ctx ends never runs, and gets a *port.NotOwnerError.
+func ask[T any](ctx context.Context, c *Cell, f func(reply func(T, error))) (T, error) {
 	var zero T
-	answers := make(chan T, 1)
-	reply := func(v T) {
+	notOwner := &port.NotOwnerError{Instance: c.options.Instance}
+	answers := make(chan answer[T], 1)
+	reply := func(v T, err error) {
 		select {
-		case answers <- v:
+		case answers <- answer[T]{v, err}:
 		default:
 		}
 	}
-	if !c.post(func() { f(reply) }) {
-		return zero, &port.NotOwnerError{Instance: c.options.Instance}
+	// Whoever sets taken first decides whether the call runs.
+	var taken atomic.Bool
+	if !c.post(func() {
+		if taken.CompareAndSwap(false, true) {
+			f(reply)
+		}
+	}) {
+		return zero, notOwner
 	}
 	select {
-	case v := <-answers:
-		return v, nil
+	case a := <-answers:
+		return a.value, a.err
 	case <-ctx.Done():
+		if taken.CompareAndSwap(false, true) {
+			return zero, notOwner
+		}
 		return zero, ctx.Err()
-	case <-c.ctx.Done():
+	case <-c.ended:
 		select {
-		case v := <-answers:
-			return v, nil
+		case a := <-answers:
+			return a.value, a.err
 		default:
-			return zero, errCellClosed
 		}
+		if taken.CompareAndSwap(false, true) {
+			return zero, notOwner
+		}
+		return zero, errCellClosed
 	}
 }
 
@@ -59,16 +80,20 @@
 	if !c.confirmed() {
 		return port.SubmitReply{Reason: reasonStore, RetryAfterMS: storeRetryMS}, nil
 	}
-	reply, err := ask(ctx, c, func(reply func(port.SubmitReply)) { c.submit(s, reply) })
-	if err != nil {
+	reply, err := ask(ctx, c, func(reply func(port.SubmitReply, error)) { c.submit(s, reply) })
+	var notOwner *port.NotOwnerError
+	switch {
+	case errors.As(err, &notOwner):
+		return port.SubmitReply{}, err
+	case err != nil:
 		return port.SubmitReply{Unknown: true}, nil
 	}
 	return reply, nil
 }
 
-func (c *Cell) submit(s port.SubmitCall, reply func(port.SubmitReply)) {
+func (c *Cell) submit(s port.SubmitCall, reply func(port.SubmitReply, error)) {
 	if c.resigning {
-		reply(port.SubmitReply{Reason: reasonOwnerChange, RetryAfterMS: storeRetryMS})
+		reply(port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance})
 		return
 	}
 	result := c.machine.Submit(s.Job, &s.Queue, s.Team, &s.Spec)
@@ -78,9 +103,9 @@
 		c.metrics.Counter("refusal." + reason).Inc(1)
 		c.log.Info("job_refused", zap.String("job", string(s.Job)), zap.String("team", string(s.Team)),
 			zap.String("queue", string(s.Queue.Name)), zap.String("reason", reason), zap.String("detail", result.Detail), zap.Int64("retry_after_ms", result.RetryAfterMS))
-		reply(port.SubmitReply{Reason: reason, RetryAfterMS: result.RetryAfterMS})
+		reply(port.SubmitReply{Reason: reason, RetryAfterMS: result.RetryAfterMS}, nil)
 	case result.Durable:
-		reply(port.SubmitReply{Accepted: true})
+		reply(port.SubmitReply{Accepted: true}, nil)
 	default:
 		c.submitters[s.Job] = append(c.submitters[s.Job], reply)
 	}
@@ -91,15 +116,16 @@
 	if !c.confirmed() {
 		return port.CancelReply{}, &port.NotOwnerError{Instance: c.options.Instance}
 	}
-	reply, err := ask(ctx, c, func(reply func(port.CancelReply)) {
+	reply, err := ask(ctx, c, func(reply func(port.CancelReply, error)) {
 		known, stored := c.machine.Cancel(j.Job, j.Team)
 		if !known || stored {
-			reply(port.CancelReply{Known: known, Done: stored})
+			reply(port.CancelReply{Known: known, Done: stored}, nil)
 			return
 		}
 		c.cancellers[j.Job] = append(c.cancellers[j.Job], reply)
 	})
 	if err != nil {
+		// The call may be repeated, whatever became of it.
 		return port.CancelReply{Known: true}, nil
 	}
 	return reply, nil
@@ -111,21 +137,21 @@
 	if !c.confirmed() {
 		return port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance}
 	}
-	return ask(ctx, c, func(reply func(port.StateReply)) {
+	return ask(ctx, c, func(reply func(port.StateReply, error)) {
 		state, team, known := c.machine.Known(j.Job)
-		reply(port.StateReply{Known: known && team == j.Team, State: state})
+		reply(port.StateReply{Known: known && team == j.Team, State: state}, nil)
 	})
 }
 
 // Waiting implements port.OwnerCalls.
 func (c *Cell) Waiting(ctx context.Context, queue domain.QueueID) (int, error) {
-	return ask(ctx, c, func(reply func(int)) { reply(c.machine.Waiting(queue)) })
+	return ask(ctx, c, func(reply func(int, error)) { reply(c.machine.Waiting(queue), nil) })
 }
 
 // Hello implements port.OwnerCalls.
 func (c *Cell) Hello(ctx context.Context, h port.Hello) ([]port.Hello, error) {
-	return ask(ctx, c, func(reply func([]port.Hello)) {
+	return ask(ctx, c, func(reply func([]port.Hello, error)) {
 		c.relays.hello(h, c.approvers)
-		reply(c.relays.known(steady.NowMS()))
+		reply(c.relays.known(steady.NowMS()), nil)
 	})
 }
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -183,19 +183,19 @@
 func (c *Cell) stored(batch *jobs.Batch) {
 	c.machine.Stored(batch)
 	for _, j := range batch.Jobs {
-		c.answer(j.ID, port.SubmitReply{Accepted: true})
+		c.answer(j.ID, port.SubmitReply{Accepted: true}, nil)
 		if j.Ended {
 			for _, reply := range c.cancellers[j.ID] {
-				reply(port.CancelReply{Known: true, Done: true})
+				reply(port.CancelReply{Known: true, Done: true}, nil)
 			}
 			delete(c.cancellers, j.ID)
 		}
 	}
 }
 
-func (c *Cell) answer(id domain.JobID, reply port.SubmitReply) {
+func (c *Cell) answer(id domain.JobID, reply port.SubmitReply, err error) {
 	for _, send := range c.submitters[id] {
-		send(reply)
+		send(reply, err)
 	}
 	delete(c.submitters, id)
 }
@@ -204,7 +204,7 @@
 func (c *Cell) withdrawWaiting() {
 	for id := range c.submitters {
 		if c.machine.Withdraw(id) {
-			c.answer(id, port.SubmitReply{Reason: reasonStore, RetryAfterMS: storeRetryMS})
+			c.answer(id, port.SubmitReply{Reason: reasonStore, RetryAfterMS: storeRetryMS}, nil)
 		}
 	}
 }
@@ -216,14 +216,14 @@
 func (c *Cell) failWaiters() {
 	for id := range c.submitters {
 		if c.machine.Withdraw(id) {
-			c.answer(id, port.SubmitReply{Reason: reasonOwnerChange, RetryAfterMS: storeRetryMS})
+			c.answer(id, port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance})
 			continue
 		}
-		c.answer(id, port.SubmitReply{Unknown: true})
+		c.answer(id, port.SubmitReply{Unknown: true}, nil)
 	}
 	for id, list := range c.cancellers {
 		for _, reply := range list {
-			reply(port.CancelReply{Known: true})
+			reply(port.CancelReply{Known: true}, nil)
 		}
 		delete(c.cancellers, id)
 	}
