--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -3,12 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -68,7 +66,7 @@
 	req.GetBody = nil
 	resp, err := p.client.Do(req)
 	if err != nil {
-		return result, &port.OwnerUnreachableError{Address: p.address, NotSent: notSent(err), Err: err}
+		return result, &port.OwnerUnreachableError{Address: p.address, NotSent: port.NotSent(err), Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
@@ -87,11 +85,6 @@
 	return result, &port.OwnerUnreachableError{Address: p.address, Err: fmt.Errorf("status %d: %.200s", resp.StatusCode, answer)}
 }
 
-func notSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // Submit implements port.OwnerCalls.
 func (p *peer) Submit(ctx context.Context, c port.SubmitCall) (port.SubmitReply, error) {
 	return call[port.SubmitReply](ctx, p, pathSubmit, c)
