Look at the workers of large fleets through other instances

One owner called every worker about once a second. Logs of a copy of the site with 300 VMs showed how it ends: after a takeover all 3,000 looks are due at once, each needs a new connection, none is answered within its bound, all are repeated (14,970 looks and 2,447 starts without an answer in 20 s), and the VM nears its 4,100 descriptors.

Now, above 400 workers, the owner divides them among other instances (50 each, larger VMs first). An instance gets the looks of its workers in one call, makes them, and sends answers as they come, collected for 15 ms. It keeps no state and decides nothing: fence, lease limit, acknowledged ends and wait are the owner's, so a look that takes effect late or not at all is what it was before. Where an instance fails, its workers are looked at from the owner and it is left out for 5 s; where it cannot reach a worker, the owner tries itself before it believes so. Looks from the owner are bounded for large fleets: 64 at workers that have not answered, 400 others, the longest wait first.

Tests that fail before: TestLooksAtTargetSize (1,358 looks/s by the owner at 1,500 idle workers, at most 150 permitted), TestTakeoverOfLargeFleet (1,500 looks at once, at most 64). TestLookRelayFaults fails where the looks of a failed instance are not taken back.

--- a/internal/adapter/cellhttp/doc.go
+++ b/internal/adapter/cellhttp/doc.go
@@ -13,6 +13,7 @@
 	pathHello   = "/cell/hello"
 	pathApprove = "/cell/approve"
 	pathStore   = "/cell/store"
+	pathLooks   = "/cell/looks"
 )
 
 // maxBodyBytes is above the largest submission and a list of all stored jobs.
--- a/internal/adapter/cellhttp/server.go
+++ b/internal/adapter/cellhttp/server.go
@@ -18,6 +18,8 @@
 	Owner func() port.OwnerCalls
 	// Approver asks the approval service from this instance.
 	Approver port.Approver
+	// Looks makes looks at workers from this instance.
+	Looks port.LookRelay
 	// Store makes calls for instances that the store turns away.
 	Store    port.LeaseStore
 	Instance domain.InstanceID
@@ -35,6 +37,7 @@
 	handle(mux, pathApprove, func(ctx context.Context, c approveCall) (port.ApprovalAnswer, error) {
 		return l.Approver.Approve(ctx, c.Step, c.Workers)
 	})
+	mux.HandleFunc("POST "+pathLooks, serveLooks(l.Looks))
 	return mux
 }
 
--- /dev/null
+++ b/internal/app/lookrelay/lookrelay.go
@@ -0,0 +1,80 @@
+// Package lookrelay makes looks at workers for the owner of the cell. It keeps
+// no state: what to look at, the fence and the limits come with each call.
+package lookrelay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// gather is how long answers are collected into one message to the owner. Looks
+// of one call mostly end together, and it is short beside the shortest objective.
+const gather = 15 * time.Millisecond
+
+// Relay makes looks from this instance.
+type Relay struct {
+	workers port.WorkerCalls
+	metrics *metrics.Registry
+}
+
+// New returns a relay.
+func New(workers port.WorkerCalls, m *metrics.Registry) *Relay {
+	return &Relay{workers: workers, metrics: m}
+}
+
+// Looks implements port.LookRelay.
+func (r *Relay) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan port.RelayedReport, len(looks))
+	for _, l := range looks {
+		go func() { answers <- r.look(ctx, l) }()
+	}
+	for left := len(looks); left > 0; {
+		select {
+		case first := <-answers:
+			batch := collect(ctx, answers, first, left)
+			left -= len(batch)
+			deliver(batch)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// collect returns the answers that come within a moment of the first.
+func collect(ctx context.Context, answers <-chan port.RelayedReport, first port.RelayedReport, most int) []port.RelayedReport {
+	batch := []port.RelayedReport{first}
+	timer := time.NewTimer(gather)
+	defer timer.Stop()
+	for len(batch) < most {
+		select {
+		case a := <-answers:
+			batch = append(batch, a)
+		case <-timer.C:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+	return batch
+}
+
+func (r *Relay) look(ctx context.Context, l port.RelayedLook) port.RelayedReport {
+	report, err := r.workers.Look(ctx, l.Worker, l.Address, l.Request)
+	var fenced *port.FencedError
+	switch {
+	case errors.As(err, &fenced):
+		return port.RelayedReport{Worker: l.Worker, Fenced: true}
+	case err != nil:
+		r.metrics.Counter("relay.look.unanswered").Inc(1)
+		return port.RelayedReport{Worker: l.Worker, Failure: err.Error()}
+	}
+	r.metrics.Counter("relay.look.answered").Inc(1)
+	return port.RelayedReport{Worker: l.Worker, Report: report}
+}
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -35,6 +35,8 @@
 	cancellers map[domain.JobID][]func(port.CancelReply, error)
 	looks      map[domain.WorkerID]*look
 	relays     relays
+	groups     lookGroups
+	arrangedMS int64
 	lanes      []*lane
 	writing    int
 	lastWrite  int64
@@ -61,6 +63,7 @@
 		looks:      make(map[domain.WorkerID]*look),
 		acked:      make(map[domain.WorkerID]int64),
 		processed:  make(map[domain.WorkerID]int64),
+		groups:     lookGroups{most: o.options.DirectWorkers, byHost: make(map[port.Hello]*lookGroup)},
 	}
 	c.confirmedMS.Store(r.claimedMS + r.ttl.Milliseconds())
 	for i := range writeLanes {
--- /dev/null
+++ b/internal/app/owner/lookgroups.go
@@ -0,0 +1,268 @@
+package owner
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// Figures of looks through other instances.
+const (
+	// workersPerRelay is how many workers one instance looks at. A look costs up
+	// to 1 ms of processor time in a small VM, so this is about 5 % of a core.
+	workersPerRelay = 50
+	// rejoinMS is the time left of a group's round under which a worker waits for
+	// the next round instead of being looked at within this one.
+	rejoinMS = 100
+	// relaySlack is what looks through an instance may take beyond their wait.
+	relaySlack = 700 * time.Millisecond
+	// relayPauseMS is how long an instance that left looks unanswered is not used for looks.
+	relayPauseMS = 5000
+	// directMS is how long a worker that an instance could not reach is looked at
+	// from here, where that succeeds.
+	directMS = 10_000
+	// recheckMS is the same for the workers of an instance that left looks unanswered.
+	recheckMS = 500
+	// maxProbes bounds the looks from here at workers of a large fleet that have
+	// not answered the last one: each may cost a connection and its whole bound.
+	maxProbes = 64
+	// directCycle is below the time after which a silent worker gets no new work,
+	// and minDirectWait bounds the looks a second.
+	directCycle   = 1600 * time.Millisecond
+	minDirectWait = 100 * time.Millisecond
+	// arrangeMS is the time between two divisions of the workers, within which an
+	// instance that greets anew is used.
+	arrangeMS = 250
+)
+
+// lookGroup is the part of the workers that one instance looks at. Most looks
+// are made in rounds: they go out together and end together. A worker that
+// answers early, because a task ended, is looked at again until the round ends.
+type lookGroup struct {
+	hello port.Hello
+	relay port.LookRelay
+	// inRound tells that a round is under way, and endMS when its waits are over.
+	inRound bool
+	endMS   int64
+	calls   int
+	// pausedMS is the time before which the instance is not used.
+	pausedMS int64
+	next     []port.RelayedLook
+	wait     time.Duration
+}
+
+// admit decides whether a look may go out now, and how long it may wait.
+func (g *lookGroup) admit(l *look, now int64) (time.Duration, bool) {
+	if len(g.next) >= port.MaxRelayedLooks {
+		return 0, false
+	}
+	if !g.inRound {
+		return lookWait, true
+	}
+	left := g.endMS - now
+	if !l.reported || left < rejoinMS {
+		return 0, false
+	}
+	return min(lookWait, time.Duration(left)*time.Millisecond), true
+}
+
+func (g *lookGroup) add(l port.RelayedLook) {
+	g.next = append(g.next, l)
+	g.wait = max(g.wait, l.Request.Wait)
+}
+
+// lookGroups divides the workers of a large fleet among other instances. The
+// owner's own calls then grow with the ends of tasks, not with the workers.
+type lookGroups struct {
+	// most is the number of workers up to which the owner looks at all itself.
+	most    int
+	byHost  map[port.Hello]*lookGroup
+	current []*lookGroup
+	// probes counts the looks under way from here at workers that did not answer
+	// the one before, and direct the others.
+	direct, probes int
+}
+
+// admitDirect decides whether a look may be made from here now. Release is
+// called on the loop once it has ended. Without a bound, a large fleet whose
+// workers are all due at once, as after a takeover, costs more connections than
+// the VM has processor time for, and none is answered in time.
+func (g *lookGroups) admitDirect(l *look, workers int) (release func(), ok bool) {
+	count, most := &g.direct, g.most
+	if !l.reported {
+		count, most = &g.probes, maxProbes
+	}
+	if workers > g.most && *count >= most {
+		return nil, false
+	}
+	*count++
+	return func() { *count-- }, true
+}
+
+// directWait returns how long a look from here may wait. Where the bound on
+// looks under way is below the number of workers, waits are shorter, so that
+// each worker is still looked at within directCycle.
+func (g *lookGroups) directWait(workers int) time.Duration {
+	if workers <= g.most {
+		return lookWait
+	}
+	wait := time.Duration(float64(directCycle) * float64(g.most) / float64(workers))
+	return min(lookWait, max(wait, minDirectWait))
+}
+
+// arrange chooses the instances for the fleet's size. Larger VMs come first.
+func (g *lookGroups) arrange(workers int, own string, known []port.Hello, relays func(port.Hello) port.LookRelay, now int64) {
+	g.current = g.current[:0]
+	for h, group := range g.byHost {
+		if group.calls == 0 && !slices.Contains(known, h) {
+			delete(g.byHost, h)
+		}
+	}
+	if workers <= g.most {
+		return
+	}
+	hosts := slices.DeleteFunc(slices.Clone(known), func(h port.Hello) bool {
+		group := g.byHost[h]
+		return h.Address == own || group != nil && now < group.pausedMS
+	})
+	slices.SortFunc(hosts, func(a, b port.Hello) int {
+		return cmp.Or(cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(a.Address, b.Address))
+	})
+	hosts = hosts[:min(len(hosts), (workers+workersPerRelay-1)/workersPerRelay)]
+	for _, h := range hosts {
+		group, ok := g.byHost[h]
+		if !ok {
+			group = &lookGroup{hello: h, relay: relays(h)}
+			g.byHost[h] = group
+		}
+		g.current = append(g.current, group)
+	}
+}
+
+// of returns the group of a worker, nil where the owner looks at it itself.
+func (g *lookGroups) of(l *look) *lookGroup {
+	if len(g.current) == 0 {
+		return nil
+	}
+	return g.current[l.hash%uint32(len(g.current))]
+}
+
+func hashWorker(id domain.WorkerID) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// arrangeLooks updates the groups; the list of instances changes with their greetings.
+func (c *Cell) arrangeLooks(now int64) {
+	if now-c.arrangedMS < arrangeMS {
+		return
+	}
+	c.arrangedMS = now
+	known, heard := c.machine.WorkersHeard()
+	c.metrics.Gauge("workers.known").Update(int64(known))
+	c.metrics.Gauge("workers.heard").Update(int64(heard))
+	c.groups.arrange(len(c.looks), c.options.Address, c.relays.known(now), c.peers.Looks, now)
+}
+
+// sendGroups sends the looks that sendLooks has collected.
+func (c *Cell) sendGroups(now int64) {
+	for _, g := range c.groups.current {
+		if len(g.next) == 0 {
+			continue
+		}
+		looks, wait, round := g.next, g.wait, !g.inRound
+		g.next, g.wait = nil, 0
+		if round {
+			g.inRound, g.endMS = true, now+wait.Milliseconds()
+		}
+		g.calls++
+		go c.lookThrough(g, looks, wait, round)
+	}
+}
+
+// lookThrough makes looks through an instance and tells the loop.
+func (c *Cell) lookThrough(g *lookGroup, looks []port.RelayedLook, wait time.Duration, round bool) {
+	ctx, cancel := context.WithTimeout(c.ctx, wait+relaySlack)
+	defer cancel()
+	sentMS := steady.NowMS()
+	answered := make(map[domain.WorkerID]bool, len(looks))
+	err := g.relay.Looks(ctx, looks, func(batch []port.RelayedReport) {
+		receivedMS := steady.NowMS()
+		for i := range batch {
+			batch[i].Report.SentMS, batch[i].Report.ReceivedMS = sentMS, receivedMS
+			answered[batch[i].Worker] = true
+		}
+		c.post(func() { c.relayed(g, batch) })
+	})
+	var missing []domain.WorkerID
+	for _, l := range looks {
+		if !answered[l.Worker] {
+			missing = append(missing, l.Worker)
+		}
+	}
+	c.post(func() { c.groupLooked(g, round, missing, err) })
+}
+
+// relayed takes answers that came through an instance.
+func (c *Cell) relayed(g *lookGroup, batch []port.RelayedReport) {
+	for _, r := range batch {
+		switch {
+		case r.Fenced:
+			c.end("worker " + string(r.Worker) + " has seen a higher fence")
+			return
+		case r.Failure != "":
+			c.metrics.Counter("worker.look.relay_unanswered").Inc(1)
+			if l, ok := c.looks[r.Worker]; ok && l.retryMS > 0 {
+				c.looked(r.Worker, jobs.WorkerReport{}, errors.New(r.Failure))
+				continue
+			}
+			// Whether the worker answers is found out from here first.
+			c.lookDirectly(r.Worker, directMS)
+		default:
+			c.metrics.Counter("worker.look.relayed").Inc(1)
+			c.looked(r.Worker, r.Report, nil)
+		}
+	}
+}
+
+// groupLooked ends the looks of a group.
+func (c *Cell) groupLooked(g *lookGroup, round bool, missing []domain.WorkerID, err error) {
+	now := steady.NowMS()
+	g.calls--
+	if round {
+		g.inRound = false
+	}
+	if err == nil && len(missing) == 0 {
+		return
+	}
+	c.metrics.Counter("worker.look.relay_failed").Inc(1)
+	c.log.Info("instance left looks unanswered", zap.String("relay", string(g.hello.Instance)), zap.Int("workers", len(missing)),
+		zap.Int64("paused_ms", relayPauseMS), zap.Error(err))
+	g.pausedMS = now + relayPauseMS
+	c.arrangedMS = 0
+	for _, id := range missing {
+		c.lookDirectly(id, recheckMS)
+	}
+}
+
+// lookDirectly looks at a worker from here for a time. The look that had no
+// answer may have taken effect, so the next one extends no lease.
+func (c *Cell) lookDirectly(id domain.WorkerID, forMS int64) {
+	l, ok := c.looks[id]
+	if !ok {
+		return
+	}
+	l.underWay, l.reported = false, false
+	l.directUntilMS = steady.NowMS() + forMS
+}
--- /dev/null
+++ b/internal/app/owner/lookgroups_test.go
@@ -0,0 +1,236 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburnpier/internal/app/lookrelay"
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// relayFault is what goes wrong at an instance that looks for the owner.
+type relayFault int
+
+const (
+	relayWorks relayFault = iota
+	// relayDead refuses calls.
+	relayDead
+	// relaySilent never answers.
+	relaySilent
+	// relayCut reaches no worker.
+	relayCut
+	// relayBreaks ends after the first answers.
+	relayBreaks
+)
+
+// fakePeers are instances that look at the workers of a fleet.
+type fakePeers struct {
+	workers port.WorkerCalls
+	mu      sync.Mutex
+	faults  map[domain.InstanceID]relayFault
+}
+
+func (p *fakePeers) Approver(port.Hello) port.Approver { return nil }
+
+func (p *fakePeers) Looks(h port.Hello) port.LookRelay { return &fakeRelay{p, h.Instance} }
+
+func (p *fakePeers) set(id domain.InstanceID, f relayFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults[id] = f
+}
+
+type fakeRelay struct {
+	peers *fakePeers
+	id    domain.InstanceID
+}
+
+var errRelay = errors.New("the instance of the test fails")
+
+func (r *fakeRelay) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
+	r.peers.mu.Lock()
+	fault := r.peers.faults[r.id]
+	r.peers.mu.Unlock()
+	relay := lookrelay.New(r.peers.workers, metrics.New())
+	switch fault {
+	case relayDead:
+		return errRelay
+	case relaySilent:
+		<-ctx.Done()
+		return ctx.Err()
+	case relayCut:
+		var batch []port.RelayedReport
+		for _, l := range looks {
+			batch = append(batch, port.RelayedReport{Worker: l.Worker, Failure: "no way to the worker"})
+		}
+		deliver(batch)
+		return nil
+	case relayBreaks:
+		if err := relay.Looks(ctx, looks[:len(looks)/2], deliver); err != nil {
+			return err
+		}
+		return errRelay
+	}
+	return relay.Looks(ctx, looks, deliver)
+}
+
+// ownLooks counts the looks that the owner makes itself.
+type ownLooks struct {
+	port.WorkerCalls
+	count atomic.Int64
+}
+
+func (o *ownLooks) Look(ctx context.Context, id domain.WorkerID, address string, r port.LookRequest) (jobs.WorkerReport, error) {
+	o.count.Add(1)
+	return o.WorkerCalls.Look(ctx, id, address, r)
+}
+
+// greet keeps the instances known to the cell until the test ends.
+func greet(t *testing.T, cell *Cell, instances int) {
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	hello := func() {
+		for n := range instances {
+			name := fmt.Sprintf("r%d", n)
+			if _, err := cell.Hello(ctx, port.Hello{Instance: domain.InstanceID(name), Address: name, CPUMilli: 400}); err != nil {
+				return
+			}
+		}
+	}
+	hello()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(500 * time.Millisecond)
+			hello()
+		}
+	}()
+}
+
+// Guards against an owner whose own calls grow with the fleet: at the size of
+// the target it must hear of every worker each second without calling it.
+func TestLooksAtTargetSize(t *testing.T) {
+	const workers, instances = 1500, 30
+	c := newFleetTest(t, workers, 100*time.Millisecond)
+	own := &ownLooks{WorkerCalls: c.fleet}
+	c.workers = own
+	c.directWorkers = 400
+	c.peers = &fakePeers{workers: c.fleet, faults: make(map[domain.InstanceID]relayFault)}
+	i := c.start("a")
+	cell := i.owned(t)
+	greet(t, cell, instances)
+	time.Sleep(3 * time.Second)
+	before := own.count.Load()
+	const measured = 3 * time.Second
+	time.Sleep(measured)
+	if perSecond := float64(own.count.Load()-before) / measured.Seconds(); perSecond > workers/10 {
+		t.Errorf("the owner makes %.0f looks/s itself at %d idle workers, want at most a tenth of the workers", perSecond, workers)
+	}
+	heard, err := ask(context.Background(), cell, func(reply func(int, error)) {
+		_, heard := cell.machine.WorkersHeard()
+		reply(heard, nil)
+	})
+	if err != nil || heard < workers {
+		t.Errorf("%d of %d workers have been heard of lately (error %v)", heard, workers, err)
+	}
+	before = own.count.Load()
+	if r := c.submit(cell, "j1", 300); !r.Accepted {
+		t.Fatalf("submission was answered with %+v", r)
+	}
+	c.completed(i, "j1")
+	if extra := own.count.Load() - before; extra > 4*300 {
+		t.Errorf("300 tasks took %d looks of the owner", extra)
+	}
+	c.check()
+}
+
+// Guards against tasks that are lost, run twice or wait when an instance that
+// looks for the owner dies, falls silent, is cut from the workers, or breaks
+// off in the middle of its answers.
+func TestLookRelayFaults(t *testing.T) {
+	for name, fault := range map[string]relayFault{"dead": relayDead, "silent": relaySilent, "cut": relayCut, "breaks": relayBreaks} {
+		t.Run(name, func(t *testing.T) {
+			c := newFleetTest(t, 40, 300*time.Millisecond)
+			c.directWorkers = 10
+			peers := &fakePeers{workers: c.fleet, faults: make(map[domain.InstanceID]relayFault)}
+			c.peers = peers
+			i := c.start("a")
+			cell := i.owned(t)
+			greet(t, cell, 3)
+			time.Sleep(time.Second)
+			c.submit(cell, "j1", 60)
+			time.Sleep(100 * time.Millisecond)
+			for n := range 3 {
+				peers.set(domain.InstanceID(fmt.Sprintf("r%d", n)), fault)
+			}
+			c.completed(i, "j1")
+			begun := time.Now()
+			c.submit(cell, "j2", 60)
+			c.completed(i, "j2")
+			// A look is lost once and the worker's turn from here comes a cycle
+			// later; a task that ends just after that is seen in the cycle after it.
+			const margin = 500 * time.Millisecond
+			bound := lookWait + relaySlack + 2*directCycle + c.runTime + margin
+			if took := time.Since(begun); took > bound {
+				t.Errorf("a job took %v beside instances that are %s, want at most %v", took, name, bound)
+			}
+			if n := c.fleet.Starts(); n != 120 {
+				t.Errorf("%d starts for 120 tasks", n)
+			}
+			c.check()
+		})
+	}
+}
+
+// slowLooks are workers that take a while to answer, and counts the looks
+// under way that extend no lease.
+type slowLooks struct {
+	port.WorkerCalls
+	takes         time.Duration
+	probes, worst atomic.Int64
+}
+
+func (s *slowLooks) Look(ctx context.Context, id domain.WorkerID, address string, r port.LookRequest) (jobs.WorkerReport, error) {
+	if r.LimitClockMS == 0 {
+		now := s.probes.Add(1)
+		for worst := s.worst.Load(); now > worst && !s.worst.CompareAndSwap(worst, now); worst = s.worst.Load() {
+		}
+		time.Sleep(s.takes)
+		s.probes.Add(-1)
+	}
+	return s.WorkerCalls.Look(ctx, id, address, r)
+}
+
+// Guards against an owner that looks at all workers of a large fleet at once
+// after a takeover: with 3,000 workers each such look cost a connection, none
+// was answered in time, and all were repeated.
+func TestTakeoverOfLargeFleet(t *testing.T) {
+	const workers = 1500
+	c := newFleetTest(t, workers, 50*time.Millisecond)
+	slow := &slowLooks{WorkerCalls: c.fleet, takes: 20 * time.Millisecond}
+	c.workers, c.directWorkers = slow, 400
+	i := c.start("a")
+	cell := i.owned(t)
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		heard, err := ask(context.Background(), cell, func(reply func(int, error)) {
+			_, heard := cell.machine.WorkersHeard()
+			reply(heard, nil)
+		})
+		if err == nil && heard == workers && c.fleet.Looked() == workers {
+			break
+		}
+	}
+	if n := c.fleet.Looked(); n < workers {
+		t.Errorf("%d of %d workers were looked at within 5 s", n, workers)
+	}
+	if worst := slow.worst.Load(); worst > maxProbes {
+		t.Errorf("%d looks at workers that had not answered were under way at once, want at most %d", worst, maxProbes)
+	}
+}
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -1,7 +1,10 @@
 package owner
 
 import (
+	"cmp"
 	"errors"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -24,13 +27,17 @@
 	// worker's tasks from ever lapsing.
 	reported bool
 	bornMS   int64
+	// hash chooses the group of the worker.
+	hash uint32
+	// directUntilMS is the time until which the worker is looked at from here.
+	directUntilMS int64
 }
 
 // lookAt begins or redirects the looks at a worker.
 func (c *Cell) lookAt(w jobs.WorkerInfo) {
 	l, ok := c.looks[w.ID]
 	if !ok {
-		l = &look{id: w.ID}
+		l = &look{id: w.ID, hash: hashWorker(w.ID)}
 		c.looks[w.ID] = l
 	}
 	l.address = w.Address
@@ -40,39 +47,77 @@
 // effects are stored, so after an end the next look waits for the write, or
 // comes without a wait where the store is slow.
 func (c *Cell) sendLooks(now int64) {
+	c.arrangeLooks(now)
+	var direct []*look
 	for id, l := range c.looks {
-		unstored := c.processed[id] > c.acked[id]
-		if l.underWay || now < l.notBefore || unstored && now-l.sentMS < unstoredLookMS {
+		if l.underWay || now < l.notBefore || c.unstored(id) && now-l.sentMS < unstoredLookMS {
 			continue
 		}
-		r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: c.acked[id]}
-		if l.reported {
-			limit, ok := c.machine.LeaseLimit(id)
-			if ok {
-				r.LimitClockMS = limit
-				r.Wait = lookWait
-			}
+		group := c.groups.of(l)
+		if group == nil || now < l.directUntilMS {
+			direct = append(direct, l)
+			continue
+		}
+		if wait, ok := group.admit(l, now); ok {
+			l.sentMS, l.underWay = now, true
+			group.add(port.RelayedLook{Worker: id, Address: l.address, Request: c.lookRequest(l, wait)})
 		}
-		if unstored {
-			// The worker lists what was seen already, so it would not wait.
-			r.Wait = 0
+	}
+	c.sendGroups(now)
+	c.sendDirect(direct, now)
+}
+
+// sendDirect sends looks from here. Where not all may go out, those that have
+// waited longest come first.
+func (c *Cell) sendDirect(due []*look, now int64) {
+	workers := len(c.looks)
+	if workers > c.groups.most {
+		slices.SortFunc(due, func(a, b *look) int { return cmp.Compare(a.sentMS, b.sentMS) })
+	}
+	for _, l := range due {
+		release, ok := c.groups.admitDirect(l, workers)
+		if !ok {
+			continue
 		}
-		l.sentMS = now
-		l.underWay = true
-		go c.look(*l, r)
+		l.sentMS, l.underWay = now, true
+		go c.look(l.id, l.address, c.lookRequest(l, c.groups.directWait(workers)), release)
+	}
+}
+
+// unstored reports whether ends of the worker wait for the store.
+func (c *Cell) unstored(id domain.WorkerID) bool { return c.processed[id] > c.acked[id] }
+
+// lookRequest returns the request of the next look, which is sent at once.
+func (c *Cell) lookRequest(l *look, wait time.Duration) port.LookRequest {
+	r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: c.acked[l.id]}
+	if l.reported {
+		limit, ok := c.machine.LeaseLimit(l.id)
+		if ok {
+			r.LimitClockMS = limit
+			r.Wait = wait
+		}
+	}
+	if c.unstored(l.id) {
+		// The worker lists what was seen already, so it would not wait.
+		r.Wait = 0
 	}
+	return r
 }
 
-func (c *Cell) look(l look, r port.LookRequest) {
+// look looks at a worker from here.
+func (c *Cell) look(id domain.WorkerID, address string, r port.LookRequest, release func()) {
 	sentMS := steady.NowMS()
-	report, err := c.workers.Look(c.ctx, l.id, l.address, r)
+	report, err := c.workers.Look(c.ctx, id, address, r)
 	var fenced *port.FencedError
 	if errors.As(err, &fenced) {
 		c.end(err.Error())
 		return
 	}
 	report.SentMS, report.ReceivedMS = sentMS, steady.NowMS()
-	c.post(func() { c.looked(l.id, report, err) })
+	c.post(func() {
+		release()
+		c.looked(id, report, err)
+	})
 }
 
 func (c *Cell) looked(id domain.WorkerID, report jobs.WorkerReport, err error) {
@@ -83,6 +128,7 @@
 	l.underWay = false
 	if err != nil {
 		l.reported = false
+		l.directUntilMS = 0
 		c.machine.LookFailed(id)
 		if l.retryMS == 0 {
 			c.log.Info("worker does not answer", zap.String("worker", string(id)), zap.Error(err))
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -29,7 +29,10 @@
 	ClaimDelay func() time.Duration
 	// UnconfirmedTTL is how long after the claim's last proof the owner still speaks to workers.
 	UnconfirmedTTL time.Duration
-	Machine        jobs.Config
+	// DirectWorkers is the number of workers up to which the owner looks at all
+	// of them itself. Above it, other instances look at them.
+	DirectWorkers int
+	Machine       jobs.Config
 }
 
 // Figures of the owner's loop.
@@ -73,31 +76,33 @@
 	Store    port.LeaseStore
 	Workers  port.WorkerCalls
 	Registry port.WorkerRegistry
-	// Approve asks the approval service through the named instance.
-	Approvers ApproverDirectory
+	// Peers are the other instances.
+	Peers PeerDirectory
 }
 
-// ApproverDirectory reaches the approval service through an instance. The
-// service serves one call at a time for each instance.
-type ApproverDirectory interface {
+// PeerDirectory reaches what other instances do for the owner.
+type PeerDirectory interface {
+	// Approver asks the approval service, which serves one call at a time for each instance.
 	Approver(h port.Hello) port.Approver
+	// Looks makes looks at workers.
+	Looks(h port.Hello) port.LookRelay
 }
 
 // Owner takes the cell when it is free and runs it.
 type Owner struct {
-	options   Options
-	store     port.LeaseStore
-	workers   port.WorkerCalls
-	registry  port.WorkerRegistry
-	approvers ApproverDirectory
-	log       *zap.Logger
-	metrics   *metrics.Registry
+	options  Options
+	store    port.LeaseStore
+	workers  port.WorkerCalls
+	registry port.WorkerRegistry
+	peers    PeerDirectory
+	log      *zap.Logger
+	metrics  *metrics.Registry
 }
 
 // New returns an owner.
 func New(options Options, ports Ports, log *zap.Logger, registry *metrics.Registry) *Owner {
 	return &Owner{options: options, store: ports.Store, workers: ports.Workers, registry: ports.Registry,
-		approvers: ports.Approvers, log: log, metrics: registry}
+		peers: ports.Peers, log: log, metrics: registry}
 }
 
 func newToken() string {
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -33,9 +33,10 @@
 	return port.RegistryChanges{Revision: after}, nil
 }
 
-type noApprovers struct{}
+type noPeers struct{}
 
-func (noApprovers) Approver(port.Hello) port.Approver { return nil }
+func (noPeers) Approver(port.Hello) port.Approver { return nil }
+func (noPeers) Looks(port.Hello) port.LookRelay   { return nil }
 
 type cellTest struct {
 	t       *testing.T
@@ -44,15 +45,23 @@
 	ids     []domain.WorkerID
 	queue   jobs.Queue
 	runTime time.Duration
+
+	workers       port.WorkerCalls
+	registry      port.WorkerRegistry
+	peers         PeerDirectory
+	directWorkers int
 }
 
-func newCellTest(t *testing.T, runTime time.Duration) *cellTest {
+func newCellTest(t *testing.T, runTime time.Duration) *cellTest { return newFleetTest(t, 4, runTime) }
+
+func newFleetTest(t *testing.T, workers int, runTime time.Duration) *cellTest {
 	c := &cellTest{t: t, store: leasestore.New(), runTime: runTime,
 		queue: jobs.Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}}
-	for i := range 4 {
+	for i := range workers {
 		c.ids = append(c.ids, domain.WorkerID(fmt.Sprintf("w%d", i)))
 	}
 	c.fleet = cellworker.New(runTime, c.ids...)
+	c.workers, c.peers, c.directWorkers = c.fleet, noPeers{}, workers
 	return c
 }
 
@@ -65,16 +74,20 @@
 }
 
 func (c *cellTest) start(name string) *instance {
-	var registry fixedRegistry
+	var fixed fixedRegistry
 	for _, id := range c.ids {
-		registry = append(registry, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", BornMS: 1,
+		fixed = append(fixed, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", BornMS: 1,
 			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
 	}
+	registry := c.registry
+	if registry == nil {
+		registry = fixed
+	}
 	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: 300 * time.Millisecond,
-		ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
+		DirectWorkers: c.directWorkers, ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
 		Machine: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
 			RetentionMS: 60_000, FarFactor: 2}},
-		Ports{Store: c.store, Workers: c.fleet, Registry: registry, Approvers: noApprovers{}}, zap.NewNop(), metrics.New())
+		Ports{Store: c.store, Workers: c.workers, Registry: registry, Peers: c.peers}, zap.NewNop(), metrics.New())
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{stop: stop, done: make(chan struct{}), seats: make(chan Seat, 64)}
 	config := &port.CellConfig{Version: 1, Routes: []port.QueueRoute{{Queue: c.queue}}}
--- a/internal/app/owner/relays.go
+++ b/internal/app/owner/relays.go
@@ -39,7 +39,7 @@
 type relays struct{ list []*relay }
 
 // hello adds an instance or notes that it is there.
-func (r *relays) hello(h port.Hello, d ApproverDirectory) {
+func (r *relays) hello(h port.Hello, d PeerDirectory) {
 	now := steady.NowMS()
 	for _, known := range r.list {
 		if known.hello == h {
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -15,11 +15,11 @@
 
 // Reasons of refusals, as counters and callers see them.
 const (
-	reasonStore       = "store_unavailable"
-	reasonOverload    = "objective_out_of_reach"
-	reasonNeverFits   = "never_fits"
-	reasonLimit       = "limit_too_small"
-	reasonTaken       = "id_of_another_team"
+	reasonStore     = "store_unavailable"
+	reasonOverload  = "objective_out_of_reach"
+	reasonNeverFits = "never_fits"
+	reasonLimit     = "limit_too_small"
+	reasonTaken     = "id_of_another_team"
 )
 
 var refusalReasons = map[jobs.Refusal]string{
@@ -151,7 +151,7 @@
 // Hello implements port.OwnerCalls.
 func (c *Cell) Hello(ctx context.Context, h port.Hello) ([]port.Hello, error) {
 	return ask(ctx, c, func(reply func([]port.Hello, error)) {
-		c.relays.hello(h, c.approvers)
+		c.relays.hello(h, c.peers)
 		reply(c.relays.known(steady.NowMS()), nil)
 	})
 }
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -17,6 +17,7 @@
 
 	"auburnpier/internal/adapter/cellhttp"
 	"auburnpier/internal/app/entry"
+	"auburnpier/internal/app/lookrelay"
 	"auburnpier/internal/app/owner"
 	"auburnpier/internal/app/storerelay"
 	"auburnpier/internal/core/jobs"
@@ -51,6 +52,9 @@
 	// hundred workers; VMs with less wait up to maxClaimDelay before they claim.
 	ampleCPUShare = 0.8
 	maxClaimDelay = 400 * time.Millisecond
+	// directWorkers is the number of workers to which an owner makes all calls
+	// itself: at 300 that took a quarter of a core, at 999 most of one.
+	directWorkers = 400
 	// startLimit bounds how late an unanswered start may take effect.
 	startLimit = 1500 * time.Millisecond
 	// keyTrustShare of the revocation bound leaves time for a watch that hears
@@ -116,13 +120,13 @@
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
 		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL,
-		ClaimDelay: i.claimDelay,
+		ClaimDelay: i.claimDelay, DirectWorkers: directWorkers,
 		Machine: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
 			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
 			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
 		},
-	}, owner.Ports{Store: relay, Workers: a.Workers, Registry: a.Registry(relay), Approvers: dialer}, log, i.metrics)
+	}, owner.Ports{Store: relay, Workers: a.Workers, Registry: a.Registry(relay), Peers: dialer}, log, i.metrics)
 	return i
 }
 
@@ -211,6 +215,7 @@
 	ready.HandleFunc("GET /ready", i.serveReady)
 	peers := cellhttp.NewHandler(cellhttp.Local{
 		Instance: i.settings.Instance, Approver: i.adapters.Approver, Store: i.store.Direct(),
+		Looks: lookrelay.New(i.adapters.Workers, i.metrics),
 		Owner: func() port.OwnerCalls {
 			if cell := i.directory.Seat().Local; cell != nil {
 				return cell
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -482,3 +482,16 @@
 		r.confirmedMS = m.nowMS
 	}
 }
+
+// WorkersHeard returns how many workers are known, and how many were heard of
+// lately enough to get work.
+func (m *Machine) WorkersHeard() (known, heard int) {
+	for _, w := range m.workers {
+		if m.heard(w) {
+			heard++
+		}
+	}
+	return len(m.workers), heard
+}
+
+func (m *Machine) heard(w *worker) bool { return m.nowMS-w.lastMS < silentMS }
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -204,7 +204,7 @@
 // usable reports whether the worker may get work at all.
 func (m *Machine) usable(w *worker) bool {
 	return w.registered && w.contacted && w.recorded && w.clockKnown && w.strangers == 0 && !w.draining &&
-		m.nowMS >= w.health.avoidUntilMS && m.nowMS-w.lastMS < silentMS
+		m.nowMS >= w.health.avoidUntilMS && m.heard(w)
 }
 
 // silentMS is how long a worker may be unheard of before it gets no new work.
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -71,6 +71,19 @@
 	return f.starts
 }
 
+// Looked returns the number of workers that an owner has spoken to.
+func (f *Fleet) Looked() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, w := range f.workers {
+		if w.fence > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Faults lists broken promises.
 func (f *Fleet) Faults() []string {
 	f.mu.Lock()
