--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -286,7 +286,7 @@
 		if c.applyChanges(known, changes) {
 			c.listWorkers(known)
 		}
-		if len(changes.Removed)+len(changes.Set) > 0 {
+		if len(changes.Removed)+len(changes.Set) > 0 && !changes.More {
 			c.pause(registryPause)
 		}
 	}
--- a/internal/app/owner/registry_test.go
+++ b/internal/app/owner/registry_test.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -48,3 +50,39 @@
 		})
 	}
 }
+
+// pagedRegistry has more changes than one answer holds.
+type pagedRegistry struct {
+	pages    int64
+	caughtUp chan struct{}
+}
+
+func (r *pagedRegistry) Workers(context.Context) ([]jobs.WorkerInfo, int, int64, error) {
+	return nil, 0, 0, nil
+}
+
+func (r *pagedRegistry) Changes(ctx context.Context, after int64, wait time.Duration) (port.RegistryChanges, error) {
+	if after == r.pages-1 {
+		close(r.caughtUp)
+	}
+	if after >= r.pages {
+		<-ctx.Done()
+		return port.RegistryChanges{}, ctx.Err()
+	}
+	return port.RegistryChanges{Removed: []domain.WorkerID{"w"}, Revision: after + 1, More: after+1 < r.pages}, nil
+}
+
+// Guards against an owner that falls behind the heartbeats of a large fleet:
+// with 500 entries an answer and a pause after each it learned 4.5 s late that
+// a worker drains.
+func TestRegistryCatchesUp(t *testing.T) {
+	registry := &pagedRegistry{pages: 12, caughtUp: make(chan struct{})}
+	c := newCellTest(t, 50*time.Millisecond)
+	c.registry = registry
+	c.start("a").owned(t)
+	select {
+	case <-registry.caughtUp:
+	case <-time.After(registryPause):
+		t.Errorf("%d answers took more than one pause of %v", registry.pages, registryPause)
+	}
+}
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -110,6 +110,8 @@
 	Set      []jobs.WorkerInfo
 	Removed  []domain.WorkerID
 	Revision int64
+	// More tells that further changes may be there already.
+	More bool
 	// Gap tells that changes were missed and the list has to be read again.
 	Gap bool
 }
