Send the list of instances with a greeting only when it has changed

Cause: each instance greets the owner every second and got the list of all instances back, so the owner sent 300 lists of 300 a second: 3.6 MB/s of the 5.0 MB/s of the busiest instance at 300 VMs, and most of what crossed regions.

A greeting now names the version of the list that the instance has, and the owner tells when to greet again: each second up to 100 instances, then less often, so that 100 greetings a second reach it.

Ruled out: looks (60 calls a second at 3,000 workers) and heartbeats of the registry (about 1 MB/s, which stay).

TestGreetingsOfManyInstances holds greetings at rest to a tenth of the 21 KB/s that the target permits; before, the replies were the lists.

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -106,8 +106,8 @@
 }
 
 // Hello implements port.OwnerCalls.
-func (p *peer) Hello(ctx context.Context, h port.Hello) ([]port.Hello, error) {
-	return call[[]port.Hello](ctx, p, pathHello, h)
+func (p *peer) Hello(ctx context.Context, h port.HelloCall) (port.HelloReply, error) {
+	return call[port.HelloReply](ctx, p, pathHello, h)
 }
 
 // approveCall asks an instance to ask the approval service.
--- a/internal/app/entry/directory.go
+++ b/internal/app/entry/directory.go
@@ -22,14 +22,24 @@
 	seat    owner.Seat
 	calls   port.OwnerCalls
 	changed chan struct{}
-	// instances lists the processes that the owner knew last.
-	instances []port.Hello
+	// instances lists the processes that the owner knew last, and listVersion is the list's version.
+	instances   []port.Hello
+	listVersion int64
 }
 
-func (d *Directory) setInstances(list []port.Hello) {
+func (d *Directory) setInstances(r port.HelloReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.instances = list
+	if r.Version != d.listVersion {
+		d.instances, d.listVersion = r.Instances, r.Version
+	}
+}
+
+// version returns the version of the list of instances.
+func (d *Directory) version() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listVersion
 }
 
 // Instances returns the processes that the owner knew last.
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -34,8 +34,9 @@
 	callTimeout = 2500 * time.Millisecond
 	// answerMargin is left of the caller's deadline for the answer's way.
 	answerMargin = 60 * time.Millisecond
-	// helloInterval is how often the owner hears of this instance.
-	helloInterval = time.Second
+	// helloTimeout bounds a greeting; helloRetry is the pause after one without an answer.
+	helloTimeout = time.Second
+	helloRetry   = time.Second
 	// waitingAge is how old a count of waiting jobs may be.
 	waitingAge = 300 * time.Millisecond
 	retryAfter = time.Second
@@ -75,23 +76,31 @@
 func (s *Service) Greet(ctx context.Context) {
 	for ctx.Err() == nil {
 		calls, changed := s.directory.Owner()
+		again := helloRetry
 		if calls != nil {
-			callCtx, cancel := context.WithTimeout(ctx, helloInterval)
-			if known, err := calls.Hello(callCtx, s.options.Self); err != nil {
-				s.metrics.Counter("owner.hello.failed").Inc(1)
-			} else {
-				s.directory.setInstances(known)
-			}
-			cancel()
+			again = s.greet(ctx, calls)
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-time.After(helloInterval):
+		case <-time.After(again):
 		}
 	}
 }
 
+// greet greets the owner once and returns when to do so again.
+func (s *Service) greet(ctx context.Context, calls port.OwnerCalls) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	reply, err := calls.Hello(ctx, port.HelloCall{Hello: s.options.Self, KnownVersion: s.directory.version()})
+	if err != nil {
+		s.metrics.Counter("owner.hello.failed").Inc(1)
+		return helloRetry
+	}
+	s.directory.setInstances(reply)
+	return time.Duration(reply.AgainMS) * time.Millisecond
+}
+
 // Call is an admitted call of a client.
 type Call struct {
 	Route *port.QueueRoute
--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -100,7 +100,7 @@
 	hello := func() {
 		for n := range instances {
 			name := fmt.Sprintf("r%d", n)
-			if _, err := cell.Hello(ctx, port.Hello{Instance: domain.InstanceID(name), Address: name, CPUMilli: 400}); err != nil {
+			if _, err := cell.Hello(ctx, port.HelloCall{Hello: port.Hello{Instance: domain.InstanceID(name), Address: name, CPUMilli: 400}}); err != nil {
 				return
 			}
 		}
--- a/internal/app/owner/relays.go
+++ b/internal/app/owner/relays.go
@@ -15,8 +15,15 @@
 
 // Figures of approval requests through other instances.
 const (
-	// relayExpiryMS is how long after its last word an instance is asked.
-	relayExpiryMS = 3500
+	// helloMS is the time between greetings of an instance; where there are many,
+	// it is such that helloPerSecond come to the owner, up to maxHelloMS.
+	helloMS        = 1000
+	maxHelloMS     = 4000
+	helloPerSecond = 100
+	// missedHellos is how many greetings an instance may miss before it is not asked any more.
+	missedHellos = 3.5
+	// versionBits of a version count the changes of the list within a reign.
+	versionBits = 32
 	// longApprovalMS divides requests: long ones leave some instances to the short.
 	longApprovalMS = 100
 	// maxRelayQueueMS bounds the requests that wait at one instance.
@@ -36,7 +43,16 @@
 	fails  int
 }
 
-type relays struct{ list []*relay }
+type relays struct {
+	list []*relay
+	// changes counts the changes of the list.
+	changes int64
+}
+
+// againMS is the time between greetings of an instance.
+func (r *relays) againMS() int64 {
+	return min(maxHelloMS, max(helloMS, int64(len(r.list))*1000/helloPerSecond))
+}
 
 // hello adds an instance or notes that it is there.
 func (r *relays) hello(h port.Hello, d PeerDirectory) {
@@ -47,6 +63,7 @@
 			return
 		}
 	}
+	r.changes++
 	r.list = append(r.list, &relay{hello: h, approver: d.Approver(h), lastMS: now})
 	slices.SortFunc(r.list, func(a, b *relay) int { return strings.Compare(a.hello.Address, b.hello.Address) })
 }
@@ -62,7 +79,9 @@
 }
 
 func (r *relays) expire(now int64) {
-	r.list = slices.DeleteFunc(r.list, func(k *relay) bool { return now-k.lastMS > relayExpiryMS })
+	before, expiryMS := len(r.list), int64(missedHellos*float64(r.againMS()))
+	r.list = slices.DeleteFunc(r.list, func(k *relay) bool { return now-k.lastMS > expiryMS })
+	r.changes += int64(before - len(r.list))
 }
 
 // choose returns the instance that will answer first.
--- /dev/null
+++ b/internal/app/owner/relays_test.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Guards against greetings whose cost at the owner grows with the square of
+// the instances: 300 instances that greeted each second and got the whole list
+// cost it 3.6 MB/s.
+func TestGreetingsOfManyInstances(t *testing.T) {
+	const instances = 300
+	c := newCellTest(t, 50*time.Millisecond)
+	cell := c.start("a").owned(t)
+	hello := func(n int, version int64) port.HelloReply {
+		name := fmt.Sprintf("front-%d", n)
+		r, err := cell.Hello(context.Background(), port.HelloCall{KnownVersion: version,
+			Hello: port.Hello{Instance: domain.InstanceID(name), Address: name + ":7500", CPUMilli: 400}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	var version int64
+	for n := range instances {
+		version = hello(n, 0).Version
+	}
+	var perSecond float64
+	for n := range instances {
+		r := hello(n, version)
+		raw, err := cbor.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		perSecond += float64(len(raw)) * 1000 / float64(r.AgainMS)
+	}
+	// The target permits 21 KB/s for all of control at a node.
+	if perSecond > 21_000/10 {
+		t.Errorf("greetings of %d instances cost %.0f B/s at rest, want at most a tenth of 21 KB/s", instances, perSecond)
+	}
+	if r := hello(instances, version); len(r.Instances) != instances+1 || r.Version == version {
+		t.Errorf("after another instance came, the reply has version %d and %d instances", r.Version, len(r.Instances))
+	}
+}
+
+// Guards against an instance that is known for ever, or forgotten between two greetings.
+func TestInstancesExpire(t *testing.T) {
+	for _, instances := range []int{2, 300} {
+		var r relays
+		for n := range instances {
+			r.hello(port.Hello{Address: fmt.Sprint(n)}, noPeers{})
+		}
+		born, again, changes := r.list[0].lastMS, r.againMS(), r.changes
+		if r.expire(born + 3*again); len(r.list) != instances {
+			t.Errorf("%d of %d instances are known after three greetings were missed", len(r.list), instances)
+		}
+		if r.expire(born + 4*again + 1000); len(r.list) != 0 || r.changes == changes {
+			t.Errorf("%d of %d instances are known after four greetings were missed", len(r.list), instances)
+		}
+	}
+}
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -149,9 +149,15 @@
 }
 
 // Hello implements port.OwnerCalls.
-func (c *Cell) Hello(ctx context.Context, h port.Hello) ([]port.Hello, error) {
-	return ask(ctx, c, func(reply func([]port.Hello, error)) {
-		c.relays.hello(h, c.peers)
-		reply(c.relays.known(steady.NowMS()), nil)
+func (c *Cell) Hello(ctx context.Context, h port.HelloCall) (port.HelloReply, error) {
+	return ask(ctx, c, func(reply func(port.HelloReply, error)) {
+		now := steady.NowMS()
+		c.relays.hello(h.Hello, c.peers)
+		c.relays.expire(now)
+		r := port.HelloReply{Version: c.reign.epoch<<versionBits + c.relays.changes, AgainMS: c.relays.againMS()}
+		if r.Version != h.KnownVersion {
+			r.Instances = c.relays.known(now)
+		}
+		reply(r, nil)
 	})
 }
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -55,6 +55,23 @@
 	CPUMilli int64 `cbor:"3,keyasint"`
 }
 
+// HelloCall greets the owner.
+type HelloCall struct {
+	Hello Hello `cbor:"1,keyasint"`
+	// KnownVersion is the version of the list of instances that the caller has.
+	KnownVersion int64 `cbor:"2,keyasint"`
+}
+
+// HelloReply answers a HelloCall.
+type HelloReply struct {
+	// Version is that of the owner's list of instances. Instances holds the list
+	// where the caller has another version.
+	Version   int64   `cbor:"1,keyasint"`
+	Instances []Hello `cbor:"2,keyasint,omitempty"`
+	// AgainMS is when to greet again.
+	AgainMS int64 `cbor:"3,keyasint"`
+}
+
 // OwnerCalls is what an instance asks of the owner of the cell. Calls return a
 // *NotOwnerError or an *OwnerUnreachableError.
 type OwnerCalls interface {
@@ -62,8 +79,8 @@
 	Cancel(ctx context.Context, c JobCall) (CancelReply, error)
 	State(ctx context.Context, c JobCall) (StateReply, error)
 	Waiting(ctx context.Context, queue domain.QueueID) (int, error)
-	// Hello returns the instances that the owner knows.
-	Hello(ctx context.Context, h Hello) ([]Hello, error)
+	// Hello tells the owner that the instance is there, and returns the others.
+	Hello(ctx context.Context, h HelloCall) (HelloReply, error)
 }
 
 // NotOwnerError tells that the instance does not own the cell. The call had no effect.
