Look at the workers of a zone from that zone

Greetings name the zone of the VM; workers are divided among the instances of their zone, or among any where the zone has none. TestLookGroupsFollowZones.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -63,7 +63,8 @@
 		looks:      make(map[domain.WorkerID]*look),
 		acked:      make(map[domain.WorkerID]int64),
 		processed:  make(map[domain.WorkerID]int64),
-		groups:     lookGroups{most: o.options.DirectWorkers, byHost: make(map[port.Hello]*lookGroup)},
+		groups: lookGroups{most: o.options.DirectWorkers, byHost: make(map[port.Hello]*lookGroup),
+			byZone: make(map[domain.ZoneID][]*lookGroup)},
 	}
 	c.confirmedMS.Store(r.claimedMS + r.ttl.Milliseconds())
 	for i := range writeLanes {
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -85,9 +85,11 @@
 // owner's own calls then grow with the ends of tasks, not with the workers.
 type lookGroups struct {
 	// most is the number of workers up to which the owner looks at all itself.
-	most    int
-	byHost  map[port.Hello]*lookGroup
-	current []*lookGroup
+	most   int
+	byHost map[port.Hello]*lookGroup
+	// byZone holds the groups in use by zone, and any those for other zones.
+	byZone map[domain.ZoneID][]*lookGroup
+	any    []*lookGroup
 	// probes counts the looks under way from here at workers that did not answer
 	// the one before, and direct the others.
 	direct, probes int
@@ -120,15 +122,22 @@
 	return min(lookWait, max(wait, minDirectWait))
 }
 
-// arrange chooses the instances for the fleet's size. Larger VMs come first.
-func (g *lookGroups) arrange(workers int, own string, known []port.Hello, relays func(port.Hello) port.LookRelay, now int64) {
-	g.current = g.current[:0]
+// arrange chooses the instances for the fleet's size. The workers of a zone are
+// looked at from that zone, which saves ways between regions, or from any
+// instance where the zone has none. Larger VMs come first.
+func (g *lookGroups) arrange(workers map[domain.ZoneID]int, own string, known []port.Hello, relays func(port.Hello) port.LookRelay, now int64) {
+	g.any = g.any[:0]
+	clear(g.byZone)
 	for h, group := range g.byHost {
 		if group.calls == 0 && !slices.Contains(known, h) {
 			delete(g.byHost, h)
 		}
 	}
-	if workers <= g.most {
+	total := 0
+	for _, n := range workers {
+		total += n
+	}
+	if total <= g.most {
 		return
 	}
 	hosts := slices.DeleteFunc(slices.Clone(known), func(h port.Hello) bool {
@@ -138,23 +147,38 @@
 	slices.SortFunc(hosts, func(a, b port.Hello) int {
 		return cmp.Or(cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(a.Address, b.Address))
 	})
-	hosts = hosts[:min(len(hosts), (workers+workersPerRelay-1)/workersPerRelay)]
 	for _, h := range hosts {
+		wanted := len(g.any) < relaysFor(total)
+		wantedHere := len(g.byZone[h.Zone]) < relaysFor(workers[h.Zone])
+		if !wanted && !wantedHere {
+			continue
+		}
 		group, ok := g.byHost[h]
 		if !ok {
 			group = &lookGroup{hello: h, relay: relays(h)}
 			g.byHost[h] = group
 		}
-		g.current = append(g.current, group)
+		if wanted {
+			g.any = append(g.any, group)
+		}
+		if wantedHere {
+			g.byZone[h.Zone] = append(g.byZone[h.Zone], group)
+		}
 	}
 }
 
+func relaysFor(workers int) int { return (workers + workersPerRelay - 1) / workersPerRelay }
+
 // of returns the group of a worker, nil where the owner looks at it itself.
 func (g *lookGroups) of(l *look) *lookGroup {
-	if len(g.current) == 0 {
+	groups := g.byZone[l.zone]
+	if len(groups) == 0 {
+		groups = g.any
+	}
+	if len(groups) == 0 {
 		return nil
 	}
-	return g.current[l.hash%uint32(len(g.current))]
+	return groups[l.hash%uint32(len(groups))]
 }
 
 func hashWorker(id domain.WorkerID) uint32 {
@@ -172,12 +196,16 @@
 	known, heard := c.machine.WorkersHeard()
 	c.metrics.Gauge("workers.known").Update(int64(known))
 	c.metrics.Gauge("workers.heard").Update(int64(heard))
-	c.groups.arrange(len(c.looks), c.options.Address, c.relays.known(now), c.peers.Looks, now)
+	workers := make(map[domain.ZoneID]int)
+	for _, l := range c.looks {
+		workers[l.zone]++
+	}
+	c.groups.arrange(workers, c.options.Address, c.relays.known(now), c.peers.Looks, now)
 }
 
 // sendGroups sends the looks that sendLooks has collected.
 func (c *Cell) sendGroups(now int64) {
-	for _, g := range c.groups.current {
+	for _, g := range c.groups.byHost {
 		if len(g.next) == 0 {
 			continue
 		}
--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -234,3 +234,34 @@
 		t.Errorf("%d looks at workers that had not answered were under way at once, want at most %d", worst, maxProbes)
 	}
 }
+
+// Guards against looks that cross regions although the worker's zone has an
+// instance, and against workers that nobody looks at since it has none.
+func TestLookGroupsFollowZones(t *testing.T) {
+	g := lookGroups{most: 10, byHost: make(map[port.Hello]*lookGroup), byZone: make(map[domain.ZoneID][]*lookGroup)}
+	hosts := []port.Hello{{Address: "own", Zone: "a", CPUMilli: 900}, {Address: "a1", Zone: "a", CPUMilli: 400}, {Address: "a2", Zone: "a", CPUMilli: 800},
+		{Address: "b1", Zone: "b", CPUMilli: 200}}
+	peers := &fakePeers{faults: make(map[domain.InstanceID]relayFault)}
+	workers := map[domain.ZoneID]int{"a": workersPerRelay, "b": 2 * workersPerRelay, "c": 5}
+	g.arrange(workers, "own", hosts, peers.Looks, 0)
+	for _, c := range []struct {
+		zone domain.ZoneID
+		want string
+	}{{"a", "a2"}, {"b", "b1"}} {
+		if got := g.of(&look{zone: c.zone}); got == nil || got.hello.Address != c.want {
+			t.Errorf("workers of zone %s are looked at by %+v, want %s", c.zone, got, c.want)
+		}
+	}
+	if g.of(&look{zone: "c"}) == nil {
+		t.Error("workers of a zone without an instance are looked at by none")
+	}
+	g.byHost[hosts[2]].pausedMS = 10
+	g.arrange(workers, "own", hosts, peers.Looks, 5)
+	if got := g.of(&look{zone: "a"}); got == nil || got.hello.Address != "a1" {
+		t.Errorf("while a2 is paused, its workers are looked at by %+v, want a1", got)
+	}
+	g.arrange(map[domain.ZoneID]int{"a": 10}, "own", hosts, peers.Looks, 5)
+	if g.of(&look{zone: "a"}) != nil {
+		t.Error("a small fleet is looked at through other instances")
+	}
+}
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -18,6 +18,7 @@
 type look struct {
 	id        domain.WorkerID
 	address   string
+	zone      domain.ZoneID
 	underWay  bool
 	notBefore int64
 	sentMS    int64
@@ -40,7 +41,7 @@
 		l = &look{id: w.ID, hash: hashWorker(w.ID)}
 		c.looks[w.ID] = l
 	}
-	l.address = w.Address
+	l.address, l.zone = w.Address, w.Zone
 }
 
 // sendLooks starts the looks that are due. A look acknowledges only ends whose
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -114,7 +114,7 @@
 	i.store = relay
 	i.config = entry.NewConfigKeeper(a.Config(relay), log, i.configChanged)
 	trust := time.Duration(float64(s.Bounds.RevokeMS)*keyTrustShare) * time.Millisecond
-	self := port.Hello{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000)}
+	self := port.Hello{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000), Zone: s.Zone}
 	i.service = entry.NewService(entry.Options{Self: self, KeyTrust: trust}, i.config, i.directory, relay, log, i.metrics)
 	lease := min(workerLease, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -53,6 +53,8 @@
 	Address  string            `cbor:"2,keyasint"`
 	// CPUMilli is the processor time of the instance's VM in thousandths of a core.
 	CPUMilli int64 `cbor:"3,keyasint"`
+	// Zone is the availability zone of the VM.
+	Zone domain.ZoneID `cbor:"4,keyasint"`
 }
 
 // HelloCall greets the owner.
