--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -61,6 +61,8 @@
 	r.peers.mu.Unlock()
 	relay := lookrelay.New(r.peers.workers, metrics.New())
 	switch fault {
+	case relayWorks:
+		return relay.Looks(ctx, looks, deliver)
 	case relayDead:
 		return errRelay
 	case relaySilent:
@@ -77,9 +79,8 @@
 		if err := relay.Looks(ctx, looks[:len(looks)/2], deliver); err != nil {
 			return err
 		}
-		return errRelay
 	}
-	return relay.Looks(ctx, looks, deliver)
+	return errRelay
 }
 
 // ownLooks counts the looks that the owner makes itself.
