Read the sequence beside the grant of a claim's lease

The takeover made its store calls one after the other.

The read of the sequence now goes out with the grant; the claim's condition on its revision still detects a change. The lease's time was also counted from the grant's answer although the lease runs from the call's arrival, so an owner that never renewed could hold itself confirmed for the length of the answer's way too long. It is counted from before the call now.

The other calls of a takeover still follow each other.

--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -38,16 +38,30 @@
 	return c, nil
 }
 
+// sequenceRead is the answer to a read of the sequence.
+type sequenceRead struct {
+	entry port.Entry
+	err   error
+}
+
 // claim takes the cell. Former is the revision of the claim to replace; zero
 // means that there must be none.
 func (o *Owner) claim(ctx context.Context, former int64) (*reign, error) {
+	// The lease runs from the arrival of the call. The sequence is read at the
+	// same time, since a slow store makes each call a part of the takeover.
+	sentMS := steady.NowMS()
+	reads := make(chan sequenceRead, 1)
+	go func() {
+		entry, err := o.store.Get(ctx, sequenceKey)
+		reads <- sequenceRead{entry, err}
+	}()
 	lease, ttl, err := o.store.GrantLease(ctx, o.options.ClaimTTL)
 	if err != nil {
 		return nil, err
 	}
 	r := &reign{lease: lease, ttl: ttl, token: newToken(), epoch: 1}
-	sentMS := steady.NowMS()
-	entry, err := o.store.Get(ctx, sequenceKey)
+	read := <-reads
+	entry, err := read.entry, read.err
 	var missing *port.NotFoundError
 	if err != nil && !errors.As(err, &missing) {
 		return nil, err
