--- a/internal/celld/metrics.go
+++ b/internal/celld/metrics.go
@@ -36,7 +36,8 @@
 // summaryInterval is how often the counters are written to the log, for deployments without a scraper.
 const summaryInterval = 10 * time.Second
 
-// summarize writes the counters that are not zero until ctx ends.
+// summarize writes the counters that are not zero, and the 99th percentile of
+// each timer, until ctx ends.
 func (i *Instance) summarize(ctx context.Context) {
 	ticker := time.NewTicker(summaryInterval)
 	defer ticker.Stop()
@@ -55,7 +56,7 @@
 				}
 			case gometrics.Timer:
 				if v.Count() > 0 {
-					fields = append(fields, zap.Int64(name, v.Count()))
+					fields = append(fields, zap.Int64(name, v.Count()), zap.Float64(name+".p99_ms", v.Percentile(0.99)/1e6))
 				}
 			}
 		})
