Refuse amounts that do not fit on the command line

--cpu 1e308 was sent as - thousandths, and refused by the server with that number. Amounts that are no number, are not finite or exceed 1e15 are refused with the remedy now. TestAmounts fails before (9 amounts).

--- a/internal/cli/units.go
+++ b/internal/cli/units.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"math"
 	"strconv"
 	"strings"
 
@@ -22,14 +23,28 @@
 		*c = CPU(n)
 		return nil
 	}
-	cores, err := strconv.ParseFloat(s, 64)
-	if err != nil {
+	n, ok := scaled(s, 1000)
+	if !ok {
 		return errors.Newf("%q is not an amount of processor time, write cores such as 2.5 or thousandths such as 500m", s)
 	}
-	*c = CPU(cores * 1000)
+	*c = CPU(n)
 	return nil
 }
 
+// maxAmount is the largest amount that is read, in the unit that is sent. Up to
+// it a number with a fraction is exact to the whole unit.
+const maxAmount = 1e15
+
+// scaled reads a number and multiplies it. It reports false for what is no
+// number or does not fit.
+func scaled(text string, factor float64) (int64, bool) {
+	n, err := strconv.ParseFloat(text, 64)
+	if n *= factor; err != nil || !(math.Abs(n) <= maxAmount) {
+		return 0, false
+	}
+	return int64(n), true
+}
+
 // Memory is an amount of memory in megabytes, written with a unit: "512MB", "4GB".
 type Memory int64
 
@@ -44,11 +59,11 @@
 		if !ok {
 			continue
 		}
-		n, err := strconv.ParseFloat(number, 64)
-		if err != nil {
+		n, ok := scaled(number, unit.factor)
+		if !ok {
 			break
 		}
-		*m = Memory(n * unit.factor)
+		*m = Memory(n)
 		return nil
 	}
 	return errors.Newf("%q is not an amount of memory, write megabytes such as 512MB or gigabytes such as 4GB", s)
