--- a/internal/core/sched/submit.go
+++ b/internal/core/sched/submit.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -57,7 +56,7 @@
 
 func (m *Machine) resubmitted(j *job, team domain.TeamID, spec domain.JobSpec) Result {
 	if j.Team != team || !sameSpec(j.Spec, spec) {
-		return Result{Err: refusal.New(http.StatusConflict, refusal.IdempotencyMismatch,
+		return Result{Err: refusal.OfJob(refusal.IdempotencyMismatch,
 			"the job ID or idempotency key was used for a different job",
 			"use a new idempotency_key for a new job, or repeat the job unchanged")}
 	}
@@ -78,11 +77,11 @@
 	}
 	t := m.team(id)
 	if !t.known {
-		return refusal.New(http.StatusForbidden, refusal.TeamUnknown,
+		return refusal.OfJob(refusal.TeamUnknown,
 			fmt.Sprintf("team %q is not in the table", id), "ask the operators for a key of a current team")
 	}
 	if len(m.open)-m.openEnded >= m.cfg.MaxJobs {
-		return refusal.New(http.StatusTooManyRequests, refusal.QueueFull,
+		return refusal.OfJob(refusal.QueueFull,
 			fmt.Sprintf("the partition holds %d jobs", m.cfg.MaxJobs), "submit again later").After(queueFullRetry)
 	}
 	need := spec.Resources
@@ -90,7 +89,7 @@
 		need = need.Scale(int64(spec.Tasks))
 	}
 	if !need.Fits(t.limit) {
-		return refusal.New(http.StatusUnprocessableEntity, refusal.LimitTooSmall,
+		return refusal.OfJob(refusal.LimitTooSmall,
 			fmt.Sprintf("the job needs %s at once, the team's limit is %s", shape(need), shape(t.limit)),
 			"make resources or tasks smaller, or ask the operators for a larger limit")
 	}
@@ -99,7 +98,7 @@
 
 func (m *Machine) checkSpec(spec domain.JobSpec) *refusal.Refusal {
 	invalid := func(message, remedy string) *refusal.Refusal {
-		return refusal.New(http.StatusBadRequest, refusal.InvalidRequest, message, remedy)
+		return refusal.OfJob(refusal.InvalidRequest, message, remedy)
 	}
 	switch {
 	case spec.Tasks < 1 || spec.Tasks > m.cfg.MaxTasksPerJob:
@@ -132,7 +131,7 @@
 	if !errors.As(err, &none) || !none.Never {
 		return nil
 	}
-	return refusal.New(http.StatusUnprocessableEntity, refusal.NeverFits,
+	return refusal.OfJob(refusal.NeverFits,
 		what+" fits no worker of the partition even when it is empty",
 		"the nearest shape that fits is "+shape(none.Nearest)+" for each task")
 }
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -84,6 +84,22 @@
 	return &Refusal{Reason: reason, Message: message, Remedy: remedy, NotRun: true, Status: status}
 }
 
+// jobStatus maps the reasons for which a scheduler refuses jobs, so that
+// decisions need not know how they are carried.
+var jobStatus = map[Reason]int{
+	InvalidRequest:      http.StatusBadRequest,
+	TeamUnknown:         http.StatusForbidden,
+	IdempotencyMismatch: http.StatusConflict,
+	LimitTooSmall:       http.StatusUnprocessableEntity,
+	NeverFits:           http.StatusUnprocessableEntity,
+	QueueFull:           http.StatusTooManyRequests,
+}
+
+// OfJob returns a refusal of a job that did not run, with the status of its reason.
+func OfJob(reason Reason, message, remedy string) *Refusal {
+	return New(jobStatus[reason], reason, message, remedy)
+}
+
 // Unknown returns a refusal of work that may have run.
 func Unknown(status int, reason Reason, message, remedy string) *Refusal {
 	return &Refusal{Reason: reason, Message: message, Remedy: remedy, Status: status}
