Claim a cell that a watch has shown to be free without listing it

A standby's watch told that the claim had ended, and the standby then listed the claim before it claimed. The claim's condition, that there is none, tells the same.

TestSuccessorClaimsAtOnce fails before (one list).

--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -41,18 +41,20 @@
 			o.pause(ctx, claimRetry)
 			continue
 		}
-		if current == nil || sameVM(current, o.options.Instance, o.options.Address) {
-			// A claim of this address is that of a process that has ended.
-			publish(Seat{})
-			delay := o.options.ClaimDelay()
-			if o.pause(ctx, delay+rand.N(claimJitter)); delay > 0 && o.claimedByOther(ctx, revision) {
+		if current != nil && !sameVM(current, o.options.Instance, o.options.Address) {
+			publish(Seat{Claim: current})
+			if !o.awaitChange(ctx, after) {
 				continue
 			}
-			o.tryReign(ctx, revision, config, publish)
+			revision = 0
+		}
+		// The cell is free, or its claim is that of a process of this address that has ended.
+		publish(Seat{})
+		delay := o.options.ClaimDelay()
+		if o.pause(ctx, delay+rand.N(claimJitter)); delay > 0 && o.claimedByOther(ctx, revision) {
 			continue
 		}
-		publish(Seat{Claim: current})
-		o.awaitChange(ctx, after)
+		o.tryReign(ctx, revision, config, publish)
 	}
 }
 
@@ -63,19 +65,22 @@
 	return err == nil && now != revision
 }
 
-// awaitChange returns once the claim may have changed.
-func (o *Owner) awaitChange(ctx context.Context, after int64) {
+// awaitChange returns once the claim may have changed, and reports whether it
+// is known to have ended. The claim's condition still finds one made since, so
+// it need not be listed first.
+func (o *Owner) awaitChange(ctx context.Context, after int64) (ended bool) {
 	for ctx.Err() == nil {
-		changed, revision, err := WatchClaim(ctx, o.store, after, claimWatchWait)
+		change, revision, err := WatchClaim(ctx, o.store, after, claimWatchWait)
 		if err != nil {
 			o.pause(ctx, claimRetry)
 			continue
 		}
-		if changed {
-			return
+		if change != ClaimKept {
+			return change == ClaimEnded
 		}
 		after = revision
 	}
+	return false
 }
 
 // tryReign claims the cell and runs it until the reign ends.
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -188,21 +188,37 @@
 	return nil, 0, revision, nil
 }
 
-// WatchClaim waits for a change of the claim. Changed is false where there was none.
-func WatchClaim(ctx context.Context, store port.LeaseStore, after int64, wait time.Duration) (changed bool, revision int64, err error) {
+// ClaimChange is what a watch of the claim has seen.
+type ClaimChange int
+
+// Changes of the claim.
+const (
+	ClaimKept ClaimChange = iota
+	// ClaimChanged tells that the claim may be another one.
+	ClaimChanged
+	// ClaimEnded tells that there was no claim at the last change.
+	ClaimEnded
+)
+
+// WatchClaim waits for a change of the claim.
+func WatchClaim(ctx context.Context, store port.LeaseStore, after int64, wait time.Duration) (change ClaimChange, revision int64, err error) {
 	got, err := store.Watch(ctx, ownerKey, after, wait)
 	if err != nil {
-		return false, after, err
+		return ClaimKept, after, err
 	}
 	if got.Gap {
-		return true, after, nil
+		return ClaimChanged, after, nil
 	}
 	for _, e := range got.Events {
-		if e.Entry.Key == ownerKey {
-			return true, got.Revision, nil
+		switch {
+		case e.Entry.Key != ownerKey:
+		case e.Deleted:
+			change = ClaimEnded
+		default:
+			change = ClaimChanged
 		}
 	}
-	return false, got.Revision, nil
+	return change, got.Revision, nil
 }
 
 // Instance names of claims are compared to find a former process of this VM.
--- a/internal/app/owner/claim_test.go
+++ b/internal/app/owner/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,3 +56,38 @@
 		t.Error("the sequence is read only once the lease was granted")
 	}
 }
+
+// countedLists counts the lists of the claim.
+type countedLists struct {
+	*leasestore.Store
+	lists atomic.Int64
+}
+
+func (s *countedLists) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+	if prefix == ownerKey {
+		s.lists.Add(1)
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+// Guards against a successor that reads the claim again although its watch has
+// told that it ended: with a slow store each call is a part of the takeover.
+func TestSuccessorClaimsAtOnce(t *testing.T) {
+	c := newCellTest(t, 50*time.Millisecond)
+	a := c.start("a")
+	a.owned(t)
+	counted := &countedLists{Store: c.store}
+	c.claimStore = counted
+	b := c.start("b")
+	// The successor has listed the claim and watches it.
+	for deadline := time.Now().Add(5 * time.Second); counted.lists.Load() == 0 && time.Now().Before(deadline); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	before := counted.lists.Load()
+	a.stop()
+	b.owned(t)
+	if n := counted.lists.Load() - before; n > 0 {
+		t.Errorf("the successor listed the claim %d times after it had ended", n)
+	}
+}
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -48,6 +48,7 @@
 
 	workers       port.WorkerCalls
 	registry      port.WorkerRegistry
+	claimStore    port.LeaseStore
 	peers         PeerDirectory
 	directWorkers int
 }
@@ -79,6 +80,10 @@
 		fixed = append(fixed, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", BornMS: 1,
 			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
 	}
+	var store port.LeaseStore = c.store
+	if c.claimStore != nil {
+		store = c.claimStore
+	}
 	registry := c.registry
 	if registry == nil {
 		registry = fixed
@@ -87,7 +92,7 @@
 		DirectWorkers: c.directWorkers, ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
 		Machine: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
 			RetentionMS: 60_000, FarFactor: 2}},
-		Ports{Store: c.store, Workers: c.workers, Registry: registry, Peers: c.peers}, zap.NewNop(), metrics.New())
+		Ports{Store: store, Workers: c.workers, Registry: registry, Peers: c.peers}, zap.NewNop(), metrics.New())
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{stop: stop, done: make(chan struct{}), seats: make(chan Seat, 64)}
 	config := &port.CellConfig{Version: 1, Routes: []port.QueueRoute{{Queue: c.queue}}}
