--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -22,9 +22,13 @@
 	"auburnpier/internal/settings"
 )
 
-// writeCertificate writes a certificate for the loopback address that is its own CA.
+// writeCertificate writes a certificate for the loopback address of this process that is its own CA.
 func (c *cell) writeCertificate() {
 	c.t.Helper()
+	host, _, err := net.SplitHostPort(c.freeAddress())
+	if err != nil {
+		c.t.Fatal(err)
+	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		c.t.Fatal(err)
@@ -33,7 +37,7 @@
 		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
 		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{net.ParseIP(host)},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
 	if err != nil {
