Count what a team may run on workers that have not reported against its limit

Jobs of the former owner wait until its workers have reported; new jobs did not, and what the team's old tasks ran on workers not heard of yet counted for nothing.

Until all of these workers have reported or their leases are over, a team's recovered tasks that are not accounted for count against its limit, up to the capacity of those workers.

TestLimitCountsUnseenTasks fails before (2 starts, 1 and 0 permitted).

--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -35,7 +35,7 @@
 		}
 	}
 	total := s.spec.Need.Scale(int64(s.open))
-	if !j.team.withinLimit(total) && !(j.team.used.IsZero() && j.team.fitsAlone(total, m.cfg.LimitOvershoot)) {
+	if !j.team.withinLimit(total) && !(j.team.used.IsZero() && j.team.unseen.IsZero() && j.team.fitsAlone(total, m.cfg.LimitOvershoot)) {
 		s.waitReason = waitTeamLimit
 		if !total.Fits(j.team.Limit) {
 			// It starts once the team runs nothing else, so nothing else is started.
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -226,6 +226,9 @@
 type team struct {
 	Team
 	used domain.Resources
+	// unseen bounds what else the team's tasks may run on workers of the former
+	// owner that have not reported.
+	unseen domain.Resources
 	// tokens counts the jobs that the team may hand in at once within its weight.
 	tokens   float64
 	tokensMS int64
@@ -234,7 +237,7 @@
 
 // withinLimit reports whether the team may start a task of that size.
 func (t *team) withinLimit(need domain.Resources) bool {
-	after := t.used.Add(need)
+	after := t.used.Add(t.unseen).Add(need)
 	return within(after.CPUMilli, t.Limit.CPUMilli) && within(after.MemoryMB, t.Limit.MemoryMB) &&
 		within(after.Accelerators, t.Limit.Accelerators)
 }
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -283,3 +283,52 @@
 		t.Fatal("a run is kept at a worker that does not answer, after its lease")
 	}
 }
+
+// Guards against a team that exceeds its limit after a takeover: what its tasks
+// run on workers that have not reported yet counts, also for new jobs.
+func TestLimitCountsUnseenTasks(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 10_000}
+	size := domain.Resources{CPUMilli: 4000, MemoryMB: 4000}
+	limit := domain.Resources{CPUMilli: 4000}
+	for _, c := range []struct {
+		name string
+		gang bool
+		team domain.TeamID
+		// reported tells that the worker with the old tasks has reported.
+		reported bool
+		starts   int
+	}{
+		{"unseen", false, "limited", false, 1},
+		{"unseen, gang", true, "limited", false, 0},
+		{"seen", false, "limited", true, 1},
+		{"team without limit", false, "free", false, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			teams := []Team{{ID: "limited", Limit: limit}, {ID: "free"}}
+			m := New(testConfig(), 0, 0)
+			m.Configure([]Queue{*q}, teams)
+			old := Spec{Steps: []StepSpec{{Tasks: 3, Need: domain.Resources{CPUMilli: 1000, MemoryMB: 1}, EstimateMS: 100}}}
+			m.Submit("old", q, "limited", &old)
+			next := successor(t, m)
+			next.Configure([]Queue{*q}, teams)
+			next.SuspectWorkers([]domain.WorkerID{"w", "silent"})
+			next.ListWorkers([]WorkerInfo{{ID: "w", Address: "10.0.0.1:1", Service: "svc", Capacity: size, BornMS: 1},
+				{ID: "silent", Address: "10.0.0.2:1", Service: "svc", Capacity: size, BornMS: 1}})
+			report(next, nil)
+			if c.reported {
+				var running []RunReport
+				for i := range 3 {
+					running = append(running, RunReport{Task: TaskID{Job: "old", Index: i}, Run: 1})
+				}
+				next.Report(WorkerReport{Worker: "silent", BornMS: 1, SentMS: next.nowMS, ReceivedMS: next.nowMS, ClockMS: next.nowMS, Running: running})
+			}
+			fresh := Spec{Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 1000, MemoryMB: 1}, EstimateMS: 100, Gang: c.gang}}}
+			next.Submit("new", q, c.team, &fresh)
+			storeAll(t, next)
+			next.Schedule()
+			if starts := len(next.Drain().Starts); starts != c.starts {
+				t.Errorf("%d starts, want %d", starts, c.starts)
+			}
+		})
+	}
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -80,6 +80,7 @@
 	for _, w := range m.order {
 		w.held = domain.Resources{}
 	}
+	m.countUnseen()
 	blocked := make(map[*team]bool)
 	for _, s := range slices.Clone(m.ready) {
 		if s.ready {
@@ -133,6 +134,44 @@
 	)
 }
 
+// countUnseen bounds what each team may run on workers that have not reported
+// since the takeover: no more than its recovered tasks that are not accounted
+// for, and no more than those workers hold.
+func (m *Machine) countUnseen() {
+	for _, t := range m.teams {
+		t.unseen = domain.Resources{}
+	}
+	if len(m.suspects) == 0 {
+		return
+	}
+	for _, s := range m.ready {
+		if j := s.job; j.recovered && !j.state.Terminal() {
+			j.team.unseen = j.team.unseen.Add(s.spec.Need.Scale(int64(s.waiting)))
+		}
+	}
+	room := m.suspectRoom()
+	for _, t := range m.teams {
+		t.unseen = t.unseen.Min(room)
+	}
+}
+
+// suspectRoom is the capacity of the workers that have not reported. One that is
+// not listed any more counts as the largest worker.
+func (m *Machine) suspectRoom() domain.Resources {
+	var room, largest domain.Resources
+	for _, w := range m.order {
+		largest = largest.Max(w.capacity)
+	}
+	for id := range m.suspects {
+		if w, ok := m.workers[id]; ok {
+			room = room.Add(w.capacity)
+			continue
+		}
+		room = room.Add(largest)
+	}
+	return room
+}
+
 // placeStep places what it can of one step and asks for approvals.
 func (m *Machine) placeStep(s *step, blocked map[*team]bool) {
 	j := s.job
