Wait for a time or the end of a context in one function

Five packages had it as sleep or pause, the owner and the entry had five more, and storeguard had it inside its backoff. internal/ctxtime.Sleep serves all.

the owner release their timers at once now, as the others did. No other change of behaviour; the tests of the packages pass.

--- a/internal/adapter/storeguard/guard.go
+++ b/internal/adapter/storeguard/guard.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 )
@@ -178,12 +179,5 @@
 // pause waits before the next attempt. It returns false when ctx ends first.
 func pause(ctx context.Context, attempt int) bool {
 	backoff := min(backoffMin<<min(attempt-1, 8), backoffMax)
-	timer := time.NewTimer(backoff/2 + rand.N(backoff))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return ctxtime.Sleep(ctx, backoff/2+rand.N(backoff))
 }
--- a/internal/app/allotment/cell_test.go
+++ b/internal/app/allotment/cell_test.go
@@ -10,6 +10,7 @@
 
 	"auburnpier/internal/app/sharedwatch"
 	"auburnpier/internal/core/allot"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -168,7 +169,7 @@
 				n.cell.mu.Unlock()
 			}
 		}
-		sleep(ctx, 500*time.Millisecond)
+		ctxtime.Sleep(ctx, 500*time.Millisecond)
 	}
 }
 
--- a/internal/app/allotment/ledger.go
+++ b/internal/app/allotment/ledger.go
@@ -13,6 +13,7 @@
 
 	"auburnpier/internal/app/sharedwatch"
 	"auburnpier/internal/core/allot"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -129,7 +130,7 @@
 			return ctx.Err()
 		case <-pause.C:
 		case <-l.poke:
-			if wait := l.untilNextWrite(); wait > 0 && !sleep(ctx, wait) {
+			if wait := l.untilNextWrite(); wait > 0 && !ctxtime.Sleep(ctx, wait) {
 				return ctx.Err()
 			}
 		}
@@ -145,17 +146,6 @@
 	return round - l.clock.Now().Sub(l.lastWrite)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (l *Ledger) wake() {
 	select {
 	case l.poke <- struct{}{}:
--- a/internal/app/allotment/reclaim.go
+++ b/internal/app/allotment/reclaim.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnpier/internal/core/allot"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
@@ -107,7 +108,7 @@
 	if err := r.barEverywhere(ctx, instance, holder); err != nil {
 		return err
 	}
-	if !sleep(ctx, reclaimWait+r.inFlight) {
+	if !ctxtime.Sleep(ctx, reclaimWait+r.inFlight) {
 		return ctx.Err()
 	}
 	return r.each(ctx, func(l *Ledger) error { return l.reclaim(ctx, holder) })
@@ -157,7 +158,7 @@
 		if err == nil || errors.Is(err, ErrOtherRegion) {
 			return err
 		}
-		if !sleep(ctx, attemptPause) {
+		if !ctxtime.Sleep(ctx, attemptPause) {
 			return errors.CombineErrors(ctx.Err(), err)
 		}
 	}
--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
@@ -66,7 +67,7 @@
 		config, revision, err := k.source.Read(ctx)
 		var missing *port.NotFoundError
 		if err != nil && !errors.As(err, &missing) {
-			k.pause(ctx)
+			ctxtime.Sleep(ctx, configRetry)
 			continue
 		}
 		if err == nil {
@@ -82,7 +83,7 @@
 		sentMS := steady.NowMS()
 		next, now, gap, err := k.source.Changed(ctx, revision, configWait)
 		if err != nil {
-			k.pause(ctx)
+			ctxtime.Sleep(ctx, configRetry)
 			continue
 		}
 		if gap {
@@ -99,13 +100,6 @@
 	}
 }
 
-func (k *ConfigKeeper) pause(ctx context.Context) {
-	select {
-	case <-time.After(configRetry):
-	case <-ctx.Done():
-	}
-}
-
 // apply puts a configuration in force unless a newer one is.
 func (k *ConfigKeeper) apply(c *port.CellConfig) {
 	old := k.current.Load()
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -11,6 +11,7 @@
 
 	"auburnpier/internal/app/owner"
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -249,10 +250,7 @@
 	if notDone(err) {
 		return calls
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(queryRetry):
-	}
+	ctxtime.Sleep(ctx, queryRetry)
 	return nil
 }
 
@@ -303,10 +301,8 @@
 			}
 			return r.State, nil
 		}
-		select {
-		case <-ctx.Done():
+		if !ctxtime.Sleep(ctx, queryRetry) {
 			return 0, s.reject(NoOwner, retryAfter, "neither the owner nor the store answers, come back")
-		case <-time.After(queryRetry):
 		}
 	}
 }
--- a/internal/app/journal/log.go
+++ b/internal/app/journal/log.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -100,8 +101,8 @@
 			return err
 		}
 		l.metrics.Retried(retryReason(err))
-		if err := sleep(ctx, jitter(delay)); err != nil {
-			return err
+		if !ctxtime.Sleep(ctx, jitter(delay)) {
+			return &port.UnavailableError{Op: "retry", Err: ctx.Err()}
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
@@ -133,17 +134,6 @@
 	return d/2 + rand.N(d/2+1)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return &port.UnavailableError{Op: "retry", Err: ctx.Err()}
-	case <-t.C:
-		return nil
-	}
-}
-
 // Confirm reads the slot of the next group. It returns nil where this owner is
 // still the last one, a *DeposedError where a successor wrote there, or a
 // store error where neither is known.
--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/port"
 )
 
@@ -38,7 +39,7 @@
 	for ctx.Err() == nil {
 		current, revision, after, err := FindClaim(ctx, o.store)
 		if err != nil {
-			o.pause(ctx, claimRetry)
+			ctxtime.Sleep(ctx, claimRetry)
 			continue
 		}
 		if current != nil && !sameVM(current, o.options.Instance, o.options.Address) {
@@ -51,7 +52,7 @@
 		// The cell is free, or its claim is that of a process of this address that has ended.
 		publish(Seat{})
 		delay := o.options.ClaimDelay()
-		if o.pause(ctx, delay+rand.N(claimJitter)); delay > 0 && o.claimedByOther(ctx, revision) {
+		if ctxtime.Sleep(ctx, delay+rand.N(claimJitter)); delay > 0 && o.claimedByOther(ctx, revision) {
 			continue
 		}
 		o.tryReign(ctx, revision, config, publish)
@@ -72,7 +73,7 @@
 	for ctx.Err() == nil {
 		change, revision, err := WatchClaim(ctx, o.store, after, claimWatchWait)
 		if err != nil {
-			o.pause(ctx, claimRetry)
+			ctxtime.Sleep(ctx, claimRetry)
 			continue
 		}
 		if change != ClaimKept {
@@ -89,7 +90,7 @@
 	if err != nil {
 		if !errors.Is(err, errNotClaimed) {
 			o.log.Warn("cell not claimed", zap.Error(err))
-			o.pause(ctx, claimRetry)
+			ctxtime.Sleep(ctx, claimRetry)
 		}
 		return
 	}
@@ -121,10 +122,3 @@
 		o.log.Info("claim not ended, it expires by itself", zap.Int64("epoch", r.epoch), zap.Error(err))
 	}
 }
-
-func (o *Owner) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
@@ -257,7 +258,7 @@
 	for c.ctx.Err() == nil {
 		list, unreadable, revision, err := c.registry.Workers(c.ctx)
 		if err != nil {
-			c.pause(registryRetry)
+			ctxtime.Sleep(c.ctx, registryRetry)
 			continue
 		}
 		if unreadable > 0 {
@@ -277,7 +278,7 @@
 	for c.ctx.Err() == nil {
 		changes, err := c.registry.Changes(c.ctx, revision, registryWait)
 		if err != nil {
-			c.pause(registryRetry)
+			ctxtime.Sleep(c.ctx, registryRetry)
 			continue
 		}
 		if changes.Gap {
@@ -288,7 +289,7 @@
 			c.listWorkers(known)
 		}
 		if len(changes.Removed)+len(changes.Set) > 0 && !changes.More {
-			c.pause(registryPause)
+			ctxtime.Sleep(c.ctx, registryPause)
 		}
 	}
 }
@@ -328,10 +329,3 @@
 		}
 	})
 }
-
-func (c *Cell) pause(d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-c.ctx.Done():
-	}
-}
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
@@ -159,7 +160,7 @@
 		}
 		c.metrics.Counter("store.commit.repeated").Inc(1)
 		c.log.Warn("write repeated", zap.Int64("sequence", mine.Number), zap.Error(err))
-		c.pause(writeRetry)
+		ctxtime.Sleep(c.ctx, writeRetry)
 	}
 	return errCellClosed
 }
--- a/internal/app/sharedwatch/watch.go
+++ b/internal/app/sharedwatch/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 )
@@ -98,7 +99,7 @@
 		w.reachable.Store(err == nil)
 		pause := w.pause(err, began)
 		if pause > 0 {
-			sleep(ctx, pause)
+			ctxtime.Sleep(ctx, pause)
 		}
 	}
 	return ctx.Err()
@@ -210,12 +211,3 @@
 		s(Update{Begun: began, Events: events, Revision: revision})
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/app/sharedwatch/watch_test.go
+++ b/internal/app/sharedwatch/watch_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 	"auburnpier/internal/standin/store"
@@ -223,6 +224,6 @@
 	var revision int64
 	for ctx.Err() == nil {
 		revision, _ = s.CompareAndSwap(ctx, "shared/a", revision, []byte("v"))
-		sleep(ctx, pause)
+		ctxtime.Sleep(ctx, pause)
 	}
 }
--- a/internal/app/taskplane/allotments.go
+++ b/internal/app/taskplane/allotments.go
@@ -8,6 +8,7 @@
 
 	"auburnpier/internal/app/allotment"
 	"auburnpier/internal/core/sched"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 )
 
@@ -44,7 +45,7 @@
 			break
 		}
 		p.log.Warn("allotments cannot be taken over, nothing is started before", zap.Error(err))
-		pause(ctx, stampRetryDelay)
+		ctxtime.Sleep(ctx, stampRetryDelay)
 	}
 	ticker := time.NewTicker(allotmentInterval)
 	defer ticker.Stop()
--- a/internal/app/taskplane/keeper.go
+++ b/internal/app/taskplane/keeper.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"auburnpier/internal/core/sched"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -150,17 +151,17 @@
 	p := k.w.p
 	if len(k.lost) == 0 || p.o.Copies == nil {
 		p.post(ctx, sched.WorkerUnreachable{Worker: k.w.id, LastSent: k.lastSent})
-		pause(ctx, k.rest(ctx))
+		ctxtime.Sleep(ctx, k.rest(ctx))
 		return
 	}
 	withdrawn := k.awaitWithdrawn(ctx)
 	p.post(ctx, sched.WorkerUnreachable{Worker: k.w.id, LastSent: p.o.Clock.Now()})
 	if !withdrawn {
-		pause(ctx, acquireRetryDelay)
+		ctxtime.Sleep(ctx, acquireRetryDelay)
 		return
 	}
 	k.lost = nil
-	pause(ctx, k.rest(ctx))
+	ctxtime.Sleep(ctx, k.rest(ctx))
 }
 
 // awaitWithdrawn waits for a while until no deputy renews the lost leases.
@@ -169,7 +170,7 @@
 		if k.withdrawn() {
 			return true
 		}
-		pause(ctx, withdrawPoll)
+		ctxtime.Sleep(ctx, withdrawPoll)
 	}
 	return k.withdrawn()
 }
@@ -247,7 +248,7 @@
 	k.failures = 0
 	k.lease = lease
 	k.w.p.post(ctx, sched.LeaseRenewed{Worker: k.w.id, Lease: lease, SentAt: k.lastSent})
-	pause(ctx, reportSpacing)
+	ctxtime.Sleep(ctx, reportSpacing)
 }
 
 func (k *keeper) renewFailed(ctx context.Context, err error) {
@@ -262,7 +263,7 @@
 	p.o.Metrics.Retried(metrics.RetryWorkerCall)
 	k.failures++
 	if k.failures < renewTries {
-		pause(ctx, renewRetryDelay)
+		ctxtime.Sleep(ctx, renewRetryDelay)
 		return
 	}
 	k.failures = 0
--- a/internal/app/taskplane/router.go
+++ b/internal/app/taskplane/router.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnpier/internal/core/rendezvous"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -91,7 +92,7 @@
 			}
 			continue
 		}
-		pause(ctx, remoteWaitInterval)
+		ctxtime.Sleep(ctx, remoteWaitInterval)
 	}
 }
 
@@ -180,7 +181,7 @@
 			return status, err
 		}
 		r.metrics.Retried(metrics.RetryPartitionMoved)
-		pause(ctx, moveDelay)
+		ctxtime.Sleep(ctx, moveDelay)
 	}
 }
 
@@ -284,12 +285,3 @@
 	return refusal.New(http.StatusNotFound, refusal.NotFound,
 		fmt.Sprintf("there is no job %q", id), "check the job's name; ended jobs are forgotten after some time")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -18,6 +18,7 @@
 	"auburnpier/internal/core/membership"
 	"auburnpier/internal/core/sched"
 	"auburnpier/internal/core/teamkey"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
@@ -125,7 +126,7 @@
 		if vms, _, _ := i.vms.Last(); i.config.Ready() && len(vms) > 0 {
 			i.createConfig(ctx, key)
 		}
-		sleep(ctx, bootstrapInterval)
+		ctxtime.Sleep(ctx, bootstrapInterval)
 	}
 }
 
--- a/internal/daemon/instance.go
+++ b/internal/daemon/instance.go
@@ -30,6 +30,7 @@
 	"auburnpier/internal/app/sharedwatch"
 	"auburnpier/internal/app/taskplane"
 	"auburnpier/internal/core/policy"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -319,7 +320,7 @@
 	stopManaging()
 	ctx, cancel := context.WithTimeout(context.Background(), settings.Milliseconds(i.settings.Shutdown.BoundMS))
 	defer cancel()
-	sleep(ctx, settings.Milliseconds(i.settings.Shutdown.BalancerDelayMS))
+	ctxtime.Sleep(ctx, settings.Milliseconds(i.settings.Shutdown.BalancerDelayMS))
 	err := errors.CombineErrors(i.plane.Drain(ctx), i.server.Shutdown(ctx))
 	select {
 	case <-managed:
@@ -336,12 +337,3 @@
 		i.log.Error("peer calls cannot be served", zap.Error(err))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -11,6 +11,7 @@
 
 	"auburnpier/internal/app/sharedwatch"
 	"auburnpier/internal/core/membership"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
@@ -64,7 +65,7 @@
 // run registers this instance and passes the records of others to the membership.
 func (r *registry) run(ctx context.Context) {
 	for ctx.Err() == nil && r.register(ctx) != nil {
-		sleep(ctx, registerRetryDelay)
+		ctxtime.Sleep(ctx, registerRetryDelay)
 	}
 	for {
 		select {
