Build and read calls between instances in one place

The call of looks had its own copy of the request, of the error where no answer began, and of the handler's reading of the body. They share newRequest, send and decodeBody with the other calls. The ordinary calls still forbid the transport to send a body again and the looks still permit it; both are as before.

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -38,7 +38,7 @@
 // Owner implements entry.Dialer.
 func (d *Dialer) Owner(address string) port.OwnerCalls { return &peer{d.client, address} }
 
-// Approver implements owner.ApproverDirectory.
+// Approver implements owner.PeerDirectory.
 func (d *Dialer) Approver(h port.Hello) port.Approver { return &peer{d.client, h.Address} }
 
 // Store reaches the store through the instance at address.
@@ -50,23 +50,40 @@
 	address string
 }
 
-// call sends one call and decodes the answer.
-func call[T any](ctx context.Context, p *peer, path string, body any) (T, error) {
-	var result T
+func (p *peer) newRequest(ctx context.Context, path string, body any) (*http.Request, error) {
 	raw, err := cbor.Marshal(body)
 	if err != nil {
-		return result, fmt.Errorf("encode call %s: %w", path, err)
+		return nil, fmt.Errorf("encode call %s: %w", path, err)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.address+path, bytes.NewReader(raw))
 	if err != nil {
-		return result, err
+		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/cbor")
+	return req, nil
+}
+
+// send sends a request. An error tells that no answer began.
+func (p *peer) send(req *http.Request) (*http.Response, error) {
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return nil, &port.OwnerUnreachableError{Address: p.address, NotSent: port.NotSent(err), Err: err}
+	}
+	return resp, nil
+}
+
+// call sends one call and decodes the answer.
+func call[T any](ctx context.Context, p *peer, path string, body any) (T, error) {
+	var result T
+	req, err := p.newRequest(ctx, path, body)
+	if err != nil {
+		return result, err
+	}
 	// A repeat by the transport could follow a call that took effect.
 	req.GetBody = nil
-	resp, err := p.client.Do(req)
+	resp, err := p.send(req)
 	if err != nil {
-		return result, &port.OwnerUnreachableError{Address: p.address, NotSent: port.NotSent(err), Err: err}
+		return result, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
--- a/internal/adapter/cellhttp/looks.go
+++ b/internal/adapter/cellhttp/looks.go
@@ -1,7 +1,6 @@
 package cellhttp
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -21,18 +20,14 @@
 
 // Looks implements port.LookRelay.
 func (p *peer) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
-	raw, err := cbor.Marshal(looks)
-	if err != nil {
-		return fmt.Errorf("encode looks: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.address+pathLooks, bytes.NewReader(raw))
+	// A look may be sent twice: what it extends and acknowledges is the same.
+	req, err := p.newRequest(ctx, pathLooks, looks)
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Content-Type", "application/cbor")
-	resp, err := p.client.Do(req)
+	resp, err := p.send(req)
 	if err != nil {
-		return &port.OwnerUnreachableError{Address: p.address, NotSent: port.NotSent(err), Err: err}
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
@@ -54,16 +49,11 @@
 
 func serveLooks(relay port.LookRelay) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		looks, err := decodeBody[[]port.RelayedLook](w, r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		var looks []port.RelayedLook
-		if err := cbor.Unmarshal(raw, &looks); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
 		if len(looks) > port.MaxRelayedLooks {
 			http.Error(w, fmt.Sprintf("%d looks in one call, at most %d are made", len(looks), port.MaxRelayedLooks), http.StatusBadRequest)
 			return
--- a/internal/adapter/cellhttp/server.go
+++ b/internal/adapter/cellhttp/server.go
@@ -52,18 +52,24 @@
 	}
 }
 
+// decodeBody reads the call of a request, up to maxBodyBytes.
+func decodeBody[C any](w http.ResponseWriter, r *http.Request) (C, error) {
+	var c C
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return c, err
+	}
+	err = cbor.Unmarshal(raw, &c)
+	return c, err
+}
+
 func handle[C, R any](mux *http.ServeMux, path string, f func(context.Context, C) (R, error)) {
 	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		c, err := decodeBody[C](w, r)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		var c C
-		if err := cbor.Unmarshal(raw, &c); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
 		result, err := f(r.Context(), c)
 		var notOwner *port.NotOwnerError
 		switch {
