Write the calls of the relayed store once

The way through other instances and the way for other instances each had all seven calls of port.LeaseStore, with types that only carried two results. Both are functions that choose the store now, under one set of calls. Where every way fails, what is returned beside the error is that of the last store asked instead of the first; no caller reads it. Names of the metrics are unchanged.

--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -24,6 +24,7 @@
 
 // Store is a port.LeaseStore that falls back on other instances.
 type Store struct {
+	calls
 	direct port.LeaseStore
 	// peers returns the stores of other instances.
 	peers   func() []port.LeaseStore
@@ -36,11 +37,26 @@
 
 // New returns a store over direct and the peers.
 func New(direct port.LeaseStore, peers func() []port.LeaseStore, m *metrics.Registry) *Store {
-	return &Store{direct: direct, peers: peers, metrics: m}
+	s := &Store{direct: direct, peers: peers, metrics: m}
+	s.calls = s.run
+	return s
 }
 
 // Direct returns what this instance serves to others: calls that are not relayed again.
-func (s *Store) Direct() port.LeaseStore { return directOnly{s} }
+func (s *Store) Direct() port.LeaseStore { return calls(s.guarded) }
+
+// guarded refuses calls of others at once while the direct way fails, so that
+// an outage of the store is not multiplied by relays.
+func (s *Store) guarded(ctx context.Context, _ string, call func(port.LeaseStore) error) error {
+	if !s.healthy() {
+		return &port.UnavailableError{Op: "relay", Err: errDirectFailed}
+	}
+	err := call(s.direct)
+	if ctx.Err() == nil {
+		s.note(err)
+	}
+	return err
+}
 
 // healthy reports whether the last direct call succeeded, or none failed lately.
 func (s *Store) healthy() bool {
@@ -70,11 +86,11 @@
 }
 
 // run times a call.
-func run[T any](ctx context.Context, s *Store, op string, call func(port.LeaseStore) (T, error)) (T, error) {
+func (s *Store) run(ctx context.Context, op string, call func(port.LeaseStore) error) error {
 	begun := time.Now()
-	result, err := route(ctx, s, call)
+	err := s.route(ctx, call)
 	s.metrics.Timer("store." + op + "." + outcome(err)).UpdateSince(begun)
-	return result, err
+	return err
 }
 
 // outcome names the result of a call for the metrics.
@@ -93,86 +109,30 @@
 }
 
 // route makes a call directly and, where that had no effect, through others.
-func route[T any](ctx context.Context, s *Store, call func(port.LeaseStore) (T, error)) (T, error) {
-	var result T
+func (s *Store) route(ctx context.Context, call func(port.LeaseStore) error) error {
 	var err error = &port.UnavailableError{Op: "call", Err: errDirectFailed}
 	if s.healthy() || s.probeDue() {
-		result, err = call(s.direct)
+		err = call(s.direct)
 		if ctx.Err() == nil {
 			s.note(err)
 		}
 		if !isUnavailable(err) || ctx.Err() != nil {
-			return result, err
+			return err
 		}
 	}
 	peers := s.peers()
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 	for _, p := range peers[:min(len(peers), maxPeers)] {
-		relayed, relayErr := call(p)
+		relayErr := call(p)
 		if !isUnavailable(relayErr) {
 			s.metrics.Counter("store.relayed").Inc(1)
-			return relayed, relayErr
+			return relayErr
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return result, err
-}
-
-var errDirectFailed = errors.New("the store did not answer this instance within the last second")
-
-// Get implements port.LeaseStore.
-func (s *Store) Get(ctx context.Context, key string) (port.Entry, error) {
-	return run(ctx, s, "get", func(d port.LeaseStore) (port.Entry, error) { return d.Get(ctx, key) })
-}
-
-type listing struct {
-	entries  []port.Entry
-	revision int64
-}
-
-// List implements port.LeaseStore.
-func (s *Store) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
-	l, err := run(ctx, s, "list", func(d port.LeaseStore) (listing, error) {
-		entries, revision, err := d.List(ctx, prefix)
-		return listing{entries, revision}, err
-	})
-	return l.entries, l.revision, err
-}
-
-// Watch implements port.LeaseStore.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (port.WatchResult, error) {
-	return run(ctx, s, "watch", func(d port.LeaseStore) (port.WatchResult, error) { return d.Watch(ctx, prefix, after, wait) })
-}
-
-// Commit implements port.LeaseStore.
-func (s *Store) Commit(ctx context.Context, txn port.Txn) (int64, error) {
-	return run(ctx, s, "commit", func(d port.LeaseStore) (int64, error) { return d.Commit(ctx, txn) })
-}
-
-type grant struct {
-	lease int64
-	ttl   time.Duration
-}
-
-// GrantLease implements port.LeaseStore.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (int64, time.Duration, error) {
-	g, err := run(ctx, s, "grant_lease", func(d port.LeaseStore) (grant, error) {
-		lease, granted, err := d.GrantLease(ctx, ttl)
-		return grant{lease, granted}, err
-	})
-	return g.lease, g.ttl, err
-}
-
-// KeepLease implements port.LeaseStore.
-func (s *Store) KeepLease(ctx context.Context, lease int64) error {
-	_, err := run(ctx, s, "keep_lease", func(d port.LeaseStore) (struct{}, error) { return struct{}{}, d.KeepLease(ctx, lease) })
 	return err
 }
 
-// EndLease implements port.LeaseStore.
-func (s *Store) EndLease(ctx context.Context, lease int64) error {
-	_, err := run(ctx, s, "end_lease", func(d port.LeaseStore) (struct{}, error) { return struct{}{}, d.EndLease(ctx, lease) })
-	return err
-}
+var errDirectFailed = errors.New("the store did not answer this instance within the last second")
