Find steps, stop their runs and read free room in one place each

find and findStep walked to a step separately, stopJob had the loops of stopGang inside it, and a pass computed free room beside freeFor. stopGang is stopStep now, since it never looked at what the step is. Two guards around setting a flag to true are gone, and a comment names its constant again. Decisions are as before.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -215,7 +215,7 @@
 // that was named, nil where the request failed.
 func (m *Machine) ApprovalAnswered(id StepID, asked []domain.WorkerID, good []Approval, validMS int64) {
 	s := m.findStep(id)
-	if s == nil {
+	if s == nil || s.job.state.Terminal() {
 		return
 	}
 	s.asking = false
@@ -248,15 +248,3 @@
 
 // approvalTransitMS covers the way of an answer.
 const approvalTransitMS = 60
-
-func (m *Machine) findStep(id StepID) *step {
-	j, ok := m.jobs[id.Job]
-	if !ok || j.state.Terminal() {
-		return nil
-	}
-	o, ok := j.occs[id.Occurrence]
-	if !ok || id.Step < 0 || id.Step >= len(o.steps) {
-		return nil
-	}
-	return o.steps[id.Step]
-}
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -194,7 +194,7 @@
 		m.start(t, w, s.gangRun)
 	}
 	if s.waiting > 0 && m.nowMS-s.gangPlacedMS >= repairMS {
-		m.stopGang(s, "member missing")
+		m.stopStep(s, "member missing")
 	}
 }
 
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -87,7 +87,7 @@
 	// estimate leads to expect, make a run hung.
 	standstillMS       = 1800
 	standstillPercents = 8
-	// startResendWatchMS is the interval at which stopping runs are looked at.
+	// watchIntervalMS is the interval at which runs are checked.
 	watchIntervalMS = 200
 )
 
@@ -114,7 +114,7 @@
 	s := r.task.step
 	if w.draining && m.leaves(r) {
 		if s.spec.Gang {
-			m.stopGang(s, "worker leaves")
+			m.stopStep(s, "worker leaves")
 		} else {
 			m.stopRun(r, "worker leaves")
 		}
@@ -134,7 +134,7 @@
 		return
 	}
 	if s.spec.Gang {
-		m.stopGang(s, "stands still")
+		m.stopStep(s, "stands still")
 	} else {
 		w.health.strike(m.nowMS)
 		m.out.note("worker_avoided", w.id, "tasks stand still")
@@ -168,8 +168,8 @@
 	return last
 }
 
-// stopGang stops all members of a gang so that it can start anew.
-func (m *Machine) stopGang(s *step, reason string) {
+// stopStep stops all runs of a step, as of a gang that has to start anew.
+func (m *Machine) stopStep(s *step, reason string) {
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
 			m.stopRun(r, reason)
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -172,9 +172,7 @@
 		r.percent = row.Percent
 		r.progressMS = m.nowMS
 	}
-	if !r.task.step.job.everActive {
-		r.task.step.job.everActive = true
-	}
+	r.task.step.job.everActive = true
 }
 
 func (s *step) shareCheckpoint(value string) {
@@ -216,6 +214,14 @@
 }
 
 func (m *Machine) find(id TaskID) *task {
+	s := m.findStep(id.StepOf())
+	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+func (m *Machine) findStep(id StepID) *step {
 	j, ok := m.jobs[id.Job]
 	if !ok {
 		return nil
@@ -224,11 +230,7 @@
 	if !ok || id.Step < 0 || id.Step >= len(o.steps) {
 		return nil
 	}
-	s := o.steps[id.Step]
-	if id.Index < 0 || id.Index >= len(s.tasks) {
-		return nil
-	}
-	return s.tasks[id.Index]
+	return o.steps[id.Step]
 }
 
 func (m *Machine) takeEnd(w *worker, e EndReport) {
@@ -382,11 +384,7 @@
 	}
 	for _, o := range j.occs {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				for _, r := range t.runs {
-					m.stopRun(r, "job "+j.state.String())
-				}
-			}
+			m.stopStep(s, "job "+j.state.String())
 		}
 	}
 }
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -115,7 +115,7 @@
 		p.stale = false
 		p.most = domain.Resources{}
 		for _, w := range p.usable {
-			p.most = p.most.Max(w.free().Sub(w.held))
+			p.most = p.most.Max(m.freeFor(s, w))
 		}
 	}
 	return p
@@ -330,9 +330,7 @@
 	m.extend(w, m.cfg.StartLimitMS)
 	m.out.Starts = append(m.out.Starts, m.startOrder(r))
 	m.out.noteRun("run_start", r, "")
-	if !t.step.job.everActive {
-		t.step.job.everActive = true
-	}
+	t.step.job.everActive = true
 }
 
 // startResends is how often an unanswered start is sent again.
