Export only what other packages use of the claim

The watch of the claim, its outcomes and the decoding of its value are used by the owner alone. A comment on the figures of instances names greetings too.

--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -71,13 +71,13 @@
 // it need not be listed first.
 func (o *Owner) awaitChange(ctx context.Context, after int64) (ended bool) {
 	for ctx.Err() == nil {
-		change, revision, err := WatchClaim(ctx, o.store, after, claimWatchWait)
+		change, revision, err := watchClaim(ctx, o.store, after, claimWatchWait)
 		if err != nil {
 			ctxtime.Sleep(ctx, claimRetry)
 			continue
 		}
-		if change != ClaimKept {
-			return change == ClaimEnded
+		if change != claimKept {
+			return change == claimEnded
 		}
 		after = revision
 	}
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -29,8 +29,8 @@
 // errNotClaimed tells that another instance holds the claim.
 var errNotClaimed = errors.New("another instance owns the cell")
 
-// DecodeClaim reads the value of the owner's key.
-func DecodeClaim(value []byte) (Claim, error) {
+// decodeClaim reads the value of the owner's key.
+func decodeClaim(value []byte) (Claim, error) {
 	var c Claim
 	if err := cbor.Unmarshal(value, &c); err != nil {
 		return c, fmt.Errorf("owner's claim cannot be read: %w", err)
@@ -128,7 +128,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c, err := DecodeClaim(entry.Value)
+	c, err := decodeClaim(entry.Value)
 	if err != nil {
 		return 0, err
 	}
@@ -179,7 +179,7 @@
 		if e.Key != ownerKey {
 			continue
 		}
-		c, err := DecodeClaim(e.Value)
+		c, err := decodeClaim(e.Value)
 		if err != nil {
 			return nil, 0, 0, err
 		}
@@ -188,34 +188,34 @@
 	return nil, 0, revision, nil
 }
 
-// ClaimChange is what a watch of the claim has seen.
-type ClaimChange int
+// claimChange is what a watch of the claim has seen.
+type claimChange int
 
 // Changes of the claim.
 const (
-	ClaimKept ClaimChange = iota
-	// ClaimChanged tells that the claim may be another one.
-	ClaimChanged
-	// ClaimEnded tells that there was no claim at the last change.
-	ClaimEnded
+	claimKept claimChange = iota
+	// claimChanged tells that the claim may be another one.
+	claimChanged
+	// claimEnded tells that there was no claim at the last change.
+	claimEnded
 )
 
-// WatchClaim waits for a change of the claim.
-func WatchClaim(ctx context.Context, store port.LeaseStore, after int64, wait time.Duration) (change ClaimChange, revision int64, err error) {
+// watchClaim waits for a change of the claim.
+func watchClaim(ctx context.Context, store port.LeaseStore, after int64, wait time.Duration) (change claimChange, revision int64, err error) {
 	got, err := store.Watch(ctx, ownerKey, after, wait)
 	if err != nil {
-		return ClaimKept, after, err
+		return claimKept, after, err
 	}
 	if got.Gap {
-		return ClaimChanged, after, nil
+		return claimChanged, after, nil
 	}
 	for _, e := range got.Events {
 		switch {
 		case e.Entry.Key != ownerKey:
 		case e.Deleted:
-			change = ClaimEnded
+			change = claimEnded
 		default:
-			change = ClaimChanged
+			change = claimChanged
 		}
 	}
 	return change, got.Revision, nil
--- a/internal/app/owner/relays.go
+++ b/internal/app/owner/relays.go
@@ -13,7 +13,7 @@
 	"auburnpier/internal/steady"
 )
 
-// Figures of approval requests through other instances.
+// Figures of greetings, and of approval requests through other instances.
 const (
 	// helloMS is the time between greetings of an instance; where there are many,
 	// it is such that helloPerSecond come to the owner, up to maxHelloMS.
