--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -105,7 +105,8 @@
 	Changes(ctx context.Context, after int64, wait time.Duration) (RegistryChanges, error)
 }
 
-// RegistryChanges is what changed in the registry.
+// RegistryChanges is what changed in the registry. A worker stands in one of
+// the lists, with its last state.
 type RegistryChanges struct {
 	Set      []jobs.WorkerInfo
 	Removed  []domain.WorkerID
