Read the registry of a large fleet through another instance

Cause: an owner of 3,000 workers decoded about 2,000 registry entries a second, nearly all of them heartbeats, beside everything else on a VM of 0.8 cores.

Above directWorkers (400) one other instance now reads the registry while it is asked (internal/app/workerfeed) and answers only with workers that changed. Revisions are the store's, so the owner goes on at the store, or at another instance, where one gives no answer within 1.5 s or has none from the store for 2.5 s. An instance that makes no looks is preferred, and the largest VM.

--- a/internal/adapter/cellhttp/doc.go
+++ b/internal/adapter/cellhttp/doc.go
@@ -6,14 +6,15 @@
 
 // Paths of the calls.
 const (
-	pathSubmit  = "/cell/submit"
-	pathCancel  = "/cell/cancel"
-	pathState   = "/cell/state"
-	pathWaiting = "/cell/waiting"
-	pathHello   = "/cell/hello"
-	pathApprove = "/cell/approve"
-	pathStore   = "/cell/store"
-	pathLooks   = "/cell/looks"
+	pathSubmit   = "/cell/submit"
+	pathCancel   = "/cell/cancel"
+	pathState    = "/cell/state"
+	pathWaiting  = "/cell/waiting"
+	pathHello    = "/cell/hello"
+	pathApprove  = "/cell/approve"
+	pathStore    = "/cell/store"
+	pathLooks    = "/cell/looks"
+	pathRegistry = "/cell/registry"
 )
 
 // maxBodyBytes is above the largest submission and a list of all stored jobs.
--- /dev/null
+++ b/internal/adapter/cellhttp/registry_test.go
@@ -0,0 +1,54 @@
+package cellhttp
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+type feedFunc func(ctx context.Context, after int64, wait time.Duration) (port.RegistryChanges, error)
+
+func (f feedFunc) Changes(ctx context.Context, after int64, wait time.Duration) (port.RegistryChanges, error) {
+	return f(ctx, after, wait)
+}
+
+// Guards against workers that change on their way, and against a failure or a
+// gap that arrives as an answer without changes.
+func TestRegistryThroughInstance(t *testing.T) {
+	full := port.RegistryChanges{Revision: 12, More: true, Removed: []domain.WorkerID{"gone"},
+		Set: []jobs.WorkerInfo{{ID: "w", Address: "10.0.0.1:1", Zone: "z", Service: "svc", Rack: "r", Labels: []string{"k", "r"},
+			Capacity: domain.Resources{CPUMilli: 1, MemoryMB: 2, Accelerators: 3}, BornMS: 4, Draining: true, LeavesInMS: 5}}}
+	answers := map[int64]struct {
+		changes port.RegistryChanges
+		err     error
+	}{
+		1: {changes: full}, 2: {changes: port.RegistryChanges{Gap: true}}, 3: {err: errors.New("the store gives no answer")},
+	}
+	var waited time.Duration
+	server := httptest.NewServer(NewHandler(Local{Registry: feedFunc(func(_ context.Context, after int64, wait time.Duration) (port.RegistryChanges, error) {
+		waited = wait
+		return answers[after].changes, answers[after].err
+	})}))
+	defer server.Close()
+	registry := NewDialer().Registry(port.Hello{Address: strings.TrimPrefix(server.URL, "http://")})
+	for after, want := range answers {
+		got, err := registry.Changes(t.Context(), after, time.Second)
+		if (err != nil) != (want.err != nil) || !reflect.DeepEqual(got, want.changes) {
+			t.Errorf("after %d: %+v %v, want %+v %v", after, got, err, want.changes, want.err)
+		}
+		if waited != time.Second {
+			t.Errorf("the wait arrived as %v", waited)
+		}
+	}
+	if _, err := registry.Changes(t.Context(), 1, time.Hour); err != nil || waited != maxRegistryWait {
+		t.Errorf("a wait of an hour was served for %v (%v)", waited, err)
+	}
+}
--- a/internal/adapter/cellhttp/server.go
+++ b/internal/adapter/cellhttp/server.go
@@ -20,6 +20,8 @@
 	Approver port.Approver
 	// Looks makes looks at workers from this instance.
 	Looks port.LookRelay
+	// Registry reads the workers' registry from this instance.
+	Registry port.WorkerChanges
 	// Store makes calls for instances that the store turns away.
 	Store    port.LeaseStore
 	Instance domain.InstanceID
@@ -37,6 +39,7 @@
 	handle(mux, pathApprove, func(ctx context.Context, c approveCall) (port.ApprovalAnswer, error) {
 		return l.Approver.Approve(ctx, c.Step, c.Workers)
 	})
+	handle(mux, pathRegistry, serveRegistry(l.Registry))
 	mux.HandleFunc("POST "+pathLooks, serveLooks(l.Looks))
 	return mux
 }
--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -14,7 +14,7 @@
 
 // Figures of the campaign for the cell.
 const (
-	// claimWatchWait is how long a watch of the claim waits, for the same reason as registryWait.
+	// claimWatchWait is how long a watch of the claim waits, for the same reason as the registry's.
 	claimWatchWait = 2 * time.Second
 	// claimRetry is the pause after a store call without an answer.
 	claimRetry = 200 * time.Millisecond
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"auburnpier/internal/core/jobs"
-	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
@@ -30,6 +29,9 @@
 	// confirmedMS is the steady time up to which the claim certainly holds.
 	confirmedMS atomic.Int64
 
+	// registryRelay reads the registry for the owner, nil where it reads itself.
+	registryRelay atomic.Pointer[registryRelay]
+
 	// The rest is used by the loop only.
 	config     *port.CellConfig
 	submitters map[domain.JobID][]func(port.SubmitReply, error)
@@ -38,11 +40,13 @@
 	relays     relays
 	groups     lookGroups
 	arrangedMS int64
-	lanes      []*lane
-	writing    int
-	lastWrite  int64
-	acked      map[domain.WorkerID]int64
-	processed  map[domain.WorkerID]int64
+	// registryPaused is the time before which an instance does not read the registry.
+	registryPaused map[port.Hello]int64
+	lanes          []*lane
+	writing        int
+	lastWrite      int64
+	acked          map[domain.WorkerID]int64
+	processed      map[domain.WorkerID]int64
 	// resigning tells that the instance hands the cell over.
 	resigning bool
 }
@@ -58,12 +62,13 @@
 	c := &Cell{
 		Owner: o, reign: r, machine: jobs.New(mc, now, time.Now().UnixMilli()),
 		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel, ended: make(chan struct{}),
-		config:     config,
-		submitters: make(map[domain.JobID][]func(port.SubmitReply, error)),
-		cancellers: make(map[domain.JobID][]func(port.CancelReply, error)),
-		looks:      make(map[domain.WorkerID]*look),
-		acked:      make(map[domain.WorkerID]int64),
-		processed:  make(map[domain.WorkerID]int64),
+		config:         config,
+		submitters:     make(map[domain.JobID][]func(port.SubmitReply, error)),
+		cancellers:     make(map[domain.JobID][]func(port.CancelReply, error)),
+		looks:          make(map[domain.WorkerID]*look),
+		acked:          make(map[domain.WorkerID]int64),
+		processed:      make(map[domain.WorkerID]int64),
+		registryPaused: make(map[port.Hello]int64),
 		groups: lookGroups{most: o.options.DirectWorkers, byHost: make(map[port.Hello]*lookGroup),
 			byZone: make(map[domain.ZoneID][]*lookGroup)},
 	}
@@ -252,80 +257,3 @@
 	}
 	c.post(func() { c.machine.StopAnswered(o.Worker, o.Task, o.Run, err == nil) })
 }
-
-// followRegistry reads the workers and follows their changes.
-func (c *Cell) followRegistry() {
-	for c.ctx.Err() == nil {
-		list, unreadable, revision, err := c.registry.Workers(c.ctx)
-		if err != nil {
-			ctxtime.Sleep(c.ctx, registryRetry)
-			continue
-		}
-		if unreadable > 0 {
-			c.log.Warn("registry has entries that name no worker", zap.Int("entries", unreadable))
-		}
-		known := make(map[domain.WorkerID]jobs.WorkerInfo, len(list))
-		for _, w := range list {
-			known[w.ID] = w
-		}
-		c.listWorkers(known)
-		c.followChanges(known, revision)
-	}
-}
-
-// followChanges applies changes until one is missed.
-func (c *Cell) followChanges(known map[domain.WorkerID]jobs.WorkerInfo, revision int64) {
-	for c.ctx.Err() == nil {
-		changes, err := c.registry.Changes(c.ctx, revision, registryWait)
-		if err != nil {
-			ctxtime.Sleep(c.ctx, registryRetry)
-			continue
-		}
-		if changes.Gap {
-			return
-		}
-		revision = changes.Revision
-		if c.applyChanges(known, changes) {
-			c.listWorkers(known)
-		}
-		if len(changes.Removed)+len(changes.Set) > 0 && !changes.More {
-			ctxtime.Sleep(c.ctx, registryPause)
-		}
-	}
-}
-
-// applyChanges brings the list up to date. It reports whether anything differs:
-// most changes are heartbeats.
-func (c *Cell) applyChanges(known map[domain.WorkerID]jobs.WorkerInfo, changes port.RegistryChanges) bool {
-	changed := false
-	for _, id := range changes.Removed {
-		if _, ok := known[id]; ok {
-			delete(known, id)
-			changed = true
-		}
-	}
-	for _, w := range changes.Set {
-		if before, ok := known[w.ID]; !ok || !before.Same(w) {
-			changed = true
-		}
-		known[w.ID] = w
-	}
-	c.metrics.Counter("registry.entries").Inc(int64(len(changes.Set) + len(changes.Removed)))
-	if changed {
-		c.metrics.Counter("registry.changes").Inc(1)
-	}
-	return changed
-}
-
-func (c *Cell) listWorkers(known map[domain.WorkerID]jobs.WorkerInfo) {
-	list := make([]jobs.WorkerInfo, 0, len(known))
-	for _, w := range known {
-		list = append(list, w)
-	}
-	c.post(func() {
-		c.machine.ListWorkers(list)
-		for _, w := range list {
-			c.lookAt(w)
-		}
-	})
-}
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -193,14 +193,17 @@
 		return
 	}
 	c.arrangedMS = now
-	known, heard := c.machine.WorkersHeard()
-	c.metrics.Gauge("workers.known").Update(int64(known))
-	c.metrics.Gauge("workers.heard").Update(int64(heard))
+	counts := c.machine.CountWorkers()
+	c.metrics.Gauge("workers.known").Update(int64(counts.Known))
+	c.metrics.Gauge("workers.heard").Update(int64(counts.Heard))
+	c.metrics.Gauge("workers.draining").Update(int64(counts.Draining))
 	workers := make(map[domain.ZoneID]int)
 	for _, l := range c.looks {
 		workers[l.zone]++
 	}
-	c.groups.arrange(workers, c.options.Address, c.relays.known(now), c.peers.Looks, now)
+	instances := c.relays.known(now)
+	c.groups.arrange(workers, c.options.Address, instances, c.peers.Looks, now)
+	c.arrangeRegistry(instances, now)
 }
 
 // sendGroups sends the looks that sendLooks has collected.
--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"auburnpier/internal/app/lookrelay"
+	"auburnpier/internal/app/workerfeed"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
@@ -34,14 +35,29 @@
 // fakePeers are instances that look at the workers of a fleet.
 type fakePeers struct {
 	workers port.WorkerCalls
-	mu      sync.Mutex
-	faults  map[domain.InstanceID]relayFault
+	// registry is what the instances read for the owner.
+	registry *feedRegistry
+	mu       sync.Mutex
+	faults   map[domain.InstanceID]relayFault
 }
 
 func (p *fakePeers) Approver(port.Hello) port.Approver { return nil }
 
 func (p *fakePeers) Looks(h port.Hello) port.LookRelay { return &fakeRelay{p, h.Instance} }
 
+func (p *fakePeers) Registry(h port.Hello) port.WorkerChanges {
+	if p.registry == nil {
+		return fixedRegistry{}
+	}
+	return &fakeFeed{p, h.Instance, workerfeed.NewRelay(context.Background(), p.registry.at(string(h.Instance)), metrics.New())}
+}
+
+func (p *fakePeers) fault(id domain.InstanceID) relayFault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults[id]
+}
+
 func (p *fakePeers) set(id domain.InstanceID, f relayFault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -56,11 +72,8 @@
 var errRelay = errors.New("the instance of the test fails")
 
 func (r *fakeRelay) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
-	r.peers.mu.Lock()
-	fault := r.peers.faults[r.id]
-	r.peers.mu.Unlock()
 	relay := lookrelay.New(r.peers.workers, metrics.New())
-	switch fault {
+	switch r.peers.fault(r.id) {
 	case relayWorks:
 		return relay.Looks(ctx, looks, deliver)
 	case relayDead:
@@ -135,8 +148,7 @@
 		t.Errorf("the owner makes %.0f looks/s itself at %d idle workers, want at most a tenth of the workers", perSecond, workers)
 	}
 	heard, err := ask(context.Background(), cell, func(reply func(int, error)) {
-		_, heard := cell.machine.WorkersHeard()
-		reply(heard, nil)
+		reply(cell.machine.CountWorkers().Heard, nil)
 	})
 	if err != nil || heard < workers {
 		t.Errorf("%d of %d workers have been heard of lately (error %v)", heard, workers, err)
@@ -221,8 +233,7 @@
 	cell := i.owned(t)
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		heard, err := ask(context.Background(), cell, func(reply func(int, error)) {
-			_, heard := cell.machine.WorkersHeard()
-			reply(heard, nil)
+			reply(cell.machine.CountWorkers().Heard, nil)
 		})
 		if err == nil && heard == workers && c.fleet.Looked() == workers {
 			break
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -60,15 +60,6 @@
 	writeRetry = 60 * time.Millisecond
 	// storeDown is how long a write may be under way before submissions are refused at once.
 	storeDown = 450 * time.Millisecond
-	// registryWait is how long a watch of the registry waits. The store may cut a
-	// waiting watch without a word, so it bounds how long changes go unseen.
-	registryWait = 1500 * time.Millisecond
-	// registryPause collects changes of the registry, whose entries change with
-	// each heartbeat. It is a third of the time in which a draining worker may
-	// still get work.
-	registryPause = 800 * time.Millisecond
-	// registryRetry is the pause after a registry call without an answer.
-	registryRetry = 150 * time.Millisecond
 )
 
 // Ports are what the owner reaches the outside through.
@@ -86,6 +77,8 @@
 	Approver(h port.Hello) port.Approver
 	// Looks makes looks at workers.
 	Looks(h port.Hello) port.LookRelay
+	// Registry reads the changes of the workers' registry.
+	Registry(h port.Hello) port.WorkerChanges
 }
 
 // Owner takes the cell when it is free and runs it.
--- /dev/null
+++ b/internal/app/owner/registry.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/app/workerfeed"
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/ctxtime"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// Figures of reading the registry through another instance.
+const (
+	// registryRelayWait is how long a call waits for a change. With its slack it
+	// bounds how long an instance that froze goes unnoticed.
+	registryRelayWait  = time.Second
+	registryRelaySlack = 500 * time.Millisecond
+	// registryRelayPauseMS is how long an instance that gave no answer is not asked.
+	registryRelayPauseMS = 5000
+)
+
+// registryRelay is the instance that reads the registry for the owner.
+type registryRelay struct {
+	hello   port.Hello
+	changes port.WorkerChanges
+	// failedMS is the steady time of a call without an answer.
+	failedMS atomic.Int64
+}
+
+// arrangeRegistry chooses the instance that reads the registry of a large
+// fleet: one that makes no looks if there is one, and the largest VM of those.
+func (c *Cell) arrangeRegistry(known []port.Hello, now int64) {
+	if len(c.looks) <= c.options.DirectWorkers {
+		c.registryRelay.Store(nil)
+		return
+	}
+	present := c.registryRelay.Load()
+	if present != nil && present.failedMS.Load() > 0 {
+		c.registryPaused[present.hello] = present.failedMS.Load() + registryRelayPauseMS
+		present = nil
+	}
+	if present != nil && slices.Contains(known, present.hello) {
+		return
+	}
+	candidates := slices.DeleteFunc(slices.Clone(known), func(h port.Hello) bool {
+		return h.Address == c.options.Address || now < c.registryPaused[h]
+	})
+	if len(candidates) == 0 {
+		c.registryRelay.Store(nil)
+		return
+	}
+	looking := func(h port.Hello) int {
+		if c.groups.byHost[h] != nil {
+			return 1
+		}
+		return 0
+	}
+	best := slices.MinFunc(candidates, func(a, b port.Hello) int {
+		return cmp.Or(cmp.Compare(looking(a), looking(b)), cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(a.Address, b.Address))
+	})
+	c.log.Info("registry is read through an instance", zap.String("relay", string(best.Instance)), zap.Int("workers", len(c.looks)))
+	c.registryRelay.Store(&registryRelay{hello: best, changes: c.peers.Registry(best)})
+}
+
+// followRegistry reads the workers and follows their changes.
+func (c *Cell) followRegistry() {
+	for c.ctx.Err() == nil {
+		list, unreadable, revision, err := c.registry.Workers(c.ctx)
+		if err != nil {
+			ctxtime.Sleep(c.ctx, workerfeed.RetryPause)
+			continue
+		}
+		if unreadable > 0 {
+			c.log.Warn("registry has entries that name no worker", zap.Int("entries", unreadable))
+		}
+		known := make(map[domain.WorkerID]jobs.WorkerInfo, len(list))
+		for _, w := range list {
+			known[w.ID] = w
+		}
+		c.listWorkers(known)
+		c.followChanges(known, revision)
+	}
+}
+
+// followChanges applies changes until one is missed.
+func (c *Cell) followChanges(known map[domain.WorkerID]jobs.WorkerInfo, revision int64) {
+	reader := workerfeed.NewReader(c.registry)
+	// behind tells that a relay failed and the store has more to read: what it
+	// should have passed on is read here before another relay is asked.
+	behind := false
+	for c.ctx.Err() == nil {
+		var changes port.RegistryChanges
+		var err error
+		if relay := c.registryRelay.Load(); relay != nil && !behind && relay.failedMS.Load() == 0 {
+			changes, err = c.relayedChanges(relay, revision)
+			behind = err != nil
+		} else {
+			changes, err = reader.Next(c.ctx, revision)
+			behind = behind && (err != nil || changes.More)
+		}
+		if err != nil {
+			continue
+		}
+		if changes.Gap {
+			return
+		}
+		revision = changes.Revision
+		if c.applyChanges(known, changes) {
+			c.listWorkers(known)
+		}
+	}
+}
+
+// relayedChanges asks the instance that reads the registry.
+func (c *Cell) relayedChanges(relay *registryRelay, revision int64) (port.RegistryChanges, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, registryRelayWait+registryRelaySlack)
+	defer cancel()
+	changes, err := relay.changes.Changes(ctx, revision, registryRelayWait)
+	if err != nil && c.ctx.Err() == nil {
+		relay.failedMS.Store(steady.NowMS())
+		c.metrics.Counter("registry.relay.failed").Inc(1)
+		c.log.Info("instance did not read the registry", zap.String("relay", string(relay.hello.Instance)),
+			zap.Int64("paused_ms", registryRelayPauseMS), zap.Error(err))
+	}
+	return changes, err
+}
+
+// applyChanges brings the list up to date. It reports whether anything differs:
+// most changes are heartbeats.
+func (c *Cell) applyChanges(known map[domain.WorkerID]jobs.WorkerInfo, changes port.RegistryChanges) bool {
+	changed := false
+	for _, id := range changes.Removed {
+		if _, ok := known[id]; ok {
+			delete(known, id)
+			changed = true
+		}
+	}
+	for _, w := range changes.Set {
+		if before, ok := known[w.ID]; !ok || !before.Same(w) {
+			changed = true
+		}
+		known[w.ID] = w
+	}
+	c.metrics.Counter("registry.entries").Inc(int64(len(changes.Set) + len(changes.Removed)))
+	if changed {
+		c.metrics.Counter("registry.changes").Inc(1)
+	}
+	return changed
+}
+
+func (c *Cell) listWorkers(known map[domain.WorkerID]jobs.WorkerInfo) {
+	list := make([]jobs.WorkerInfo, 0, len(known))
+	for _, w := range known {
+		list = append(list, w)
+	}
+	c.post(func() {
+		c.machine.ListWorkers(list)
+		for _, w := range list {
+			c.lookAt(w)
+		}
+	})
+}
--- a/internal/app/owner/registry_test.go
+++ b/internal/app/owner/registry_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/app/workerfeed"
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -82,7 +85,135 @@
 	c.start("a").owned(t)
 	select {
 	case <-registry.caughtUp:
-	case <-time.After(registryPause):
-		t.Errorf("%d answers took more than one pause of %v", registry.pages, registryPause)
+	case <-time.After(workerfeed.Pause):
+		t.Errorf("%d answers took more than one pause of %v", registry.pages, workerfeed.Pause)
+	}
+}
+
+// feedRegistry is a registry whose workers send heartbeats, and counts its calls.
+type feedRegistry struct {
+	fixedRegistry
+	mu       sync.Mutex
+	revision int64
+	drains   map[domain.WorkerID]int64
+	calls    map[string]int
+}
+
+// at returns the registry as one reader sees it.
+func (r *feedRegistry) at(reader string) *feedReader { return &feedReader{r, reader} }
+
+type feedReader struct {
+	*feedRegistry
+	name string
+}
+
+// Changes answers with a heartbeat of each worker.
+func (r *feedReader) Changes(ctx context.Context, after int64, wait time.Duration) (port.RegistryChanges, error) {
+	if !ctxtime.Sleep(ctx, min(wait, 50*time.Millisecond)) {
+		return port.RegistryChanges{}, ctx.Err()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls[r.name]++
+	r.revision++
+	got := port.RegistryChanges{Revision: r.revision}
+	for _, w := range r.fixedRegistry {
+		w.Draining = r.drains[w.ID] > 0
+		got.Set = append(got.Set, w)
+	}
+	return got, nil
+}
+
+func (r *feedRegistry) drain(id domain.WorkerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drains[id] = r.revision
+}
+
+func (r *feedRegistry) called(reader string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls[reader]
+}
+
+// fakeFeed is the registry as an instance of the test reads it.
+type fakeFeed struct {
+	peers *fakePeers
+	id    domain.InstanceID
+	relay *workerfeed.Relay
+}
+
+func (f *fakeFeed) Changes(ctx context.Context, after int64, wait time.Duration) (port.RegistryChanges, error) {
+	got, err := f.relay.Changes(ctx, after, wait)
+	// The fault also strikes the answers of calls that were under way.
+	switch f.peers.fault(f.id) {
+	case relayDead:
+		return port.RegistryChanges{}, errRelay
+	case relaySilent:
+		<-ctx.Done()
+		return port.RegistryChanges{}, ctx.Err()
+	}
+	return got, err
+}
+
+// Guards against an owner that reads the heartbeats of a large fleet itself,
+// which made it learn up to 4 s late that a worker drains, and against one that
+// misses a change when the instance that reads for it dies or falls silent.
+func TestRegistryIsReadThroughInstances(t *testing.T) {
+	// A draining worker may get work for 4 s, of which an order takes up to 1.5 s.
+	const learnWithin = 2500 * time.Millisecond
+	c := newFleetTest(t, 40, 100*time.Millisecond)
+	c.directWorkers = 10
+	feed := &feedRegistry{drains: make(map[domain.WorkerID]int64), calls: make(map[string]int)}
+	for _, id := range c.ids {
+		feed.fixedRegistry = append(feed.fixedRegistry, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", BornMS: 1,
+			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
+	}
+	c.registry = feed.at("owner")
+	peers := &fakePeers{workers: c.fleet, faults: make(map[domain.InstanceID]relayFault), registry: feed}
+	c.peers = peers
+	cell := c.start("a").owned(t)
+	greet(t, cell, 4)
+	time.Sleep(2 * time.Second)
+	before := feed.called("owner")
+	drained := 0
+	learns := func(id domain.WorkerID) {
+		t.Helper()
+		begun := time.Now()
+		feed.drain(id)
+		drained++
+		for {
+			draining, err := ask(context.Background(), cell, func(reply func(int, error)) { reply(cell.machine.CountWorkers().Draining, nil) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			if draining == drained {
+				t.Logf("the owner learned after %v that %s drains", time.Since(begun), id)
+				return
+			}
+			if time.Since(begun) > learnWithin {
+				t.Fatalf("the owner does not know after %v that %s drains", learnWithin, id)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	learns("w0")
+	if n := feed.called("owner") - before; n > 0 {
+		t.Errorf("the owner read the registry %d times itself beside an instance that does", n)
+	}
+	for n, fault := range []relayFault{relayDead, relaySilent} {
+		relay := cell.registryRelay.Load()
+		if relay == nil {
+			t.Fatal("no instance reads the registry")
+		}
+		peers.set(relay.hello.Instance, fault)
+		learns(c.ids[n+1])
+		deadline := time.Now().Add(learnWithin)
+		for next := relay; next == nil || next.hello == relay.hello; next = cell.registryRelay.Load() {
+			if time.Now().After(deadline) {
+				t.Fatal("no other instance reads the registry")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 }
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -20,6 +20,7 @@
 	"auburnpier/internal/app/lookrelay"
 	"auburnpier/internal/app/owner"
 	"auburnpier/internal/app/storerelay"
+	"auburnpier/internal/app/workerfeed"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/logring"
 	"auburnpier/internal/metrics"
@@ -158,7 +159,7 @@
 	i.log.Info("start", zap.String("region", string(i.settings.Region)), zap.String("zone", string(i.settings.Zone)))
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	servers, err := i.listen()
+	servers, err := i.listen(work)
 	if err != nil {
 		return err
 	}
@@ -209,13 +210,15 @@
 	}
 }
 
-// listen opens the addresses of the settings. The readiness address comes first.
-func (i *Instance) listen() ([]*http.Server, error) {
+// listen opens the addresses of the settings. The readiness address comes
+// first. What other instances ask for is read until work ends.
+func (i *Instance) listen(work context.Context) ([]*http.Server, error) {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /ready", i.serveReady)
 	peers := cellhttp.NewHandler(cellhttp.Local{
 		Instance: i.settings.Instance, Approver: i.adapters.Approver, Store: i.store.Direct(),
-		Looks: lookrelay.New(i.adapters.Workers, i.metrics),
+		Looks:    lookrelay.New(i.adapters.Workers, i.metrics),
+		Registry: workerfeed.NewRelay(work, i.adapters.Registry(i.store.Direct()), i.metrics),
 		Owner: func() port.OwnerCalls {
 			if cell := i.directory.Seat().Local; cell != nil {
 				return cell
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -481,15 +481,27 @@
 	}
 }
 
-// WorkersHeard returns how many workers are known, and how many were heard of
-// lately enough to get work.
-func (m *Machine) WorkersHeard() (known, heard int) {
+// WorkerCounts counts workers by what is known of them.
+type WorkerCounts struct {
+	Known int
+	// Heard were heard of lately enough to get work.
+	Heard int
+	// Draining get no new work.
+	Draining int
+}
+
+// CountWorkers counts the workers.
+func (m *Machine) CountWorkers() WorkerCounts {
+	counts := WorkerCounts{Known: len(m.workers)}
 	for _, w := range m.workers {
 		if m.heard(w) {
-			heard++
+			counts.Heard++
+		}
+		if w.draining {
+			counts.Draining++
 		}
 	}
-	return len(m.workers), heard
+	return counts
 }
 
 func (m *Machine) heard(w *worker) bool { return m.nowMS-w.lastMS < silentMS }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -101,6 +101,11 @@
 	// Workers returns the list and the store revision at which it was read.
 	// Entries that cannot be read name no worker; their number is returned.
 	Workers(ctx context.Context) (list []jobs.WorkerInfo, unreadable int, revision int64, err error)
+	WorkerChanges
+}
+
+// WorkerChanges follows the workers that the platform lists.
+type WorkerChanges interface {
 	// Changes waits for changes after the revision.
 	Changes(ctx context.Context, after int64, wait time.Duration) (RegistryChanges, error)
 }
