Pace leftover tasks beside serving ones

Each report of a worker now brings the tails of its serving tasks. Over the target the leftover tasks of the worker stop working at once, from 85 % of it they are halved, below 70 % they rise in steps (internal/core/jobs/pace.go). What the images on a worker bore is kept and is where they begin on the next one. A task that its worker does not slow is stopped after 1.5 s, within the step's disruption budget. An unanswered order may take effect seconds later, so it is repeated while the tail stays over. New leftover tasks prefer workers without serving tasks, then those with low tails.

Ruled out: a fixed share for leftover tasks, which is wrong for every image but one; one pace for each task, since a tail does not tell who raised it; stopping instead of pacing, which throws work away.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -208,6 +208,9 @@
 	for _, o := range out.Stops {
 		c.send(func() { c.sendStop(o) })
 	}
+	for _, o := range out.Paces {
+		c.send(func() { c.sendPace(o) })
+	}
 	for _, r := range out.Approvals {
 		c.askApproval(r)
 	}
@@ -257,3 +260,22 @@
 	}
 	c.post(func() { c.machine.StopAnswered(o.Worker, o.Task, o.Run, err == nil) })
 }
+
+func (c *Cell) sendPace(o jobs.PaceOrder) {
+	err := c.workers.Pace(c.ctx, c.reign.epoch, o)
+	var fenced *port.FencedError
+	if errors.As(err, &fenced) {
+		c.end(err.Error())
+		return
+	}
+	outcome := "done"
+	if err != nil {
+		outcome = "unanswered"
+		if c.ctx.Err() == nil {
+			c.log.Info("pace not set", zap.String("job", string(o.Task.Job)), zap.Int("task", o.Task.Index), zap.Int("run", o.Run),
+				zap.String("worker", string(o.Worker)), zap.Int("percent", o.Percent), zap.Error(err))
+		}
+	}
+	c.metrics.Counter("task.pace." + outcome).Inc(1)
+	c.post(func() { c.machine.PaceAnswered(o, err == nil) })
+}
--- /dev/null
+++ b/internal/app/owner/pace_test.go
@@ -0,0 +1,52 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// Guards against a pace that is decided and does not reach the worker, also
+// after another instance has taken the cell over.
+func TestPaceReachesWorker(t *testing.T) {
+	const harm = 4 * time.Second
+	c := newFleetTest(t, 1, time.Minute)
+	first := c.start("a")
+	cell := first.owned(t)
+	submit := func(id string, step jobs.StepSpec) jobs.TaskID {
+		t.Helper()
+		r, err := cell.Submit(t.Context(), port.SubmitCall{Job: domain.JobID(id), Queue: c.queue, Team: "team",
+			Spec: jobs.Spec{Steps: []jobs.StepSpec{step}}})
+		if err != nil || !r.Accepted {
+			t.Fatalf("%s: %+v %v", id, r, err)
+		}
+		return jobs.TaskID{Job: domain.JobID(id)}
+	}
+	serving := submit("serving", jobs.StepSpec{Tasks: 1, Need: domain.Resources{CPUMilli: 1000, MemoryMB: 100},
+		Lasting: true, LatencyTargetMS: 100, Image: "server"})
+	leftover := submit("leftover", jobs.StepSpec{Tasks: 1, Need: domain.Resources{CPUMilli: 3000, MemoryMB: 100},
+		EstimateMS: 60_000, UsesLeftover: true, Image: "filler"})
+	becomes := func(tail int64, want func(int) bool) {
+		t.Helper()
+		c.fleet.Measure(serving, tail)
+		for deadline := time.Now().Add(harm); ; time.Sleep(20 * time.Millisecond) {
+			percent, ok := c.fleet.PaceOf(leftover)
+			if ok && want(percent) {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%v after the tail was %d of 100 ms the task goes at %d %% (%v)", harm, tail, percent, ok)
+			}
+		}
+	}
+	becomes(150, func(p int) bool { return p == 0 })
+	becomes(20, func(p int) bool { return p > 0 })
+	first.stop()
+	<-first.done
+	cell = c.start("b").owned(t)
+	becomes(150, func(p int) bool { return p == 0 })
+	c.check()
+}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -34,6 +34,10 @@
 	violations  []string
 	// refuse lets a test decide about a start before the worker does.
 	refuse func(StartOrder) (StartOutcome, bool)
+	// sharing tells how leftover tasks disturb serving ones, nil where they don't.
+	sharing *sharing
+	// lookMS is the time between looks at an idle worker.
+	lookMS int64
 }
 
 type fakeWorker struct {
@@ -83,6 +87,7 @@
 		workers: make(map[domain.WorkerID]*fakeWorker), submitted: make(map[domain.JobID]int64),
 		completed: make(map[domain.JobID]int64), succeeded: make(map[TaskID]bool), runningRuns: make(map[TaskID]int)}
 	f.work = func(o StartOrder) int64 { return 1000 }
+	f.lookMS = 500
 	var list []WorkerInfo
 	for i := range workers {
 		id := domain.WorkerID(fmt.Sprintf("w%03d", i))
@@ -121,6 +126,9 @@
 			f.settle()
 		}
 		f.nowMS = next
+		if f.sharing != nil {
+			f.sharing.tick(f)
+		}
 		f.m.Advance(f.nowMS, 1_000_000+f.nowMS)
 		f.settle()
 	}
@@ -135,6 +143,9 @@
 	for _, o := range out.Stops {
 		f.after(5, func() { f.stop(o) })
 	}
+	for _, o := range out.Paces {
+		f.after(5, func() { f.sharing.pace(f, o) })
+	}
 	for _, r := range out.Approvals {
 		f.after(int64(r.ExpectedMS)+10, func() { f.approve(r) })
 	}
@@ -223,6 +234,9 @@
 		f.violate("%v runs twice", o.Task)
 	}
 	w.running[o.Task] = fakeRun{o.Run, need}
+	if t.step.spec.Lasting {
+		return
+	}
 	f.after(f.work(o), func() { f.end(w, o.Task, o.Run, EndSucceeded) })
 }
 
@@ -259,7 +273,11 @@
 		w.looking = false
 		r := WorkerReport{Worker: w.id, BornMS: 1, SentMS: sent, ReceivedMS: f.nowMS, ClockMS: f.nowMS + 5000}
 		for id, run := range w.running {
-			r.Running = append(r.Running, RunReport{Task: id, Run: run.run, Percent: int(f.nowMS/50) % 100})
+			row := RunReport{Task: id, Run: run.run, Percent: int(f.nowMS/50) % 100}
+			if f.sharing != nil {
+				row.Percent, row.Measure = fullPace, f.sharing.measure(f, w, id)
+			}
+			r.Running = append(r.Running, row)
 		}
 		for _, e := range w.ends {
 			if e.Number > w.acked {
@@ -269,7 +287,7 @@
 		f.m.LeaseLimit(w.id)
 		f.m.Report(r)
 		if len(r.Ends) == 0 {
-			f.after(500, func() { f.look(w) })
+			f.after(f.lookMS, func() { f.look(w) })
 		}
 	})
 }
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -101,6 +101,7 @@
 		for _, r := range w.runs {
 			m.watchRun(w, r)
 		}
+		m.paceRuns(w)
 	}
 }
 
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -76,10 +76,13 @@
 	// membersChanged tells that the stored set of workers is out of date.
 	membersChanged bool
 	// membersWriting tells that a write of the set is under way.
-	membersWriting      bool
-	forgotten           []domain.JobID
-	dirty               []*job
-	approvals           map[domain.QueueID]*approvalStats
+	membersWriting bool
+	forgotten      []domain.JobID
+	dirty          []*job
+	approvals      map[domain.QueueID]*approvalStats
+	// imagePaces is the pace at which leftover tasks of an image did not disturb
+	// serving tasks.
+	imagePaces          map[string]float64
 	lastAges, lastLapse int64
 	out                 Output
 	needsPass           bool
@@ -90,13 +93,14 @@
 func New(cfg Config, nowMS, unixMS int64) *Machine {
 	return &Machine{
 		cfg: cfg, nowMS: nowMS, unixMS: unixMS,
-		queues:    make(map[domain.QueueID]*Queue),
-		teams:     make(map[domain.TeamID]*team),
-		workers:   make(map[domain.WorkerID]*worker),
-		jobs:      make(map[domain.JobID]*job),
-		recurring: make(map[domain.JobID]*job),
-		suspects:  make(map[domain.WorkerID]int64),
-		approvals: make(map[domain.QueueID]*approvalStats),
+		queues:     make(map[domain.QueueID]*Queue),
+		teams:      make(map[domain.TeamID]*team),
+		workers:    make(map[domain.WorkerID]*worker),
+		jobs:       make(map[domain.JobID]*job),
+		recurring:  make(map[domain.JobID]*job),
+		suspects:   make(map[domain.WorkerID]int64),
+		approvals:  make(map[domain.QueueID]*approvalStats),
+		imagePaces: make(map[string]float64),
 	}
 }
 
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -174,6 +174,14 @@
 	stopSentMS  int64
 	reason      string
 	resendsLeft int
+	// measure is the last tail in ms of a serving task, zero where none was told.
+	measure int64
+	// pace is the percentage that the worker has confirmed, and paceAsked the one
+	// asked for last.
+	pace, paceAsked int
+	paceAskedMS     int64
+	// paceLost tells that a pace order had no answer.
+	paceLost bool
 	// unanswered tells that an order for the run had no answer, so that only a
 	// report of the worker proves whether it took effect.
 	unanswered bool
@@ -217,6 +225,7 @@
 	lastEnd int64
 	pending []pendingEnd
 	health  health
+	pacing  pacing
 	// slowness is the smoothed ratio of measured to expected run time.
 	slowness float64
 }
--- a/internal/core/jobs/output.go
+++ b/internal/core/jobs/output.go
@@ -47,6 +47,7 @@
 type Output struct {
 	Starts    []StartOrder
 	Stops     []StopOrder
+	Paces     []PaceOrder
 	Approvals []ApprovalRequest
 	// Forgotten lists workers that are gone for good.
 	Forgotten []domain.WorkerID
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -99,6 +99,8 @@
 			w.strangers++
 		}
 	}
+	m.takeMeasures(w)
+	m.paceRuns(w)
 	m.needsPass = true
 }
 
@@ -143,6 +145,7 @@
 	r := m.place(t, w, row.Run)
 	r.phase, r.listed = runConfirmed, true
 	r.confirmedMS, r.progressMS = m.nowMS, m.nowMS
+	r.pace = paceUnknown
 	m.progress(r, row)
 	m.out.noteRun("run_adopted", r, "")
 	s := t.step
@@ -162,6 +165,7 @@
 		r.confirmedMS = m.nowMS
 	}
 	r.listed = true
+	r.measure = row.Measure
 	if row.Checkpoint != "" {
 		r.task.checkpoint = row.Checkpoint
 		if r.task.step.spec.Gang {
@@ -427,6 +431,10 @@
 			r.phase = runConfirmed
 			r.confirmedMS, r.progressMS = m.nowMS, m.nowMS
 		}
+		if r.task.step.spec.UsesLeftover {
+			m.takeMeasures(w)
+			m.paceRuns(w)
+		}
 		return
 	case StartUnanswered:
 		r.unanswered = true
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -272,7 +272,7 @@
 const (
 	slownessCost = 1.0
 	farCost      = 1.0
-	leftoverCost = 0.4
+	fitCost      = 0.4
 )
 
 // cost is lower for fast workers near the data and for a tight fit, which
@@ -282,10 +282,13 @@
 	if s.spec.DataRack != "" && s.spec.DataRack != w.rack {
 		c += farCost * (m.cfg.FarFactor - 1)
 	}
+	if s.spec.UsesLeftover {
+		c += m.leftoverCost(w)
+	}
 	if s.spec.Lasting || s.spec.UsesLeftover {
-		return c - leftoverCost*left.DominantShare(w.capacity)
+		return c - fitCost*left.DominantShare(w.capacity)
 	}
-	return c + leftoverCost*left.DominantShare(w.capacity)
+	return c + fitCost*left.DominantShare(w.capacity)
 }
 
 // claim reserves room for the waiting tasks of the step in this pass and asks
@@ -347,7 +350,7 @@
 // place reserves the room of a run.
 func (m *Machine) place(t *task, w *worker, number int) *run {
 	s := t.step
-	r := &run{task: t, number: number, worker: w, reserved: s.spec.Reserved(), need: s.spec.Need}
+	r := &run{task: t, number: number, worker: w, reserved: s.spec.Reserved(), need: s.spec.Need, pace: fullPace}
 	w.runs[t.id()] = r
 	w.used = w.used.Add(r.reserved)
 	s.job.team.used = s.job.team.used.Add(r.need)
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -74,6 +74,8 @@
 	Start(ctx context.Context, fence int64, order jobs.StartOrder) (jobs.StartOutcome, error)
 	// Stop returns nil once the worker knows that the run must end or never begin.
 	Stop(ctx context.Context, fence int64, order jobs.StopOrder) error
+	// Pace returns nil once the worker lets the run work at the percentage, or a *FencedError.
+	Pace(ctx context.Context, fence int64, order jobs.PaceOrder) error
 	// Look returns the report, a *FencedError, or a *WorkerUnreachableError.
 	Look(ctx context.Context, id domain.WorkerID, address string, r LookRequest) (jobs.WorkerReport, error)
 }
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -24,6 +24,8 @@
 	calls     int
 	running   map[jobs.TaskID]int
 	done      map[jobs.TaskID]bool
+	paces     map[jobs.TaskID]int
+	measures  map[jobs.TaskID]int64
 	starts    int
 	faults    []string
 }
@@ -43,7 +45,8 @@
 // New returns workers with the IDs, whose tasks take runTime.
 func New(runTime time.Duration, ids ...domain.WorkerID) *Fleet {
 	f := &Fleet{workers: make(map[domain.WorkerID]*worker), began: time.Now(), runTime: runTime,
-		running: make(map[jobs.TaskID]int), done: make(map[jobs.TaskID]bool)}
+		running: make(map[jobs.TaskID]int), done: make(map[jobs.TaskID]bool),
+		paces: make(map[jobs.TaskID]int), measures: make(map[jobs.TaskID]int64)}
 	for _, id := range ids {
 		f.workers[id] = &worker{id: id, running: make(map[jobs.TaskID]int), over: make(map[jobs.TaskID]int), news: make(chan struct{})}
 	}
@@ -180,6 +183,39 @@
 	return nil
 }
 
+// Pace implements port.WorkerCalls. Work takes as long at any pace.
+func (f *Fleet) Pace(_ context.Context, fence int64, o jobs.PaceOrder) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[o.Worker]
+	switch {
+	case w.cut:
+		return &port.WorkerUnreachableError{Address: o.Address, Err: errCut}
+	case fence < w.fence:
+		return &port.FencedError{Worker: o.Worker}
+	case w.running[o.Task] != o.Run:
+		return &port.WorkerUnreachableError{Address: o.Address, Err: errors.New("the run is not there")}
+	}
+	w.fence = fence
+	f.paces[o.Task] = o.Percent
+	return nil
+}
+
+// PaceOf returns the percentage of a task's last order, or false where it had none.
+func (f *Fleet) PaceOf(id jobs.TaskID) (int, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	percent, ok := f.paces[id]
+	return percent, ok
+}
+
+// Measure has reports give the measure of a task.
+func (f *Fleet) Measure(id jobs.TaskID, value int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.measures[id] = value
+}
+
 // Look implements port.WorkerCalls.
 func (f *Fleet) Look(ctx context.Context, id domain.WorkerID, address string, r port.LookRequest) (jobs.WorkerReport, error) {
 	f.mu.Lock()
@@ -215,7 +251,7 @@
 	}
 	report := jobs.WorkerReport{Worker: id, BornMS: 1, ClockMS: f.clock(), Ends: append([]jobs.EndReport(nil), w.ends...)}
 	for task, run := range w.running {
-		report.Running = append(report.Running, jobs.RunReport{Task: task, Run: run})
+		report.Running = append(report.Running, jobs.RunReport{Task: task, Run: run, Percent: 100, Measure: f.measures[task]})
 	}
 	return report, nil
 }
