Let operators ask any instance about the cell and its jobs

auburnpier cell status and cell explain ask listen.metrics of any instance, which passes the question to the owner it knows. New timers: submission to answer, acceptance to first start, placement pass, lag of the owner's loop, end to acknowledgement; new gauges: epoch, ring, claim, jobs, tasks, teams, age of the store's last answer, lost lines. The owner's gauges end with its reign.

Ruled out: questions through the callers' address, which would need keys of teams; a line for each refusal whatever the flood, which has no bound.

--- a/cmd/auburnpierd/main.go
+++ b/cmd/auburnpierd/main.go
@@ -10,9 +10,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"auburnpier/internal/celld"
 	"auburnpier/internal/daemon"
 	"auburnpier/internal/demo"
+	"auburnpier/internal/logring"
 	"auburnpier/internal/settings"
 	"auburnpier/platform"
 )
@@ -80,7 +80,7 @@
 		fmt.Printf("%s: no faults\n", c.Settings)
 		return nil
 	}
-	log, err := celld.NewLog(s)
+	log, err := logring.NewLog(os.Stdout, s.Log.Level)
 	if err != nil {
 		return err
 	}
--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -127,6 +127,16 @@
 	return call[port.HelloReply](ctx, p, pathHello, h)
 }
 
+// Explain implements port.OwnerCalls.
+func (p *peer) Explain(ctx context.Context, job domain.JobID) (port.ExplainReply, error) {
+	return call[port.ExplainReply](ctx, p, pathExplain, job)
+}
+
+// Overview implements port.OwnerCalls.
+func (p *peer) Overview(ctx context.Context) (port.CellOverview, error) {
+	return call[port.CellOverview](ctx, p, pathOverview, struct{}{})
+}
+
 // approveCall asks an instance to ask the approval service.
 type approveCall struct {
 	Step    jobs.StepID       `cbor:"1,keyasint"`
--- a/internal/adapter/cellhttp/doc.go
+++ b/internal/adapter/cellhttp/doc.go
@@ -10,6 +10,8 @@
 	pathCancel   = "/cell/cancel"
 	pathState    = "/cell/state"
 	pathWaiting  = "/cell/waiting"
+	pathExplain  = "/cell/explain"
+	pathOverview = "/cell/overview"
 	pathHello    = "/cell/hello"
 	pathApprove  = "/cell/approve"
 	pathStore    = "/cell/store"
--- a/internal/adapter/cellhttp/server.go
+++ b/internal/adapter/cellhttp/server.go
@@ -35,6 +35,10 @@
 	handle(mux, pathState, ownerCall(l, port.OwnerCalls.State))
 	handle(mux, pathWaiting, ownerCall(l, port.OwnerCalls.Waiting))
 	handle(mux, pathHello, ownerCall(l, port.OwnerCalls.Hello))
+	handle(mux, pathExplain, ownerCall(l, port.OwnerCalls.Explain))
+	handle(mux, pathOverview, ownerCall(l, func(o port.OwnerCalls, ctx context.Context, _ struct{}) (port.CellOverview, error) {
+		return o.Overview(ctx)
+	}))
 	handle(mux, pathStore, func(ctx context.Context, c storeCall) (storeReply, error) { return serveStore(ctx, l.Store, c) })
 	handle(mux, pathApprove, func(ctx context.Context, c approveCall) (port.ApprovalAnswer, error) {
 		return l.Approver.Approve(ctx, c.Step, c.Workers)
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -155,7 +155,9 @@
 
 // Submit hands a job to the owner.
 func (s *Service) Submit(ctx context.Context, c Call, id domain.JobID, spec jobs.Spec, deadline time.Duration) *Rejection {
+	begun := time.Now()
 	rejection := s.submit(ctx, c, id, spec, deadline)
+	s.metrics.Timer("job.answer").UpdateSince(begun)
 	if rejection == nil {
 		s.log.Info("job_accepted", zap.String("job", string(id)))
 		return nil
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -46,7 +46,10 @@
 	writing        int
 	lastWrite      int64
 	acked          map[domain.WorkerID]int64
-	processed      map[domain.WorkerID]int64
+	// endSeenMS is when the first end that is not acknowledged was listed.
+	endSeenMS map[domain.WorkerID]int64
+	gauges    gauges
+	processed map[domain.WorkerID]int64
 	// resigning tells that the instance hands the cell over.
 	resigning bool
 }
@@ -67,6 +70,8 @@
 		cancellers:     make(map[domain.JobID][]func(port.CancelReply, error)),
 		looks:          make(map[domain.WorkerID]*look),
 		acked:          make(map[domain.WorkerID]int64),
+		endSeenMS:      make(map[domain.WorkerID]int64),
+		gauges:         gauges{names: make(map[string]bool), metrics: o.metrics},
 		processed:      make(map[domain.WorkerID]int64),
 		registryPaused: make(map[port.Hello]int64),
 		groups: lookGroups{most: o.options.DirectWorkers, byHost: make(map[port.Hello]*lookGroup),
@@ -108,6 +113,7 @@
 // run serves the cell until the reign ends.
 func (c *Cell) run() {
 	defer close(c.ended)
+	defer c.gauges.drop()
 	c.configure(c.config)
 	go c.keep(c.ctx, c.reign, c.confirmedMS.Store, func() { c.end("claim expired") })
 	go c.followRegistry()
@@ -122,8 +128,10 @@
 			c.advance()
 			c.handle(event)
 			c.drainEvents()
-		case <-ticker.C:
+		case due := <-ticker.C:
+			c.metrics.Timer("owner.loop_lag").UpdateSince(due)
 			c.advance()
+			c.measure(steady.NowMS())
 		}
 		if c.ctx.Err() != nil {
 			continue
@@ -171,7 +179,9 @@
 	now := steady.NowMS()
 	// An owner that resigns only stores what it knows; the rest is its successor's.
 	if c.mayOrder(now) && !c.resigning {
+		begun := time.Now()
 		c.machine.Schedule()
+		c.metrics.Timer("owner.decision").UpdateSince(begun)
 		c.dispatch(c.machine.Drain())
 		c.sendLooks(now)
 	}
@@ -202,6 +212,9 @@
 // dispatch sends the orders of a pass.
 func (c *Cell) dispatch(out jobs.Output) {
 	c.logNotes(out.Notes)
+	for _, ms := range out.FirstStartMS {
+		c.metrics.Timer("job.first_start").Update(time.Duration(ms) * time.Millisecond)
+	}
 	for _, o := range out.Starts {
 		c.send(func() { c.sendStart(o) })
 	}
@@ -218,6 +231,7 @@
 		delete(c.looks, id)
 		delete(c.acked, id)
 		delete(c.processed, id)
+		delete(c.endSeenMS, id)
 	}
 }
 
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -193,10 +193,6 @@
 		return
 	}
 	c.arrangedMS = now
-	counts := c.machine.CountWorkers()
-	c.metrics.Gauge("workers.known").Update(int64(counts.Known))
-	c.metrics.Gauge("workers.heard").Update(int64(counts.Heard))
-	c.metrics.Gauge("workers.draining").Update(int64(counts.Draining))
 	workers := make(map[domain.ZoneID]int)
 	for _, l := range c.looks {
 		workers[l.zone]++
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -149,6 +149,11 @@
 		c.acked[id], c.processed[id] = 0, 0
 	}
 	c.machine.Report(report)
+	if n := len(report.Ends); n > 0 && report.Ends[n-1].Number > c.acked[id] {
+		if _, waits := c.endSeenMS[id]; !waits {
+			c.endSeenMS[id] = steady.NowMS()
+		}
+	}
 	for _, e := range report.Ends {
 		c.processed[id] = max(c.processed[id], e.Number)
 	}
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -161,3 +161,31 @@
 		reply(r, nil)
 	})
 }
+
+// Explain implements port.OwnerCalls.
+func (c *Cell) Explain(ctx context.Context, job domain.JobID) (port.ExplainReply, error) {
+	return ask(ctx, c, func(reply func(port.ExplainReply, error)) {
+		view, known := c.machine.Explain(job)
+		reply(port.ExplainReply{Known: known, Job: view}, nil)
+	})
+}
+
+// Overview implements port.OwnerCalls.
+func (c *Cell) Overview(ctx context.Context) (port.CellOverview, error) {
+	return ask(ctx, c, func(reply func(port.CellOverview, error)) {
+		now := steady.NowMS()
+		v := port.CellOverview{Owner: c.options.Instance, Epoch: c.reign.epoch, ReignMS: now - c.reign.claimedMS,
+			ClaimLeftMS: c.confirmedMS.Load() - now, Overview: c.machine.Overview()}
+		if c.config != nil {
+			v.ConfigVersion = c.config.Version
+		}
+		if relay := c.registryRelay.Load(); relay != nil {
+			v.RegistryRelay = relay.hello.Instance
+		}
+		c.relays.expire(now)
+		for _, k := range c.relays.list {
+			v.Instances = append(v.Instances, port.InstanceSeen{Instance: k.hello.Instance, Zone: k.hello.Zone, HeardMS: now - k.lastMS})
+		}
+		reply(v, nil)
+	})
+}
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -76,6 +76,10 @@
 		if n > c.acked[id] {
 			c.acked[id] = max(c.acked[id], min(n, c.machine.Acknowledgeable(id)))
 		}
+		if seen, ok := c.endSeenMS[id]; ok && c.acked[id] >= n {
+			c.metrics.Timer("task.end_acknowledged").Update(time.Duration(steady.NowMS()-seen) * time.Millisecond)
+			delete(c.endSeenMS, id)
+		}
 	}
 }
 
--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -31,6 +31,8 @@
 	metrics *metrics.Registry
 	// failedMS is when a direct call last failed, zero after a success.
 	failedMS atomic.Int64
+	// answeredMS is when a call last had an answer, directly or through another instance.
+	answeredMS atomic.Int64
 	// probeMS is when a direct call was last tried in spite of failures.
 	probeMS atomic.Int64
 }
@@ -38,6 +40,7 @@
 // New returns a store over direct and the peers.
 func New(direct port.LeaseStore, peers func() []port.LeaseStore, m *metrics.Registry) *Store {
 	s := &Store{direct: direct, peers: peers, metrics: m}
+	s.answeredMS.Store(steady.NowMS())
 	s.calls = s.run
 	return s
 }
@@ -89,10 +92,16 @@
 func (s *Store) run(ctx context.Context, op string, call func(port.LeaseStore) error) error {
 	begun := time.Now()
 	err := s.route(ctx, call)
+	if result := outcome(err); result == "ok" || result == "refused" {
+		s.answeredMS.Store(steady.NowMS())
+	}
 	s.metrics.Timer("store." + op + "." + outcome(err)).UpdateSince(begun)
 	return err
 }
 
+// AnswerAgeMS returns the time since a call last had an answer.
+func (s *Store) AnswerAgeMS() int64 { return steady.NowMS() - s.answeredMS.Load() }
+
 // outcome names the result of a call for the metrics.
 func outcome(err error) string {
 	var unavailable *port.UnavailableError
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -6,14 +6,12 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"auburnpier/internal/adapter/cellhttp"
 	"auburnpier/internal/app/entry"
@@ -77,6 +75,7 @@
 	settings  settings.Cell
 	adapters  Adapters
 	log       *zap.Logger
+	logs      *logring.Log
 	metrics   *metrics.Registry
 	config    *entry.ConfigKeeper
 	directory *entry.Directory
@@ -86,21 +85,10 @@
 	draining  atomic.Bool
 }
 
-// NewLog returns a logger that writes JSON lines to standard output without blocking.
-func NewLog(s settings.Cell) (*zap.Logger, error) {
-	level, err := zapcore.ParseLevel(s.Log.Level)
-	if err != nil {
-		return nil, err
-	}
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.EpochMillisTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), logring.New(os.Stdout), level)
-	return zap.New(core).With(zap.String("instance", string(s.Instance))), nil
-}
-
 // New assembles an instance.
-func New(s settings.Cell, a Adapters, log *zap.Logger) *Instance {
-	i := &Instance{settings: s, adapters: a, log: log, metrics: metrics.New()}
+func New(s settings.Cell, a Adapters, logs *logring.Log) *Instance {
+	log := logs.With(zap.String("instance", string(s.Instance)))
+	i := &Instance{settings: s, adapters: a, log: log, logs: logs, metrics: metrics.New()}
 	dialer := cellhttp.NewDialer()
 	i.directory = entry.NewDirectory(dialer)
 	relay := storerelay.New(a.Store, func() []port.LeaseStore {
@@ -231,7 +219,7 @@
 		handler http.Handler
 	}{
 		{i.settings.Listen.Ready, ready},
-		{i.settings.Listen.Metrics, i.metricsHandler()},
+		{i.settings.Listen.Metrics, i.operatorHandler()},
 		{i.settings.Listen.Callers, i.adapters.Front(i.service, i.draining.Load)},
 		{i.settings.Listen.Peers, peers},
 	}
--- a/internal/celld/metrics.go
+++ b/internal/celld/metrics.go
@@ -12,25 +12,33 @@
 	"go.uber.org/zap"
 )
 
-// metricsHandler serves the metrics as text, one sample a line.
-func (i *Instance) metricsHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		seat := i.directory.Seat()
-		owns := int64(0)
-		if seat.Local != nil {
-			owns = 1
-		}
-		i.metrics.Gauge("cell.owner").Update(owns)
-		i.metrics.Gauge("config.age_ms").Update(i.config.AgeMS())
-		var lines []string
-		i.metrics.Underlying().Each(func(name string, m any) { lines = append(lines, samples(name, m)...) })
-		sort.Strings(lines)
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		// A scraper that left has no use for the answer.
-		_, _ = fmt.Fprintln(w, strings.Join(lines, "\n"))
-	})
-	return mux
+// serveMetrics serves the metrics as text, one sample a line.
+func (i *Instance) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	i.updateGauges()
+	var lines []string
+	i.metrics.Underlying().Each(func(name string, m any) { lines = append(lines, samples(name, m)...) })
+	sort.Strings(lines)
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	// A scraper that left has no use for the answer.
+	_, _ = fmt.Fprintln(w, strings.Join(lines, "\n"))
+}
+
+// updateGauges sets the gauges that are read when they are asked for.
+func (i *Instance) updateGauges() {
+	seat := i.directory.Seat()
+	owns, epoch := int64(0), int64(0)
+	if seat.Local != nil {
+		owns = 1
+	}
+	if seat.Claim != nil {
+		epoch = seat.Claim.Epoch
+	}
+	i.metrics.Gauge("cell.owner").Update(owns)
+	i.metrics.Gauge("cell.epoch").Update(epoch)
+	i.metrics.Gauge("config.age_ms").Update(i.config.AgeMS())
+	i.metrics.Gauge("store.age_ms").Update(i.store.AnswerAgeMS())
+	i.metrics.Gauge("log.dropped").Update(i.logs.Dropped())
+	i.metrics.Gauge("log.sampled_out").Update(i.logs.SampledOut())
 }
 
 // summaryInterval is how often the counters are written to the log, for deployments without a scraper.
--- /dev/null
+++ b/internal/celld/operators.go
@@ -0,0 +1,90 @@
+package celld
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// operatorTimeout bounds what an operator's question waits for the owner. A
+// takeover takes up to 2 s.
+const operatorTimeout = 3 * time.Second
+
+// errNoOwner tells that the instance knows no owner of the cell.
+var errNoOwner = errors.New("no instance is known to own the cell; ask again in a few seconds")
+
+// operatorHandler serves metrics and the questions of operators. It tells
+// nothing of payloads or keys.
+func (i *Instance) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", i.serveMetrics)
+	mux.HandleFunc("GET /status", i.serveStatus)
+	mux.HandleFunc("GET /jobs/{id}", i.serveExplain)
+	return mux
+}
+
+func (i *Instance) serveStatus(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	s := port.InstanceStatus{Instance: i.settings.Instance, Region: i.settings.Region, Zone: i.settings.Zone,
+		Ready: i.service.Ready(), Draining: i.draining.Load(), ConfigAgeMS: i.config.AgeMS()}
+	if c := i.config.Plain(); c != nil {
+		s.ConfigVersion = c.Version
+	}
+	if claim := i.directory.Seat().Claim; claim != nil {
+		s.Owner, s.OwnerAddress, s.Epoch = claim.Instance, claim.Address, claim.Epoch
+	}
+	if cell, err := i.overview(ctx); err != nil {
+		s.CellError = err.Error()
+	} else {
+		s.Cell = &cell
+	}
+	i.writeJSON(w, http.StatusOK, s)
+}
+
+func (i *Instance) overview(ctx context.Context) (port.CellOverview, error) {
+	calls, _ := i.directory.Owner()
+	if calls == nil {
+		return port.CellOverview{}, errNoOwner
+	}
+	return calls.Overview(ctx)
+}
+
+func (i *Instance) serveExplain(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	defer cancel()
+	calls, _ := i.directory.Owner()
+	if calls == nil {
+		i.writeJSON(w, http.StatusServiceUnavailable, port.OperatorError{Error: errNoOwner.Error()})
+		return
+	}
+	reply, err := calls.Explain(ctx, domain.JobID(r.PathValue("id")))
+	switch {
+	case err != nil:
+		i.writeJSON(w, http.StatusServiceUnavailable, port.OperatorError{Error: err.Error()})
+	case !reply.Known:
+		i.writeJSON(w, http.StatusNotFound, port.OperatorError{Error: "the owner knows no such job; it may have ended longer ago than states are kept, look into the logs"})
+	default:
+		i.writeJSON(w, http.StatusOK, reply.Job)
+	}
+}
+
+func (i *Instance) writeJSON(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		i.log.Error("answer to an operator cannot be encoded", zap.Error(err))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that left has no use for the answer.
+	_, _ = w.Write(raw)
+}
--- /dev/null
+++ b/internal/cli/cell.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"auburnpier/internal/adapter/apiclient"
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+)
+
+// CellCommand holds the commands for a cell on the users' platform. They ask
+// the address of listen.metrics of any instance.
+type CellCommand struct {
+	Status  CellStatusCommand  `cmd:"" help:"Show who owns the cell, since when, and what an instance believes."`
+	Explain CellExplainCommand `cmd:"" help:"Say where the tasks of a job run and why others wait."`
+}
+
+// maxCellAnswer bounds the answer of an instance, in bytes.
+const maxCellAnswer = 16 << 20
+
+// askCell reads one answer of the instance at --server.
+func (g *Globals) askCell(path string, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(g.Server, "/")+path, nil)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "--server"), errUsage)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &apiclient.UnreachableError{Server: g.Server, Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxCellAnswer))
+	if err != nil {
+		return &apiclient.UnreachableError{Server: g.Server, Err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		var body port.OperatorError
+		if err := json.Unmarshal(raw, &body); err != nil || body.Error == "" {
+			return errors.Newf("%s answered %d; --server must name listen.metrics of an instance", g.Server, resp.StatusCode)
+		}
+		return errors.Newf("%s: %s", g.Server, body.Error)
+	}
+	return errors.Wrapf(json.Unmarshal(raw, into), "answer of %s cannot be read", g.Server)
+}
+
+// CellStatusCommand shows an instance and the owner that it knows.
+type CellStatusCommand struct{}
+
+// Run implements the command.
+func (c *CellStatusCommand) Run(g *Globals) error {
+	var s port.InstanceStatus
+	if err := g.askCell("/status", &s); err != nil {
+		return err
+	}
+	return g.print(s, func(w io.Writer) { cellRows(w, s) })
+}
+
+func cellRows(w io.Writer, s port.InstanceStatus) {
+	row(w, "INSTANCE", s.Instance)
+	row(w, "PLACE", fmt.Sprintf("%s, %s", s.Zone, s.Region))
+	row(w, "READY", fmt.Sprintf("%v, draining %v", s.Ready, s.Draining))
+	row(w, "CONFIGURATION", fmt.Sprintf("version %d, proven %d ms ago", s.ConfigVersion, s.ConfigAgeMS))
+	row(w, "OWNER", fmt.Sprintf("%s at %s, epoch %d", orNone(string(s.Owner)), orNone(s.OwnerAddress), s.Epoch))
+	o := s.Cell
+	if o == nil {
+		row(w, "CELL", s.CellError)
+		return
+	}
+	row(w, "REIGN", fmt.Sprintf("epoch %d for %d ms, claim holds for %d ms more", o.Epoch, o.ReignMS, o.ClaimLeftMS))
+	row(w, "CONFIGURATION THERE", fmt.Sprintf("version %d", o.ConfigVersion))
+	row(w, "JOBS", fmt.Sprintf("%d open, %d ended and kept", o.OpenJobs, o.EndedJobs))
+	row(w, "TASKS", fmt.Sprintf("%d run, %d wait", o.RunningTasks, o.WaitingTasks))
+	row(w, "WORKERS", fmt.Sprintf("%d known, %d heard of lately, %d draining, %d not heard of since the takeover",
+		o.Workers.Known, o.Workers.Heard, o.Workers.Draining, o.Suspects))
+	row(w, "REGISTRY READ BY", registryReader(o.Owner, o.RegistryRelay))
+	fmt.Fprintln(w)
+	row(w, "OTHER INSTANCE", "ZONE", "HEARD")
+	for _, i := range o.Instances {
+		row(w, i.Instance, i.Zone, fmt.Sprintf("%d ms ago", i.HeardMS))
+	}
+	fmt.Fprintln(w)
+	row(w, "TEAM", "CPU MILLI", "OF", "MEMORY MB", "OF", "ACCELERATORS", "OF")
+	for _, t := range o.Teams {
+		row(w, t.Team, t.Used.CPUMilli, limitText(t.Limit.CPUMilli), t.Used.MemoryMB, limitText(t.Limit.MemoryMB),
+			t.Used.Accelerators, limitText(t.Limit.Accelerators))
+	}
+}
+
+func registryReader(owner, relay domain.InstanceID) domain.InstanceID {
+	if relay == "" {
+		return owner
+	}
+	return relay
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+func limitText(amount int64) string {
+	if amount <= 0 {
+		return "no limit"
+	}
+	return fmt.Sprint(amount)
+}
+
+// CellExplainCommand shows a job.
+type CellExplainCommand struct {
+	Job string `arg:"" help:"ID of the job."`
+}
+
+// Run implements the command.
+func (c *CellExplainCommand) Run(g *Globals) error {
+	var v jobs.JobView
+	if err := g.askCell("/jobs/"+url.PathEscape(c.Job), &v); err != nil {
+		return err
+	}
+	return g.print(v, func(w io.Writer) { jobViewRows(w, v) })
+}
+
+func jobViewRows(w io.Writer, v jobs.JobView) {
+	row(w, "JOB", v.Job)
+	row(w, "TEAM", v.Team)
+	row(w, "QUEUE", v.Queue)
+	row(w, "STATE", v.State)
+	if v.OverRate {
+		row(w, "ORDER", "after the jobs of teams within their weight")
+	}
+	fmt.Fprintln(w)
+	row(w, "OCCURRENCE", "STEP", "TASKS", "SUCCEEDED", "WAITING", "OBJECTIVE IN", "FAILED RUNS", "WHY")
+	for _, s := range v.Steps {
+		row(w, s.Occurrence, s.Step, s.Tasks, s.Succeeded, s.Waiting, fmt.Sprintf("%d ms", s.ObjectiveMS), s.FailedRuns, stepReason(s))
+	}
+	fmt.Fprintln(w)
+	row(w, "STEP", "TASK", "RUN", "WORKER", "PHASE", "FOR", "PERCENT", "PACE", "WORKER HEARD", "WHY")
+	for _, s := range v.Steps {
+		for _, r := range s.Runs {
+			row(w, s.Step, r.Task, r.Run, r.Worker, r.Phase, fmt.Sprintf("%d ms", r.ConfirmedMS), r.Percent, paceText(r.Pace),
+				fmt.Sprintf("%d ms ago", r.HeardMS), r.Reason)
+		}
+	}
+}
+
+func stepReason(s jobs.StepView) string {
+	switch {
+	case len(s.WaitsFor) > 0:
+		return fmt.Sprintf("waits for steps %v", s.WaitsFor)
+	case s.Reason != "":
+		return fmt.Sprintf("%s, for %d ms", s.Reason, s.ReadyMS)
+	}
+	return ""
+}
+
+func paceText(percent int) string {
+	if percent < 0 {
+		return "unknown"
+	}
+	return fmt.Sprint(percent)
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -61,6 +61,7 @@
 	Keys       KeysCommand       `cmd:"" help:"Grant and withdraw keys."`
 	Status     StatusCommand     `cmd:"" help:"Show all instances with the configuration version in force at each."`
 	Drain      DrainCommand      `cmd:"" help:"Shut one instance down gracefully."`
+	Cell       CellCommand       `cmd:"" help:"Look into a cell on the users' platform."`
 }
 
 const description = `Command-line tool of the auburnpier cluster scheduler.
--- a/internal/core/jobs/output.go
+++ b/internal/core/jobs/output.go
@@ -52,6 +52,9 @@
 	// Forgotten lists workers that are gone for good.
 	Forgotten []domain.WorkerID
 	Notes     []Note
+	// FirstStartMS lists the times from acceptance to the first start of jobs
+	// without due times.
+	FirstStartMS []int64
 }
 
 func (o *Output) note(kind string, w domain.WorkerID, detail string) {
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -491,11 +491,11 @@
 
 // WorkerCounts counts workers by what is known of them.
 type WorkerCounts struct {
-	Known int
+	Known int `json:"known"`
 	// Heard were heard of lately enough to get work.
-	Heard int
+	Heard int `json:"heard"`
 	// Draining get no new work.
-	Draining int
+	Draining int `json:"draining"`
 }
 
 // CountWorkers counts the workers.
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -333,7 +333,12 @@
 	m.extend(w, m.cfg.StartLimitMS)
 	m.out.Starts = append(m.out.Starts, m.startOrder(r))
 	m.out.noteRun("run_start", r, "")
-	t.step.job.everActive = true
+	if j := t.step.job; !j.everActive {
+		j.everActive = true
+		if !j.spec.Recurring() {
+			m.out.FirstStartMS = append(m.out.FirstStartMS, max(0, m.unixMS-j.acceptedUnixMS))
+		}
+	}
 }
 
 // startResends is how often an unanswered start is sent again.
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -83,6 +83,62 @@
 	Waiting(ctx context.Context, queue domain.QueueID) (int, error)
 	// Hello tells the owner that the instance is there, and returns the others.
 	Hello(ctx context.Context, h HelloCall) (HelloReply, error)
+	// Explain shows a job of any team.
+	Explain(ctx context.Context, job domain.JobID) (ExplainReply, error)
+	Overview(ctx context.Context) (CellOverview, error)
+}
+
+// ExplainReply is what the owner knows of a job.
+type ExplainReply struct {
+	Known bool
+	Job   jobs.JobView
+}
+
+// CellOverview is what the owner of the cell believes.
+type CellOverview struct {
+	Owner domain.InstanceID `json:"owner"`
+	Epoch int64             `json:"epoch"`
+	// ReignMS is how long it has owned the cell.
+	ReignMS int64 `json:"reign_ms"`
+	// ClaimLeftMS is how long the claim certainly holds, negative where the store did not confirm it in time.
+	ClaimLeftMS   int64  `json:"claim_left_ms"`
+	ConfigVersion uint64 `json:"config_version"`
+	// RegistryRelay reads the registry of workers for the owner, empty where it reads itself.
+	RegistryRelay domain.InstanceID `json:"registry_relay,omitempty"`
+	Instances     []InstanceSeen    `json:"instances"`
+	jobs.Overview
+}
+
+// InstanceSeen is an instance that has greeted the owner.
+type InstanceSeen struct {
+	Instance domain.InstanceID `json:"instance"`
+	Zone     domain.ZoneID     `json:"zone"`
+	// HeardMS is the age of its last greeting.
+	HeardMS int64 `json:"heard_ms"`
+}
+
+// InstanceStatus is what an instance believes, and what the owner that it knows does.
+type InstanceStatus struct {
+	Instance domain.InstanceID `json:"instance"`
+	Region   domain.RegionID   `json:"region"`
+	Zone     domain.ZoneID     `json:"zone"`
+	Ready    bool              `json:"ready"`
+	Draining bool              `json:"draining"`
+	// ConfigVersion is in force here, and ConfigAgeMS the time since that was proven.
+	ConfigVersion uint64 `json:"config_version"`
+	ConfigAgeMS   int64  `json:"config_age_ms"`
+	// Owner and Epoch are those of the claim that the instance knows.
+	Owner        domain.InstanceID `json:"owner,omitempty"`
+	OwnerAddress string            `json:"owner_address,omitempty"`
+	Epoch        int64             `json:"epoch,omitempty"`
+	// Cell is the owner's own answer, absent where it gave none for the reason in CellError.
+	Cell      *CellOverview `json:"cell,omitempty"`
+	CellError string        `json:"cell_error,omitempty"`
+}
+
+// OperatorError is the body of a question without an answer.
+type OperatorError struct {
+	Error string `json:"error"`
 }
 
 // NotOwnerError tells that the instance does not own the cell. The call had no effect.
