Handle each event of the owner at its own time

Cause: events that came while the owner's loop was busy were handled at the time of the first of them. An accepted start then counted from before the worker took it; a look sent after that time and answered before the start seemed to prove that the run was gone, and its task was started again. An owner short of processor time handles up to 512 events at once, so this needs a loop that is busy for longer than a look takes.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -125,7 +125,6 @@
 			c.failWaiters()
 			return
 		case event := <-c.events:
-			c.advance()
 			c.handle(event)
 			c.drainEvents()
 		case due := <-ticker.C:
@@ -149,9 +148,11 @@
 }
 
 // handle runs an event unless the reign has ended: a submission that begins
-// then could not be stored, and its caller would learn nothing.
+// then could not be stored, and its caller would learn nothing. Each event has
+// its own time, since an answer that counts from before it came proves too much.
 func (c *Cell) handle(event func()) {
 	if c.ctx.Err() == nil {
+		c.advance()
 		event()
 	}
 }
