Give a cell the product's own interface for jobs

Cause: the whole job model (steps, gangs, labels, occurrences, lasting and leftover tasks) could be reached through the platform's wire alone; the product's own names for it existed in types, not in an interface, a job file or a command.

PUT, GET and DELETE of /v1/queues/QUEUE/jobs/ID at listen.metrics, with a team's key; auburnpier cell submit, get, cancel and queue. Jobs are JSON with comments, read by the decoder of settings, so that each wrong or unknown field is told with its path and remedy, also inside lists. Refusals say whether the call had no effect. A submission of unknown outcome is repeated under its ID.

Ruled out: the callers' address, whose paths belong to the platform's queues; a second decoder for jobs.

Tests: TestOwnInterface (two instances, through the command line: steps, a gang, occurrences, a lasting task, repeat at another instance, refusals), TestJobFileFaults, TestExampleJobs. Faults of amounts are now told as need.cpu_milli. The stand-in of workers learned tasks that last.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -132,6 +132,16 @@
 	return route, path[len(route.Prefix):]
 }
 
+// Queue returns the queue of that name, or nil.
+func (c *Config) Queue(name domain.QueueID) *port.QueueRoute {
+	for i := range c.Routes {
+		if c.Routes[i].Queue.Name == name {
+			return &c.Routes[i]
+		}
+	}
+	return nil
+}
+
 // TeamOf returns the team that the key proves.
 func (c *Config) TeamOf(key string) (domain.TeamID, bool) {
 	t, ok := c.teams[key]
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -110,15 +110,24 @@
 	Rest string
 }
 
-// Admit finds the queue of a call and proves its key.
+// Admit finds the queue of a call by its host and path, and proves its key.
 func (s *Service) Admit(host, path, key string) (Call, *Rejection) {
+	return s.admit(key, "no queue has this host and path", func(c *Config) (*port.QueueRoute, string) { return c.Route(host, path) })
+}
+
+// AdmitQueue proves the key of a call that names its queue.
+func (s *Service) AdmitQueue(queue domain.QueueID, key string) (Call, *Rejection) {
+	return s.admit(key, "no queue has this name", func(c *Config) (*port.QueueRoute, string) { return c.Queue(queue), "" })
+}
+
+func (s *Service) admit(key, unknown string, find func(*Config) (route *port.QueueRoute, rest string)) (Call, *Rejection) {
 	config := s.config.Current()
 	if config == nil {
 		return Call{}, s.reject(NotReady, retryAfter, "no configuration yet")
 	}
-	route, rest := config.Route(host, path)
+	route, rest := find(config)
 	if route == nil {
-		return Call{}, s.reject(UnknownQueue, 0, "no queue has this host and path")
+		return Call{}, s.reject(UnknownQueue, 0, unknown)
 	}
 	team, known := config.TeamOf(key)
 	if !known && !route.Open {
--- a/internal/celld/operators.go
+++ b/internal/celld/operators.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/adapter/cellapi"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
@@ -20,13 +21,14 @@
 // errNoOwner tells that the instance knows no owner of the cell.
 var errNoOwner = errors.New("no instance is known to own the cell; ask again in a few seconds")
 
-// operatorHandler serves metrics and the questions of operators. It tells
-// nothing of payloads or keys.
+// operatorHandler serves metrics, the questions of operators and the cell's own
+// interface for jobs. Answers to operators tell nothing of payloads or keys.
 func (i *Instance) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", i.serveMetrics)
 	mux.HandleFunc("GET /status", i.serveStatus)
 	mux.HandleFunc("GET /jobs/{id}", i.serveExplain)
+	cellapi.Register(mux, i.service)
 	return mux
 }
 
--- a/internal/cli/cell.go
+++ b/internal/cli/cell.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -22,19 +23,28 @@
 type CellCommand struct {
 	Status  CellStatusCommand  `cmd:"" help:"Show who owns the cell, since when, and what an instance believes."`
 	Explain CellExplainCommand `cmd:"" help:"Say where the tasks of a job run and why others wait."`
+	Submit  CellSubmitCommand  `cmd:"" help:"Submit a job from a file in JSON with comments."`
+	Get     CellGetCommand     `cmd:"" help:"Show the state of a job."`
+	Cancel  CellCancelCommand  `cmd:"" help:"Cancel a job."`
+	Queue   CellQueueCommand   `cmd:"" help:"Count the accepted jobs of a queue that have not begun."`
 }
 
 // maxCellAnswer bounds the answer of an instance, in bytes.
 const maxCellAnswer = 16 << 20
 
-// askCell reads one answer of the instance at --server.
-func (g *Globals) askCell(path string, into any) error {
-	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(g.Server, "/")+path, nil)
+// askCell makes a call to the instance at --server and decodes its answer.
+func (g *Globals) askCell(ctx context.Context, method, path string, body []byte, into any) error {
+	key, err := g.rawKey()
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimRight(g.Server, "/")+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "--server"), errUsage)
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return &apiclient.UnreachableError{Server: g.Server, Err: err}
@@ -45,22 +55,29 @@
 		return &apiclient.UnreachableError{Server: g.Server, Err: err}
 	}
 	if resp.StatusCode != http.StatusOK {
-		var body port.OperatorError
-		if err := json.Unmarshal(raw, &body); err != nil || body.Error == "" {
-			return errors.Newf("%s answered %d; --server must name listen.metrics of an instance", g.Server, resp.StatusCode)
+		var told port.OperatorError
+		if err := json.Unmarshal(raw, &told); err == nil && told.Error != "" {
+			return errors.Newf("%s: %s", g.Server, told.Error)
 		}
-		return errors.Newf("%s: %s", g.Server, body.Error)
+		return apiclient.Refused(resp, raw)
 	}
 	return errors.Wrapf(json.Unmarshal(raw, into), "answer of %s cannot be read", g.Server)
 }
 
+// askCellOnce makes one call within --timeout.
+func (g *Globals) askCellOnce(method, path string, into any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), g.Timeout)
+	defer cancel()
+	return g.askCell(ctx, method, path, nil, into)
+}
+
 // CellStatusCommand shows an instance and the owner that it knows.
 type CellStatusCommand struct{}
 
 // Run implements the command.
 func (c *CellStatusCommand) Run(g *Globals) error {
 	var s port.InstanceStatus
-	if err := g.askCell("/status", &s); err != nil {
+	if err := g.askCellOnce(http.MethodGet, "/status", &s); err != nil {
 		return err
 	}
 	return g.print(s, func(w io.Writer) { cellRows(w, s) })
@@ -126,7 +143,7 @@
 // Run implements the command.
 func (c *CellExplainCommand) Run(g *Globals) error {
 	var v jobs.JobView
-	if err := g.askCell("/jobs/"+url.PathEscape(c.Job), &v); err != nil {
+	if err := g.askCellOnce(http.MethodGet, "/jobs/"+url.PathEscape(c.Job), &v); err != nil {
 		return err
 	}
 	return g.print(v, func(w io.Writer) { jobViewRows(w, v) })
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -164,19 +164,25 @@
 	return apiclient.New(strings.TrimRight(g.Server, "/"), key, transport), nil
 }
 
-func (g *Globals) key() (teamkey.Key, error) {
+// rawKey returns the key of the flags as it stands, empty without one.
+func (g *Globals) rawKey() (string, error) {
 	text := os.Getenv("AUBURNPIER_KEY")
 	if g.KeyFile != "" {
 		raw, err := os.ReadFile(g.KeyFile)
 		if err != nil {
-			return teamkey.Key{}, errors.Mark(errors.Wrap(err, "read --key-file"), errUsage)
+			return "", errors.Mark(errors.Wrap(err, "read --key-file"), errUsage)
 		}
 		text = string(raw)
 	}
-	if strings.TrimSpace(text) == "" {
-		return teamkey.Key{}, nil
+	return strings.TrimSpace(text), nil
+}
+
+func (g *Globals) key() (teamkey.Key, error) {
+	text, err := g.rawKey()
+	if text == "" || err != nil {
+		return teamkey.Key{}, err
 	}
-	key, err := teamkey.Parse(strings.TrimSpace(text))
+	key, err := teamkey.Parse(text)
 	if err != nil {
 		return teamkey.Key{}, errors.Mark(err, errUsage)
 	}
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -38,35 +38,35 @@
 
 // StepSpec is what a submitter asks for in one step.
 type StepSpec struct {
-	Tasks int              `cbor:"1,keyasint"`
-	Need  domain.Resources `cbor:"2,keyasint"`
+	Tasks int              `cbor:"1,keyasint" json:"tasks"`
+	Need  domain.Resources `cbor:"2,keyasint" json:"need"`
 	// EstimateMS is the submitter's rough estimate of a task's duration.
-	EstimateMS int64 `cbor:"3,keyasint,omitempty"`
+	EstimateMS int64 `cbor:"3,keyasint,omitempty" json:"estimate_ms,omitempty"`
 	// After lists earlier steps whose tasks must all have succeeded.
-	After []int `cbor:"4,keyasint,omitempty"`
+	After []int `cbor:"4,keyasint,omitempty" json:"after,omitempty"`
 	// Checkpointable tasks save their progress while they run.
-	Checkpointable bool `cbor:"5,keyasint,omitempty"`
+	Checkpointable bool `cbor:"5,keyasint,omitempty" json:"checkpointable,omitempty"`
 	// Gang tasks work only while all of them run.
-	Gang     bool `cbor:"6,keyasint,omitempty"`
-	SameRack bool `cbor:"7,keyasint,omitempty"`
+	Gang     bool `cbor:"6,keyasint,omitempty" json:"gang,omitempty"`
+	SameRack bool `cbor:"7,keyasint,omitempty" json:"same_rack,omitempty"`
 	// Label must be carried by the worker. Empty means any worker.
-	Label string `cbor:"8,keyasint,omitempty"`
+	Label string `cbor:"8,keyasint,omitempty" json:"label,omitempty"`
 	// DataRack is the rack where the step runs fastest. Empty means none.
-	DataRack domain.RackID `cbor:"9,keyasint,omitempty"`
+	DataRack domain.RackID `cbor:"9,keyasint,omitempty" json:"data_rack,omitempty"`
 	// MaxPerWorker bounds the tasks of one occurrence on one worker. Zero means no bound.
-	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	MaxPerWorker int `cbor:"10,keyasint,omitempty" json:"max_per_worker,omitempty"`
 	// CopiesAllowed permits several runs of a task at once.
-	CopiesAllowed bool `cbor:"11,keyasint,omitempty"`
+	CopiesAllowed bool `cbor:"11,keyasint,omitempty" json:"copies_allowed,omitempty"`
 	// Lasting tasks run until the job is cancelled.
-	Lasting bool `cbor:"12,keyasint,omitempty"`
+	Lasting bool `cbor:"12,keyasint,omitempty" json:"lasting,omitempty"`
 	// Image groups tasks that behave alike.
-	Image string `cbor:"13,keyasint,omitempty"`
+	Image string `cbor:"13,keyasint,omitempty" json:"image,omitempty"`
 	// LatencyTargetMS bounds the tail of a lasting task's own response times.
-	LatencyTargetMS int64 `cbor:"14,keyasint,omitempty"`
+	LatencyTargetMS int64 `cbor:"14,keyasint,omitempty" json:"latency_target_ms,omitempty"`
 	// UsesLeftover tasks take the processor time that others leave; it is not reserved.
-	UsesLeftover bool `cbor:"15,keyasint,omitempty"`
+	UsesLeftover bool `cbor:"15,keyasint,omitempty" json:"uses_leftover,omitempty"`
 	// DisruptionBudget is how many lasting tasks may be away by the scheduler's doing.
-	DisruptionBudget int `cbor:"16,keyasint,omitempty"`
+	DisruptionBudget int `cbor:"16,keyasint,omitempty" json:"disruption_budget,omitempty"`
 }
 
 // Reserved returns the room that a task takes on its worker.
@@ -81,13 +81,13 @@
 // Spec is a submitted job.
 type Spec struct {
 	// Payload is passed to the workers unchanged.
-	Payload string     `cbor:"1,keyasint"`
-	Steps   []StepSpec `cbor:"2,keyasint"`
+	Payload string     `cbor:"1,keyasint" json:"payload,omitempty"`
+	Steps   []StepSpec `cbor:"2,keyasint" json:"steps"`
 	// Occurrences above zero makes the job recurring: occurrence K is due at
 	// FirstUnixMS + K x PeriodMS.
-	Occurrences int   `cbor:"3,keyasint,omitempty"`
-	FirstUnixMS int64 `cbor:"4,keyasint,omitempty"`
-	PeriodMS    int64 `cbor:"5,keyasint,omitempty"`
+	Occurrences int   `cbor:"3,keyasint,omitempty" json:"occurrences,omitempty"`
+	FirstUnixMS int64 `cbor:"4,keyasint,omitempty" json:"first_unix_ms,omitempty"`
+	PeriodMS    int64 `cbor:"5,keyasint,omitempty" json:"period_ms,omitempty"`
 }
 
 // Recurring reports whether the job has due times.
@@ -112,9 +112,9 @@
 func (s *StepSpec) faults(l *fault.List, number int) {
 	path := func(field string) string { return fmt.Sprintf("steps[%d].%s", number, field) }
 	l.CheckRange(path("tasks"), int64(s.Tasks), 1, MaxTasksPerStep)
-	l.CheckRange(path("cpu_milli"), s.Need.CPUMilli, 0, maxAmount)
-	l.CheckRange(path("memory_mb"), s.Need.MemoryMB, 0, maxAmount)
-	l.CheckRange(path("accelerators"), s.Need.Accelerators, 0, maxAmount)
+	l.CheckRange(path("need.cpu_milli"), s.Need.CPUMilli, 0, maxAmount)
+	l.CheckRange(path("need.memory_mb"), s.Need.MemoryMB, 0, maxAmount)
+	l.CheckRange(path("need.accelerators"), s.Need.Accelerators, 0, maxAmount)
 	l.CheckRange(path("estimate_ms"), s.EstimateMS, 0, domain.MaxRunTimeMS)
 	l.CheckRange(path("max_per_worker"), int64(s.MaxPerWorker), 0, MaxTasksPerStep)
 	l.CheckRange(path("disruption_budget"), int64(s.DisruptionBudget), 0, MaxTasksPerStep)
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -68,6 +68,10 @@
 }
 
 func (d *decoder) value(path string, raw json.RawMessage, target reflect.Value) {
+	if target.Kind() == reflect.Slice && target.Type().Elem().Kind() == reflect.Struct {
+		d.list(path, raw, target)
+		return
+	}
 	if target.Kind() != reflect.Struct {
 		d.leaf(path, raw, target)
 		return
@@ -94,6 +98,19 @@
 	}
 }
 
+// list decodes a list of objects, each under its own path.
+func (d *decoder) list(path string, raw json.RawMessage, target reflect.Value) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(raw, &entries); err != nil {
+		d.add(path, raw, "a list of objects", "write [ { ... } ] here")
+		return
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(entries), len(entries)))
+	for i, entry := range entries {
+		d.value(fmt.Sprintf("%s[%d]", path, i), entry, target.Index(i))
+	}
+}
+
 func (d *decoder) leaf(path string, raw json.RawMessage, target reflect.Value) {
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	if err := dec.Decode(target.Addr().Interface()); err != nil {
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -24,6 +24,7 @@
 	calls     int
 	running   map[jobs.TaskID]int
 	done      map[jobs.TaskID]bool
+	lasting   map[domain.JobID]bool
 	paces     map[jobs.TaskID]int
 	measures  map[jobs.TaskID]int64
 	starts    int
@@ -46,7 +47,7 @@
 func New(runTime time.Duration, ids ...domain.WorkerID) *Fleet {
 	f := &Fleet{workers: make(map[domain.WorkerID]*worker), began: time.Now(), runTime: runTime,
 		running: make(map[jobs.TaskID]int), done: make(map[jobs.TaskID]bool),
-		paces: make(map[jobs.TaskID]int), measures: make(map[jobs.TaskID]int64)}
+		lasting: make(map[domain.JobID]bool), paces: make(map[jobs.TaskID]int), measures: make(map[jobs.TaskID]int64)}
 	for _, id := range ids {
 		f.workers[id] = &worker{id: id, running: make(map[jobs.TaskID]int), over: make(map[jobs.TaskID]int), news: make(chan struct{})}
 	}
@@ -60,6 +61,13 @@
 	f.loseEvery = n
 }
 
+// Lasting lets the tasks of a job run until they are stopped.
+func (f *Fleet) Lasting(id domain.JobID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lasting[id] = true
+}
+
 // Cut lets calls to a worker go unanswered, without effect.
 func (f *Fleet) Cut(id domain.WorkerID, cut bool) {
 	f.mu.Lock()
@@ -137,6 +145,9 @@
 		f.faults = append(f.faults, fmt.Sprintf("%v runs twice", o.Task))
 	}
 	w.running[o.Task] = o.Run
+	if f.lasting[o.Task.Job] {
+		return
+	}
 	time.AfterFunc(f.runTime, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
