Carry out maintenance waves

internal/core/waves plans without I/O or clock: as many VMs as may be down are emptied, those with the least to lose first, in the time that a batch has if all are to go down in time. The intention to order a VM is stored before the order; from then until the platform lists it as up it counts as down, also for a successor. A worker that is emptied gets no new work, checkpointable tasks that would not end leave at once, the rest is stopped when the time is up, and lasting tasks go within their disruption budget. An order goes out only once nothing runs. A new owner sends none for the platform's lease. State for operators is written with the record. All of it is off where the settings name no duties, as on both sites today.

Ruled out: progress kept in memory or read from the list of VMs, which does not tell who was maintained for which wave; counting VMs from the order's answer, which exceeds the cap when answers are lost and owners change.

Moves between pools are left.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -40,6 +40,8 @@
 	relays     relays
 	groups     lookGroups
 	arrangedMS int64
+	// maintenance is nil where the platform asks for none.
+	maintenance *maintenance
 	// registryPaused is the time before which an instance does not read the registry.
 	registryPaused map[port.Hello]int64
 	lanes          []*lane
@@ -117,6 +119,9 @@
 	c.configure(c.config)
 	go c.keep(c.ctx, c.reign, c.confirmedMS.Store, func() { c.end("claim expired") })
 	go c.followRegistry()
+	if c.maintenance != nil {
+		go c.followWaves()
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -180,6 +185,7 @@
 	now := steady.NowMS()
 	// An owner that resigns only stores what it knows; the rest is its successor's.
 	if c.mayOrder(now) && !c.resigning {
+		c.planMaintenance(now)
 		begun := time.Now()
 		c.machine.Schedule()
 		c.metrics.Timer("owner.decision").UpdateSince(begun)
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -21,7 +21,7 @@
 	ttl   time.Duration
 	// ownerRevision fences transactions; laneRevisions are those of the chains' keys.
 	ownerRevision int64
-	laneRevisions [writeLanes]int64
+	laneRevisions [writeLanes + 1]int64
 	token         string
 	claimedMS     int64
 }
@@ -108,7 +108,7 @@
 		If:   []port.Condition{{Key: ownerKey, Revision: former}, {Key: sequenceKey, Revision: sequenceRevision}},
 		Puts: []port.Put{{Key: ownerKey, Value: value, Lease: r.lease}, {Key: sequenceKey, Value: seq}},
 	}
-	for i := range writeLanes {
+	for i := range r.laneRevisions {
 		txn.Puts = append(txn.Puts, port.Put{Key: laneKey(i), Value: seq})
 	}
 	return txn, nil
--- a/internal/app/owner/keys.go
+++ b/internal/app/owner/keys.go
@@ -14,6 +14,7 @@
 	membersKey  = keyPrefix + "workers"
 	jobPrefix   = keyPrefix + "job/"
 	statePrefix = keyPrefix + "state/"
+	wavePrefix  = keyPrefix + "wave/"
 )
 
 // laneKey is the key that each transaction of one chain rewrites.
--- /dev/null
+++ b/internal/app/owner/maintenance.go
@@ -0,0 +1,160 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"auburnpier/internal/core/waves"
+	"auburnpier/internal/ctxtime"
+	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
+)
+
+// Figures of maintenance waves.
+const (
+	// waveWatchWait is how long a watch of the waves waits. The store may cut it
+	// without a word; waves take minutes, so it may be long.
+	waveWatchWait = 5 * time.Second
+	// waveRetry is the pause after a call without an answer.
+	waveRetry = 500 * time.Millisecond
+	// listVMsInterval is the time between two readings of the VMs during a wave.
+	// The platform's rate is shared with others.
+	listVMsInterval = time.Second
+	// planWavesMS is the time between two plans.
+	planWavesMS = 250
+)
+
+// maintenance is the state of the waves in a reign. The loop alone uses it.
+type maintenance struct {
+	planner *waves.Planner
+	lane    *lane
+	plannedMS,
+	listedMS int64
+	listing, writing bool
+}
+
+// recoverWaves reads what former owners stored of the waves.
+func (c *Cell) recoverWaves(ctx context.Context) error {
+	if c.waves == nil || c.vms == nil {
+		return nil
+	}
+	entries, _, err := c.store.List(ctx, wavePrefix)
+	if err != nil {
+		return err
+	}
+	var records []waves.Record
+	for _, e := range entries {
+		var r waves.Record
+		if err := cbor.Unmarshal(e.Value, &r); err != nil {
+			return fmt.Errorf("value of %s cannot be read: %w", e.Key, err)
+		}
+		records = append(records, r)
+	}
+	c.maintenance = &maintenance{planner: waves.NewPlanner(records, c.reign.claimedMS+c.options.HolderLeaseMS),
+		lane: &lane{key: laneKey(waveLane), revision: c.reign.laneRevisions[waveLane]}}
+	return nil
+}
+
+// followWaves reads the waves that operators ask for.
+func (c *Cell) followWaves() {
+	for c.ctx.Err() == nil {
+		list, revision, err := c.waves.Waves(c.ctx)
+		if err != nil {
+			ctxtime.Sleep(c.ctx, waveRetry)
+			continue
+		}
+		c.post(func() { c.maintenance.planner.SetWaves(list, steady.NowMS(), time.Now().UnixMilli()) })
+		for changed := false; !changed && c.ctx.Err() == nil; {
+			if changed, revision, err = c.waves.Changed(c.ctx, revision, waveWatchWait); err != nil {
+				ctxtime.Sleep(c.ctx, waveRetry)
+			}
+		}
+	}
+}
+
+// planMaintenance empties workers, stores what is intended and sends the orders that are due.
+func (c *Cell) planMaintenance(now int64) {
+	m := c.maintenance
+	if m == nil || now-m.plannedMS < planWavesMS {
+		return
+	}
+	m.plannedMS = now
+	empty, orders := m.planner.Plan(now, c.machine.WorkerLoad)
+	c.machine.EmptyWorkers(empty)
+	c.storeWaves()
+	if m.planner.Active() && !m.listing && now-m.listedMS >= listVMsInterval.Milliseconds() {
+		m.listing, m.listedMS = true, now
+		go c.listVMs()
+	}
+	for _, o := range orders {
+		c.send(func() { c.maintain(o) })
+	}
+}
+
+func (c *Cell) listVMs() {
+	sentMS := steady.NowMS()
+	list, err := c.vms.VMs(c.ctx)
+	if err != nil && c.ctx.Err() == nil {
+		c.metrics.Counter("vms.list_failed").Inc(1)
+		c.log.Warn("VMs not listed", zap.Error(err))
+	}
+	c.post(func() {
+		c.maintenance.listing = false
+		if err == nil {
+			c.maintenance.planner.SetVMs(list, sentMS)
+		}
+	})
+}
+
+// storeWaves writes the waves that have changed. Their state for operators goes
+// with the record, so neither is there without the other.
+func (c *Cell) storeWaves() {
+	m := c.maintenance
+	records := m.planner.Dirty()
+	if m.writing || len(records) == 0 {
+		return
+	}
+	r := records[0]
+	value, err := cbor.Marshal(r)
+	state, stateErr := c.waves.StatePut(r.Number, r.Done)
+	if err := errors.Join(err, stateErr); err != nil {
+		c.log.Error("state of a wave cannot be encoded", zap.Int64("wave", r.Number), zap.Error(err))
+		return
+	}
+	m.writing = true
+	puts := []port.Put{{Key: wavePrefix + strconv.FormatInt(r.Number, 10), Value: value}, state}
+	go func() {
+		if err := c.commit(m.lane, puts, nil); err != nil {
+			c.end(err.Error())
+			return
+		}
+		c.log.Info("wave_stored", zap.Int64("wave", r.Number), zap.Int("ordered", len(r.Ordered)), zap.Int("begun", len(r.Begun)),
+			zap.Int("dropped", len(r.Dropped)), zap.Bool("done", r.Done), zap.Int64("epoch", c.reign.epoch))
+		c.post(func() {
+			m.writing = false
+			m.planner.Stored(r)
+		})
+	}()
+}
+
+// maintain sends one order.
+func (c *Cell) maintain(o waves.Order) {
+	outcome, err := c.vms.Maintain(c.ctx, c.options.Instance, c.reign.epoch, o)
+	var fenced *port.FencedError
+	if errors.As(err, &fenced) {
+		c.end(err.Error())
+		return
+	}
+	c.metrics.Counter("vms.maintain." + outcome.String()).Inc(1)
+	if c.ctx.Err() == nil {
+		c.log.Info("vm_maintenance", zap.Int64("wave", o.Wave), zap.String("vm", string(o.VM)), zap.String("outcome", outcome.String()),
+			zap.Int64("epoch", c.reign.epoch), zap.Error(err))
+	}
+	c.post(func() { c.maintenance.planner.Answered(o, outcome, steady.NowMS()) })
+}
--- /dev/null
+++ b/internal/app/owner/maintenance_test.go
@@ -0,0 +1,164 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/core/waves"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/port"
+	"auburnpier/internal/standin/cellworker"
+)
+
+// fakeVMs are the VMs of a fleet's workers. A maintenance takes downFor.
+type fakeVMs struct {
+	fleet *cellworker.Fleet
+	ids   []domain.WorkerID
+	// loseEvery loses the answer of each so manieth order.
+	loseEvery int
+
+	mu      sync.Mutex
+	calls   int
+	upAt    map[waves.VMID]time.Time
+	begun   map[waves.VMID]int
+	holders map[waves.VMID]int64
+	worst   int
+	faults  []string
+}
+
+const downFor = 600 * time.Millisecond
+
+func vmOf(id domain.WorkerID) waves.VMID { return waves.VMID("vm-" + id) }
+
+func (f *fakeVMs) VMs(context.Context) ([]waves.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []waves.VM
+	for _, id := range f.ids {
+		list = append(list, waves.VM{ID: vmOf(id), Worker: id, Up: time.Now().After(f.upAt[vmOf(id)])})
+	}
+	return list, nil
+}
+
+func (f *fakeVMs) Maintain(_ context.Context, _ domain.InstanceID, fence int64, o waves.Order) (waves.Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if fence < f.holders[o.VM] {
+		f.faults = append(f.faults, fmt.Sprintf("%s is ordered with fence %d after %d", o.VM, fence, f.holders[o.VM]))
+	}
+	f.holders[o.VM] = fence
+	if f.begun[o.VM] == 0 {
+		f.begin(o.VM)
+	}
+	if f.loseEvery > 0 && f.calls%f.loseEvery == 0 {
+		return waves.Unanswered, errRelay
+	}
+	return waves.Begun, nil
+}
+
+func (f *fakeVMs) begin(id waves.VMID) {
+	if n := f.fleet.Running(domain.WorkerID(strings.TrimPrefix(string(id), "vm-"))); n > 0 {
+		f.faults = append(f.faults, fmt.Sprintf("%s goes down with %d tasks", id, n))
+	}
+	f.begun[id]++
+	f.upAt[id] = time.Now().Add(downFor)
+	down := 0
+	for _, at := range f.upAt {
+		if time.Now().Before(at) {
+			down++
+		}
+	}
+	f.worst = max(f.worst, down)
+}
+
+// fixedWaves is one wave that never changes.
+type fixedWaves struct{ waves.Wave }
+
+func (w fixedWaves) Waves(context.Context) ([]waves.Wave, int64, error) {
+	return []waves.Wave{w.Wave}, 1, nil
+}
+
+func (w fixedWaves) Changed(ctx context.Context, after int64, wait time.Duration) (bool, int64, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return false, after, nil
+}
+
+const waveState = "wave-state"
+
+func (w fixedWaves) StatePut(number int64, done bool) (port.Put, error) {
+	return port.Put{Key: waveState, Value: fmt.Append(nil, number, done)}, nil
+}
+
+// Guards against a maintenance that meets running tasks, takes more VMs down at
+// once than the wave permits, takes lasting tasks away beyond their budget, or
+// is forgotten or done twice when the owner changes.
+func TestMaintenanceWave(t *testing.T) {
+	for name, c := range map[string]struct {
+		loseEvery int
+		change    bool
+	}{"calm": {}, "answers lost": {loseEvery: 2}, "owner changes": {change: true}} {
+		t.Run(name, func(t *testing.T) {
+			c, loseEvery, change := newFleetTest(t, 4, 200*time.Millisecond), c.loseEvery, c.change
+			vms := &fakeVMs{fleet: c.fleet, ids: c.ids, loseEvery: loseEvery, upAt: make(map[waves.VMID]time.Time),
+				begun: make(map[waves.VMID]int), holders: make(map[waves.VMID]int64)}
+			wave := waves.Wave{Number: 3, MostDown: 1, DurationMS: 8000}
+			for _, id := range c.ids[:3] {
+				wave.VMs = append(wave.VMs, vmOf(id))
+			}
+			c.vms, c.waves = vms, fixedWaves{wave}
+			c.fleet.Lasting("lasting")
+			i := c.start("a")
+			cell := i.owned(t)
+			submit := func(id string, step jobs.StepSpec) {
+				t.Helper()
+				step.Need = domain.Resources{CPUMilli: 1000, MemoryMB: 100}
+				r, err := cell.Submit(t.Context(), port.SubmitCall{Job: domain.JobID(id), Queue: c.queue, Team: "team",
+					Spec: jobs.Spec{Steps: []jobs.StepSpec{step}}})
+				if err != nil || !r.Accepted {
+					t.Fatalf("%s: %+v %v", id, r, err)
+				}
+			}
+			submit("lasting", jobs.StepSpec{Tasks: 3, Lasting: true, DisruptionBudget: 1})
+			begun := time.Now()
+			for n := 0; ; n++ {
+				submit(fmt.Sprint("j", n), jobs.StepSpec{Tasks: 2, EstimateMS: 200})
+				time.Sleep(100 * time.Millisecond)
+				if e, err := c.store.Get(t.Context(), waveState); err == nil && string(e.Value) == "3 true" {
+					break
+				}
+				if time.Since(begun) > 30*time.Second {
+					t.Fatalf("the wave is not done after 30 s: begun %v", vms.begun)
+				}
+				if change && n == 20 {
+					i.stop()
+					<-i.done
+					i = c.start("b")
+					cell = i.owned(t)
+				}
+			}
+			vms.mu.Lock()
+			defer vms.mu.Unlock()
+			for _, f := range vms.faults {
+				t.Error(f)
+			}
+			if vms.worst > 1 {
+				t.Errorf("%d VMs were down at once", vms.worst)
+			}
+			for _, id := range wave.VMs {
+				if vms.begun[id] != 1 {
+					t.Errorf("%s was maintained %d times", id, vms.begun[id])
+				}
+			}
+			c.check()
+		})
+	}
+}
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -29,6 +29,8 @@
 	ClaimDelay func() time.Duration
 	// UnconfirmedTTL is how long after the claim's last proof the owner still speaks to workers.
 	UnconfirmedTTL time.Duration
+	// HolderLeaseMS is the least time between the orders of two owners to a VM.
+	HolderLeaseMS int64
 	// DirectWorkers is the number of workers up to which the owner looks at all
 	// of them itself. Above it, other instances look at them.
 	DirectWorkers int
@@ -43,7 +45,9 @@
 	writeInterval = 25 * time.Millisecond
 	// writeLanes bounds the writes under way, and laneInterval is the least time
 	// between their starts while the store is slow.
-	writeLanes   = 6
+	writeLanes = 6
+	// waveLane is the chain of writes about maintenance waves, beside the others.
+	waveLane     = writeLanes
 	laneInterval = 60 * time.Millisecond
 	// lookWait is how long a look at a worker waits for an end.
 	lookWait = time.Second
@@ -69,6 +73,9 @@
 	Registry port.WorkerRegistry
 	// Peers are the other instances.
 	Peers PeerDirectory
+	// VMs and Waves are nil where the platform asks for no maintenance.
+	VMs   port.VMFleet
+	Waves port.WaveSource
 }
 
 // PeerDirectory reaches what other instances do for the owner.
@@ -88,6 +95,8 @@
 	workers  port.WorkerCalls
 	registry port.WorkerRegistry
 	peers    PeerDirectory
+	vms      port.VMFleet
+	waves    port.WaveSource
 	log      *zap.Logger
 	metrics  *metrics.Registry
 }
@@ -95,7 +104,7 @@
 // New returns an owner.
 func New(options Options, ports Ports, log *zap.Logger, registry *metrics.Registry) *Owner {
 	return &Owner{options: options, store: ports.Store, workers: ports.Workers, registry: ports.Registry,
-		peers: ports.Peers, log: log, metrics: registry}
+		peers: ports.Peers, vms: ports.VMs, waves: ports.Waves, log: log, metrics: registry}
 }
 
 func newToken() string {
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -51,6 +51,8 @@
 	registry      port.WorkerRegistry
 	claimStore    port.LeaseStore
 	peers         PeerDirectory
+	vms           port.VMFleet
+	waves         port.WaveSource
 	directWorkers int
 }
 
@@ -90,10 +92,10 @@
 		registry = fixed
 	}
 	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: 300 * time.Millisecond,
-		DirectWorkers: c.directWorkers, ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
+		DirectWorkers: c.directWorkers, HolderLeaseMS: 300, ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
 		Machine: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
 			RetentionMS: 60_000, FarFactor: 2}},
-		Ports{Store: store, Workers: c.workers, Registry: registry, Peers: c.peers}, zap.NewNop(), metrics.New())
+		Ports{Store: store, Workers: c.workers, Registry: registry, Peers: c.peers, VMs: c.vms, Waves: c.waves}, zap.NewNop(), metrics.New())
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{stop: stop, done: make(chan struct{}), seats: make(chan Seat, 64)}
 	config := &port.CellConfig{Version: 1, Routes: []port.QueueRoute{{Queue: c.queue}}}
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -263,6 +263,9 @@
 			c.log.Error("stored job cannot be recovered", zap.String("job", string(id)), zap.Error(err))
 		}
 	}
+	if err := c.recoverWaves(ctx); err != nil {
+		return err
+	}
 	c.machine.FinishRecovery()
 	c.log.Info("cell recovered", zap.Int64("epoch", c.reign.epoch), zap.Int("jobs", len(states)),
 		zap.Int("suspect_workers", c.machine.Suspects()), zap.Int64("took_ms", steady.NowMS()-c.reign.claimedMS))
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -34,6 +34,9 @@
 	Registry func(port.LeaseStore) port.WorkerRegistry
 	Config   func(port.LeaseStore) port.ConfigSource
 	Approver port.Approver
+	// VMs and Waves are used where the settings name duties.
+	VMs   port.VMFleet
+	Waves func(port.LeaseStore) port.WaveSource
 	// Front makes the handler of callers' requests.
 	Front func(service *entry.Service, draining func() bool) http.Handler
 }
@@ -109,16 +112,24 @@
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
 		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedTTL: unconfirmedTTL,
-		ClaimDelay: i.claimDelay, DirectWorkers: directWorkers,
+		ClaimDelay: i.claimDelay, DirectWorkers: directWorkers, HolderLeaseMS: s.Bounds.HolderLeaseMS,
 		Machine: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedTTL).Milliseconds() * 21 / 20,
 			StartLimitMS: startLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.StopMS,
 			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
 		},
-	}, owner.Ports{Store: relay, Workers: a.Workers, Registry: a.Registry(relay), Peers: dialer}, log, i.metrics)
+	}, i.ownerPorts(relay, dialer), log, i.metrics)
 	return i
 }
 
+func (i *Instance) ownerPorts(store port.LeaseStore, peers owner.PeerDirectory) owner.Ports {
+	p := owner.Ports{Store: store, Workers: i.adapters.Workers, Registry: i.adapters.Registry(store), Peers: peers}
+	if len(i.settings.Platform.Duties) > 0 && i.settings.Platform.VMs != "" {
+		p.VMs, p.Waves = i.adapters.VMs, i.adapters.Waves(store)
+	}
+	return p
+}
+
 // claimDelay lets larger VMs claim a free cell first. Where no larger one is
 // known, or none is known yet and this one is ample, there is no delay.
 func (i *Instance) claimDelay() time.Duration {
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -121,6 +121,9 @@
 		}
 		return
 	}
+	if w.emptied && m.empties(r) {
+		return
+	}
 	if r.phase != runConfirmed || s.spec.Lasting || s.spec.UsesLeftover || !r.listed {
 		return
 	}
@@ -146,16 +149,15 @@
 // leaves reports whether a run should leave its draining worker: it would not
 // end in time, and it resumes from its checkpoint or has to run anyway.
 func (m *Machine) leaves(r *run) bool {
-	spec := r.task.step.spec
 	if r.phase != runConfirmed {
 		return false
 	}
-	if spec.Lasting {
-		return true
-	}
-	left := r.worker.leavesMS - m.nowMS
-	needed := spec.EstimateMS * int64(100-min(r.percent, 100)) / 100
-	return spec.Checkpointable && needed > left
+	return r.task.step.spec.Lasting || r.task.step.spec.Checkpointable && r.leftMS() > r.worker.leavesMS-m.nowMS
+}
+
+// leftMS estimates how long the run still takes.
+func (r *run) leftMS() int64 {
+	return r.task.step.spec.EstimateMS * int64(100-min(r.percent, 100)) / 100
 }
 
 // lastProgressMS is when any member of the gang was last seen to progress.
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -205,6 +205,10 @@
 	draining bool
 	// leavesMS is when a draining worker may be gone.
 	leavesMS int64
+	// emptied tells that the worker's VM is about to go down for maintenance. It
+	// gets no new work, and what still runs at emptyByMS is stopped.
+	emptied   bool
+	emptyByMS int64
 	// registered tells that the platform lists the worker.
 	registered bool
 	// contacted tells that the worker answered under this owner's fence.
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -32,6 +32,11 @@
 	Store string `json:"store"`
 	// Approvals is empty where no queue needs approvals.
 	Approvals string `json:"approvals"`
+	// VMs is the service that lists VMs and maintains them. It may be empty.
+	VMs string `json:"vms"`
+	// Duties are what the platform leaves to the cell besides jobs. Where there are
+	// any, maintenance waves are carried out.
+	Duties []string `json:"duties"`
 }
 
 // CellBounds are the platform's figures that the cell's constants derive from.
@@ -54,6 +59,8 @@
 	LimitOvershoot float64 `json:"limit_overshoot"`
 	// MinLeaseMS is the shortest lease of the store.
 	MinLeaseMS int64 `json:"min_lease_ms"`
+	// HolderLeaseMS is the least time between the orders of two owners to one VM.
+	HolderLeaseMS int64 `json:"holder_lease_ms"`
 }
 
 // CellLimits are the limits of the VM.
@@ -67,7 +74,7 @@
 func DefaultCell() Cell {
 	return Cell{
 		Bounds: CellBounds{RevokeMS: 5000, MaxLeaseMS: 10_000, GraceMS: 6000, GangWaitMS: 3000, StopMS: 900,
-			RetentionMS: 120_000, FarFactor: 2, MinLeaseMS: 1000},
+			RetentionMS: 120_000, FarFactor: 2, MinLeaseMS: 1000, HolderLeaseMS: 3000},
 		Limits: CellLimits{MemoryMB: 284, CPUShare: 0.4},
 		Log:    Log{Level: "info"},
 	}
@@ -96,6 +103,10 @@
 	if s.Platform.Approvals != "" {
 		v.address("platform.approvals", s.Platform.Approvals)
 	}
+	if s.Platform.VMs != "" {
+		v.address("platform.vms", s.Platform.VMs)
+	}
+	v.between("bounds.holder_lease_ms", s.Bounds.HolderLeaseMS, 0, 600_000)
 	v.between("bounds.revoke_ms", s.Bounds.RevokeMS, 2_000, 600_000)
 	v.between("bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 2_000, 600_000)
 	v.between("bounds.grace_ms", s.Bounds.GraceMS, 1_000, 600_000)
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -82,6 +82,14 @@
 	return f.starts
 }
 
+// Running returns the number of tasks that run on a worker.
+func (f *Fleet) Running(id domain.WorkerID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lapse(f.workers[id])
+	return len(f.workers[id].running)
+}
+
 // Looked returns the number of workers that an owner has spoken to.
 func (f *Fleet) Looked() int {
 	f.mu.Lock()
