Count the suspension of a VM in the age of the relayed registry

Cause: the relay took the age of its last answer from the monotonic clock, which stands still while a VM is suspended. Such an instance could answer that nothing had changed since before the suspension.

Test: TestRelayAfterSuspension (does not compile before: the clock could not be given).

--- a/internal/app/workerfeed/relay.go
+++ b/internal/app/workerfeed/relay.go
@@ -11,15 +11,16 @@
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
+	"auburnpier/internal/steady"
 )
 
 // Figures of a relay.
 const (
-	// idleAfter is how long a relay reads on without being asked.
-	idleAfter = 10 * time.Second
-	// staleAfter is the age of the last answer of the store above which the relay
+	// idleAfterMS is how long a relay reads on without being asked.
+	idleAfterMS = 10_000
+	// staleAfterMS is the age of the last answer of the store above which the relay
 	// gives none. It is above a pause and a watch that ends without a change.
-	staleAfter = 2500 * time.Millisecond
+	staleAfterMS = 2500
 	// maxEnds bounds the revisions at which an owner may continue. At 3,000
 	// workers they cover a minute.
 	maxEnds = 256
@@ -28,10 +29,10 @@
 )
 
 // StaleError tells that the relay itself has no recent answer of the store.
-type StaleError struct{ Age time.Duration }
+type StaleError struct{ AgeMS int64 }
 
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("the registry was read %v ago; read it at the store", e.Age.Round(time.Millisecond))
+	return fmt.Sprintf("the registry was read %d ms ago; read it at the store", e.AgeMS)
 }
 
 // Relay reads the registry while it is asked, and answers with the workers that
@@ -40,6 +41,8 @@
 	ctx      context.Context
 	registry port.WorkerChanges
 	metrics  *metrics.Registry
+	// nowMS is a clock that also counts while the VM is suspended.
+	nowMS func() int64
 
 	mu      sync.Mutex
 	current *reading
@@ -53,8 +56,9 @@
 	ends    []int64
 	workers map[domain.WorkerID]known
 	gone    int
-	askedAt time.Time
-	readAt  time.Time
+	// askedMS and readMS are when the reading was asked for last, and when the
+	// store answered it last.
+	askedMS, readMS int64
 	// gap tells that the store has dropped changes.
 	gap bool
 	// news is closed and replaced when there is something to answer.
@@ -70,7 +74,7 @@
 
 // NewRelay returns a relay of registry that reads nothing more once ctx ends.
 func NewRelay(ctx context.Context, registry port.WorkerChanges, m *metrics.Registry) *Relay {
-	return &Relay{ctx: ctx, registry: registry, metrics: m}
+	return &Relay{ctx: ctx, registry: registry, metrics: m, nowMS: steady.NowMS}
 }
 
 // Changes implements port.WorkerChanges. Heartbeats are no changes, except the
@@ -82,18 +86,18 @@
 	for over := false; ; {
 		r.mu.Lock()
 		g := r.readingFrom(after)
-		g.askedAt = time.Now()
-		got, age, news := g.since(after), time.Since(g.readAt), g.news
+		g.askedMS = r.nowMS()
+		got, ageMS, news := g.since(after), g.askedMS-g.readMS, g.news
 		r.mu.Unlock()
 		switch {
 		case got.Gap || len(got.Set)+len(got.Removed) > 0:
 			return got, nil
-		case age > staleAfter:
-			return port.RegistryChanges{}, &StaleError{age}
+		case ageMS > staleAfterMS:
+			return port.RegistryChanges{}, &StaleError{ageMS}
 		case over:
 			return got, nil
 		}
-		stale := time.NewTimer(staleAfter - age + time.Millisecond)
+		stale := time.NewTimer(time.Duration(staleAfterMS-ageMS+1) * time.Millisecond)
 		select {
 		case <-news:
 		case <-stale.C:
@@ -120,9 +124,9 @@
 		r.current.cancel()
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
-	now := time.Now()
+	now := r.nowMS()
 	g := &reading{cancel: cancel, ends: []int64{after}, workers: make(map[domain.WorkerID]known),
-		askedAt: now, readAt: now, news: make(chan struct{})}
+		askedMS: now, readMS: now, news: make(chan struct{})}
 	r.current = g
 	r.metrics.Counter("registry.relay.begun").Inc(1)
 	go r.follow(ctx, g)
@@ -149,7 +153,7 @@
 func (r *Relay) note(g *reading, got port.RegistryChanges, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.current == g && (time.Since(g.askedAt) > idleAfter || g.gone > maxGone) {
+	if r.current == g && (r.nowMS()-g.askedMS > idleAfterMS || g.gone > maxGone) {
 		r.current = nil
 	}
 	if r.current != g {
@@ -159,7 +163,7 @@
 		r.metrics.Counter("registry.relay.unanswered").Inc(1)
 		return true
 	}
-	g.readAt = time.Now()
+	g.readMS = r.nowMS()
 	if got.Gap {
 		g.gap, g.workers = true, nil
 	} else {
--- a/internal/app/workerfeed/relay_test.go
+++ b/internal/app/workerfeed/relay_test.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 }
 
+const staleAfter = staleAfterMS * time.Millisecond
+
 // pageEvents is how many events an answer of the fake holds at most.
 const pageEvents = 50
 
@@ -109,7 +111,9 @@
 }
 
 func newTestRelay(t *testing.T, f *fakeRegistry) *Relay {
-	return NewRelay(t.Context(), f, metrics.New())
+	r := NewRelay(t.Context(), f, metrics.New())
+	r.nowMS = func() int64 { return time.Now().UnixMilli() }
+	return r
 }
 
 func ask(t *testing.T, r *Relay, after int64, wait time.Duration) port.RegistryChanges {
@@ -237,7 +241,7 @@
 		f := newRegistry()
 		r := newTestRelay(t, f)
 		ask(t, r, 0, time.Second)
-		time.Sleep(idleAfter + 2*watchWait)
+		time.Sleep(idleAfterMS*time.Millisecond + 2*watchWait)
 		calls := 0
 		f.set(func(f *fakeRegistry) { calls = f.calls })
 		time.Sleep(time.Minute)
@@ -315,3 +319,22 @@
 		})
 	}
 }
+
+// Guards against an instance whose VM was suspended and that takes what it read
+// before for recent.
+func TestRelayAfterSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegistry()
+		r := newTestRelay(t, f)
+		suspendedMS := int64(0)
+		r.nowMS = func() int64 { return time.Now().UnixMilli() + suspendedMS }
+		revision := ask(t, r, 0, 100*time.Millisecond).Revision
+		r.mu.Lock()
+		suspendedMS = 60_000
+		r.mu.Unlock()
+		var stale *StaleError
+		if got, err := r.Changes(t.Context(), revision, 100*time.Millisecond); !errors.As(err, &stale) {
+			t.Errorf("after a minute without the store: %+v %v", got, err)
+		}
+	})
+}
