Keep a success from counting twice after its worker was silent

The runs had succeeded 3 s before the leases ended, and nothing was left on these workers that a lapse could end. Seen again, they listed the successes, and the owner acknowledged them: each task had then been started after an acknowledged success.

Such a success is still taken as the task's result, the second run is stopped, and the end is not acknowledged, nor are later ones of this life of the worker. With 300 ends behind it the worker gets no more work.

Tests: TestSuccessSeenAfterRestart (ends up to 5 acknowledged before, 3 after), TestSuccessAfterRecoveryIsNotHeld.

A successor that did not start the second run itself and does not find it running would acknowledge the end; that case is open.

--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -53,6 +53,8 @@
 	lookWait = time.Second
 	// unstoredLookMS is the time between looks while ends wait for the store.
 	unstoredLookMS = 250
+	// heldLookMS is the same at a worker that lists an end for good.
+	heldLookMS = 500
 	// lookRetry and lookRetryMax bound the pause after a look without an answer.
 	lookRetry    = 150 * time.Millisecond
 	lookRetryMax = time.Second
--- /dev/null
+++ b/internal/core/jobs/held_test.go
@@ -0,0 +1,111 @@
+package jobs
+
+import (
+	"testing"
+
+	"auburnpier/internal/domain"
+)
+
+// Guards against a task that counts as done twice: a worker falls silent, its
+// task succeeds, its lease ends while nothing runs there, the task is started
+// elsewhere, and the worker lists the success when it is back.
+func TestSuccessSeenAfterRestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		// secondEnds tells that the second run has succeeded and the job has ended before.
+		secondEnds, copies bool
+	}{"second run goes on": {}, "second run has ended": {secondEnds: true}, "copies are allowed": {copies: true}} {
+		t.Run(name, func(t *testing.T) {
+			m := New(testConfig(), 0, 1_000_000)
+			queue := Queue{Name: "q", Service: "svc", Stretch: 100, ObjectiveMS: 600_000}
+			m.Configure([]Queue{queue}, nil)
+			capacity := domain.Resources{CPUMilli: 4000, MemoryMB: 4000}
+			m.ListWorkers([]WorkerInfo{{ID: "a", Address: "x", Service: "svc", BornMS: 1, Capacity: capacity}})
+			now := int64(0)
+			report := func(id domain.WorkerID, ends []EndReport, running ...RunReport) Output {
+				now += 100
+				m.Advance(now, 1_000_000+now)
+				m.LeaseLimit(id)
+				m.Report(WorkerReport{Worker: id, BornMS: 1, SentMS: now - 1, ReceivedMS: now, ClockMS: now, Ends: ends, Running: running})
+				m.Schedule()
+				out := m.Drain()
+				for _, o := range out.Starts {
+					m.StartAnswered(o.Worker, o.Task, o.Run, StartAccepted)
+				}
+				b, err := m.TakeBatch()
+				if err != nil {
+					t.Fatal(err)
+				}
+				m.Stored(b)
+				return out
+			}
+			report("a", nil)
+			m.Submit("job", &queue, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: capacity, EstimateMS: 500, CopiesAllowed: c.copies}}})
+			report("a", nil)
+			out := report("a", nil)
+			task := TaskID{Job: "job"}
+			if len(out.Starts) != 1 {
+				t.Fatalf("%d starts", len(out.Starts))
+			}
+			report("a", nil, RunReport{Task: task, Run: 1})
+			m.ListWorkers([]WorkerInfo{{ID: "a", Address: "x", Service: "svc", BornMS: 1, Capacity: capacity},
+				{ID: "b", Address: "y", Service: "svc", BornMS: 1, Capacity: capacity}})
+			m.LookFailed("a")
+			var second []StartOrder
+			for end := now + 12_000; now < end && len(second) == 0; {
+				second = report("b", nil).Starts
+			}
+			if len(second) != 1 || second[0].Worker != "b" {
+				t.Fatalf("the task is not started elsewhere: %+v", second)
+			}
+			if c.secondEnds {
+				report("b", []EndReport{{Number: 1, Task: task, Run: second[0].Run, Kind: EndSucceeded}})
+				report("b", nil)
+			}
+			m.Drain()
+			out = report("a", []EndReport{{Number: 4, Task: task, Run: 1, Kind: EndSucceeded}, {Number: 5, Task: TaskID{Job: "other"}, Run: 1, Kind: EndStopped}})
+			report("b", nil, RunReport{Task: task, Run: second[0].Run})
+			want := int64(3)
+			if c.copies {
+				want = 5
+			}
+			if got := m.Acknowledgeable("a"); got != want {
+				t.Errorf("ends up to %d are acknowledged, want %d", got, want)
+			}
+			if state, _, _ := m.Known("job"); state != Completed {
+				t.Errorf("the job is %v, want completed", state)
+			}
+			if !c.secondEnds && len(out.Stops) != 1 {
+				t.Errorf("%d stops of the second run", len(out.Stops))
+			}
+			// A new life of the worker numbers its ends anew.
+			m.Report(WorkerReport{Worker: "a", BornMS: 2, SentMS: now, ReceivedMS: now, ClockMS: now,
+				Ends: []EndReport{{Number: 1, Task: TaskID{Job: "other"}, Run: 2, Kind: EndStopped}}})
+			if got := m.Acknowledgeable("a"); got != 1 || m.EndsHeld("a") {
+				t.Errorf("after the worker was born anew, ends up to %d are acknowledged, want 1", got)
+			}
+		})
+	}
+}
+
+// Guards against successes of a former owner's runs that are held because
+// another task of the step has a higher run.
+func TestSuccessAfterRecoveryIsNotHeld(t *testing.T) {
+	m := New(testConfig(), 0, 1_000_000)
+	queue := Queue{Name: "q", Service: "svc", Stretch: 100, ObjectiveMS: 600_000}
+	m.Configure([]Queue{queue}, nil)
+	capacity := domain.Resources{CPUMilli: 4000, MemoryMB: 4000}
+	m.ListWorkers([]WorkerInfo{{ID: "a", Address: "x", Service: "svc", BornMS: 1, Capacity: capacity}})
+	m.Submit("job", &queue, "team", &Spec{Steps: []StepSpec{{Tasks: 3, Need: domain.Resources{CPUMilli: 1000, MemoryMB: 100}, EstimateMS: 500}}})
+	s := m.jobs["job"].occs[0].steps[0]
+	for _, task := range s.tasks {
+		// What the store keeps is the last run of the step.
+		task.lastRun = 3
+	}
+	m.Report(WorkerReport{Worker: "a", BornMS: 1, ClockMS: 1, Ends: []EndReport{{Number: 1, Task: TaskID{Job: "job", Index: 1}, Run: 1, Kind: EndSucceeded}}})
+	if m.EndsHeld("a") {
+		t.Error("a success is held although no later run of its task was started")
+	}
+	if s.open != 2 {
+		t.Errorf("%d of 3 tasks are open after one succeeded", s.open)
+	}
+}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -247,7 +247,11 @@
 		runs = append(runs, r)
 	}
 	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) })
+	if w.givenUp == nil {
+		w.givenUp = make(map[TaskID]int)
+	}
 	for _, r := range runs {
+		w.givenUp[r.task.id()] = r.number
 		m.endRun(r, EndLapsed, "")
 	}
 }
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -139,6 +139,8 @@
 	// until it is acknowledged, so a later owner may see it again.
 	failedRuns []int
 	lastRun    int
+	// startedRun is the last run that this owner started or took over.
+	startedRun int
 	checkpoint string
 	runs       []*run
 	// notBeforeMS delays a repeat.
@@ -232,6 +234,10 @@
 	// lastEnd is the last end taken. Those in pending have effects that are not stored.
 	lastEnd int64
 	pending []pendingEnd
+	// givenUp holds the runs that were given up while the worker was silent, and
+	// heldEnd is the first end that must not be acknowledged, zero for none.
+	givenUp map[TaskID]int
+	heldEnd int64
 	health  health
 	pacing  pacing
 	// slowness is the smoothed ratio of measured to expected run time.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -181,10 +181,14 @@
 	for len(w.pending) > 0 && w.pending[0].job.storedVersion >= w.pending[0].version {
 		w.pending = w.pending[1:]
 	}
+	last := w.lastEnd
 	if len(w.pending) > 0 {
-		return w.pending[0].number - 1
+		last = w.pending[0].number - 1
 	}
-	return w.lastEnd
+	if w.heldEnd > 0 {
+		last = min(last, w.heldEnd-1)
+	}
+	return last
 }
 
 func (j *job) record() JobRecord {
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -79,6 +79,7 @@
 	for _, e := range r.Ends {
 		if e.Number > w.lastEnd {
 			w.lastEnd = e.Number
+			m.holdEnd(w, e)
 			m.takeEnd(w, e)
 			// The end may add nothing to what is known, as with the other members of a
 			// gang, but what is known may not be stored yet.
@@ -117,7 +118,7 @@
 		m.dropRuns(w)
 	}
 	w.bornMS = bornMS
-	w.lastEnd, w.pending = 0, nil
+	w.lastEnd, w.pending, w.givenUp, w.heldEnd = 0, nil, nil, 0
 	w.clockKnown = false
 	w.health = health{}
 }
@@ -237,6 +238,44 @@
 	return o.steps[id.Step]
 }
 
+// holdEnd keeps the success of a run from being acknowledged where its task was
+// started again meanwhile. A worker that was silent until its lease was over
+// lists what succeeded before; acknowledged, the task would count as done twice,
+// while the second start was right by all that was known.
+func (m *Machine) holdEnd(w *worker, e EndReport) {
+	number, givenUp := w.givenUp[e.Task]
+	givenUp = givenUp && number == e.Run
+	if givenUp {
+		delete(w.givenUp, e.Task)
+	}
+	if e.Kind != EndSucceeded || w.heldEnd > 0 {
+		return
+	}
+	t := m.find(e.Task)
+	if t == nil && !givenUp || t != nil && !t.startedAfter(e.Run) {
+		return
+	}
+	w.heldEnd = e.Number
+	m.out.Notes = append(m.out.Notes, Note{Kind: "end_held", Worker: w.id, Task: e.Task, Run: e.Run,
+		Detail: "the task was started again while the worker was silent"})
+}
+
+// startedAfter reports whether a later run of the task was started where only
+// one may succeed.
+func (t *task) startedAfter(number int) bool {
+	return !t.step.spec.CopiesAllowed && !t.step.spec.Lasting && t.startedRun > number
+}
+
+// EndsHeld reports whether the worker lists an end that must not be acknowledged.
+func (m *Machine) EndsHeld(id domain.WorkerID) bool {
+	w, ok := m.workers[id]
+	return ok && w.heldEnd > 0
+}
+
+// maxHeldEnds bounds the ends that a worker lists after one that is not
+// acknowledged. It lists 500 at a time, so beyond that it gets no more work.
+const maxHeldEnds = 300
+
 func (m *Machine) takeEnd(w *worker, e EndReport) {
 	r, ok := w.runs[e.Task]
 	if ok && r.number == e.Run {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -242,7 +242,7 @@
 
 // usable reports whether the worker may get work at all.
 func (m *Machine) usable(w *worker) bool {
-	return w.registered && w.contacted && w.recorded && w.clockKnown && w.strangers == 0 && !w.draining && !w.emptied &&
+	return w.registered && w.contacted && w.recorded && w.clockKnown && w.strangers == 0 && !w.draining && !w.emptied && (w.heldEnd == 0 || w.lastEnd-w.heldEnd < maxHeldEnds) &&
 		m.nowMS >= w.health.avoidUntilMS && m.heard(w)
 }
 
@@ -364,6 +364,7 @@
 		s.reservation[w] = s.reservation[w].Sub(r.reserved).Max(domain.Resources{})
 	}
 	t.lastRun = max(t.lastRun, number)
+	t.startedRun = max(t.startedRun, number)
 	t.runs = append(t.runs, r)
 	if t.phase == taskWaiting {
 		t.phase = taskActive
