Stop an incomplete gang before its members end alone

A gang that misses a member is stopped by a placement pass, which may leave it out among many steps, or because its members stand still, which only reports tell. An overloaded owner did both too late: its stop met a member that had waited for the 4 s that it may.

Ruled out: checking gangs first in each pass, which costs every pass.

--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -198,6 +198,28 @@
 	}
 }
 
+// gangStopSlackMS is what a stop may take on its way, besides the worker's own time.
+const gangStopSlackMS = 500
+
+// gangFails reports whether a member is still missing when the gang has to be
+// stopped, so that none of its members ends alone. It does not depend on
+// passes, which may leave out a gang among many steps, nor on reports.
+func (m *Machine) gangFails(s *step) bool {
+	age := m.nowMS - s.gangPlacedMS
+	if s.gangPlacedMS == 0 || age < m.cfg.GangWaitMS-m.cfg.StopMS-gangStopSlackMS || age > m.cfg.GangWaitMS {
+		return false
+	}
+	for _, t := range s.tasks {
+		present := t.phase == taskDone || slices.ContainsFunc(t.runs, func(r *run) bool {
+			return r.number == s.gangRun && r.confirmedMS > 0
+		})
+		if !present {
+			return true
+		}
+	}
+	return false
+}
+
 // hold keeps the room of a plan from steps that come later in this pass.
 func (m *Machine) hold(s *step, plan gangPlan) {
 	need := s.spec.Reserved()
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -124,6 +124,10 @@
 	if w.emptied && m.empties(r) {
 		return
 	}
+	if s.spec.Gang && r.phase == runConfirmed && m.gangFails(s) {
+		m.stopStep(s, "member missing")
+		return
+	}
 	if r.phase != runConfirmed || s.spec.Lasting || s.spec.UsesLeftover || !r.listed {
 		return
 	}
