--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -276,6 +276,8 @@
 // acknowledged. It lists 500 at a time, so beyond that it gets no more work.
 const maxHeldEnds = 300
 
+func (w *worker) listsTooManyEnds() bool { return w.heldEnd > 0 && w.lastEnd-w.heldEnd >= maxHeldEnds }
+
 func (m *Machine) takeEnd(w *worker, e EndReport) {
 	r, ok := w.runs[e.Task]
 	if ok && r.number == e.Run {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -242,7 +242,7 @@
 
 // usable reports whether the worker may get work at all.
 func (m *Machine) usable(w *worker) bool {
-	return w.registered && w.contacted && w.recorded && w.clockKnown && w.strangers == 0 && !w.draining && !w.emptied && (w.heldEnd == 0 || w.lastEnd-w.heldEnd < maxHeldEnds) &&
+	return w.registered && w.contacted && w.recorded && w.clockKnown && w.strangers == 0 && !w.draining && !w.emptied && !w.listsTooManyEnds() &&
 		m.nowMS >= w.health.avoidUntilMS && m.heard(w)
 }
 
