--- a/internal/app/owner/maintenance_test.go
+++ b/internal/app/owner/maintenance_test.go
@@ -19,7 +19,7 @@
 type fakeVMs struct {
 	fleet *cellworker.Fleet
 	ids   []domain.WorkerID
-	// loseEvery loses the answer of each so manieth order.
+	// loseEvery loses the answer of every n-th order; zero loses none.
 	loseEvery int
 
 	mu      sync.Mutex
--- a/internal/core/waves/waves_test.go
+++ b/internal/core/waves/waves_test.go
@@ -58,7 +58,7 @@
 }
 
 const (
-	upkeepMS = 2000
+	downMS = 2000
 	stepMS   = 50
 	// listMS and writeMS are how long a list and a write take.
 	listMS  = 800
@@ -151,7 +151,7 @@
 	}
 	vm.life++
 	vm.worker = domain.WorkerID(fmt.Sprint(vm.worker, "-", vm.life))
-	vm.upAtMS, vm.endsAtMS = p.nowMS+upkeepMS, p.nowMS+upkeepMS+500
+	vm.upAtMS, vm.endsAtMS = p.nowMS+downMS, p.nowMS+downMS+500
 	p.down[o.Wave]++
 	p.worstDown[o.Wave] = max(p.worstDown[o.Wave], p.countDown(o.Wave))
 	return Begun
