--- a/internal/core/waves/waves_test.go
+++ b/internal/core/waves/waves_test.go
@@ -59,7 +59,7 @@
 
 const (
 	downMS = 2000
-	stepMS   = 50
+	stepMS = 50
 	// listMS and writeMS are how long a list and a write take.
 	listMS  = 800
 	writeMS = 300
