Write JSON answers in one place

They call httpjson.Write now. celld logged an answer that cannot be encoded; its answers are plain structures, for which that cannot happen. Answers are as they were, except that those of celld end with a newline.

--- a/internal/adapter/api/decode.go
+++ b/internal/adapter/api/decode.go
@@ -61,12 +61,6 @@
 	return refusal.New(http.StatusBadRequest, refusal.InvalidRequest, faults.String(), "correct the named fields")
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 // refuse counts and writes a refusal.
 func (s *Server) refuse(w http.ResponseWriter, err error) {
 	s.refuseWith(w, refusal.Body{Refusal: refusal.From(err)})
--- a/internal/adapter/api/jobs.go
+++ b/internal/adapter/api/jobs.go
@@ -9,6 +9,7 @@
 	"auburnpier/internal/app/confsync"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/fault"
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/refusal"
 )
 
@@ -37,7 +38,7 @@
 		return
 	}
 	w.Header().Set("Location", "/v1/jobs/"+string(status.ID))
-	writeJSON(w, http.StatusCreated, status)
+	httpjson.Write(w, http.StatusCreated, status)
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request, id confsync.Identity) {
@@ -75,7 +76,7 @@
 			s.refuse(w, err)
 			return
 		}
-		writeJSON(w, http.StatusOK, status)
+		httpjson.Write(w, http.StatusOK, status)
 	}
 }
 
--- a/internal/adapter/api/operators.go
+++ b/internal/adapter/api/operators.go
@@ -8,6 +8,7 @@
 	"auburnpier/internal/app/confsync"
 	"auburnpier/internal/core/confdoc"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/refusal"
 )
 
@@ -34,7 +35,7 @@
 		row.SecretSHA256 = ""
 		t.Keys[id] = row
 	}
-	writeJSON(w, http.StatusOK, t)
+	httpjson.Write(w, http.StatusOK, t)
 }
 
 func (s *Server) edit(w http.ResponseWriter, r *http.Request, _ confsync.Identity) {
@@ -48,7 +49,7 @@
 		s.refuseEdit(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, applied)
+	httpjson.Write(w, http.StatusOK, applied)
 }
 
 // refuseEdit adds every fault of a wrong table, or the current row of a conflict.
@@ -66,10 +67,10 @@
 }
 
 func (s *Server) cellStatus(w http.ResponseWriter, r *http.Request, _ confsync.Identity) {
-	writeJSON(w, http.StatusOK, s.o.Cell.Status(r.Context()))
+	httpjson.Write(w, http.StatusOK, s.o.Cell.Status(r.Context()))
 }
 
 func (s *Server) drain(w http.ResponseWriter, _ *http.Request, _ confsync.Identity) {
 	s.o.Cell.Drain()
-	writeJSON(w, http.StatusAccepted, map[string]string{"status": "draining"})
+	httpjson.Write(w, http.StatusAccepted, map[string]string{"status": "draining"})
 }
--- a/internal/adapter/api/server.go
+++ b/internal/adapter/api/server.go
@@ -14,6 +14,7 @@
 	"auburnpier/internal/core/confdoc"
 	"auburnpier/internal/core/teamkey"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/refusal"
 )
@@ -141,7 +142,7 @@
 }
 
 func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]string{"status": "alive"})
+	httpjson.Write(w, http.StatusOK, map[string]string{"status": "alive"})
 }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
@@ -153,7 +154,7 @@
 		s.refuse(w, refusal.New(http.StatusServiceUnavailable, refusal.NotReady,
 			"the configuration is missing or not confirmed", "wait, or check that the store can be reached").After(time.Second))
 	default:
-		writeJSON(w, http.StatusOK, map[string]string{"status": "ready"})
+		httpjson.Write(w, http.StatusOK, map[string]string{"status": "ready"})
 	}
 }
 
--- a/internal/adapter/cellapi/api.go
+++ b/internal/adapter/cellapi/api.go
@@ -3,7 +3,6 @@
 package cellapi
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"math"
@@ -16,6 +15,7 @@
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/fault"
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/refusal"
 	"auburnpier/internal/settings"
 )
@@ -70,7 +70,7 @@
 		}
 		id := r.PathValue("id")
 		if !jobID.MatchString(id) {
-			answer(w, http.StatusBadRequest, refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+			httpjson.Write(w, http.StatusBadRequest, refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
 				"the job's ID is not 16 lower-case hexadecimal digits", "choose such an ID at random"))
 			return
 		}
@@ -88,7 +88,7 @@
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.service.MaxBody()))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		answer(w, http.StatusRequestEntityTooLarge, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
+		httpjson.Write(w, http.StatusRequestEntityTooLarge, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
 			"the job is longer than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes", "make the payload or the list of steps shorter"))
 		return
 	}
@@ -99,7 +99,7 @@
 	spec, err := settings.ParseJob("job", raw)
 	var faults *settings.FaultsError
 	if errors.As(err, &faults) {
-		answer(w, http.StatusBadRequest, faultyJob{refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+		httpjson.Write(w, http.StatusBadRequest, faultyJob{refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
 			"the job has wrong fields", "correct the fields that the faults name"), faults.Faults})
 		return
 	}
@@ -107,7 +107,7 @@
 		refuse(w, rejection, true)
 		return
 	}
-	answer(w, http.StatusOK, JobAnswer{Job: id})
+	httpjson.Write(w, http.StatusOK, JobAnswer{Job: id})
 }
 
 func (a *api) state(w http.ResponseWriter, r *http.Request, call entry.Call, id domain.JobID) {
@@ -116,7 +116,7 @@
 		refuse(w, rejection, true)
 		return
 	}
-	answer(w, http.StatusOK, JobAnswer{Job: id, State: state.String()})
+	httpjson.Write(w, http.StatusOK, JobAnswer{Job: id, State: state.String()})
 }
 
 func (a *api) cancel(w http.ResponseWriter, r *http.Request, call entry.Call, id domain.JobID) {
@@ -125,7 +125,7 @@
 		refuse(w, rejection, rejection.Kind != entry.NoOwner)
 		return
 	}
-	answer(w, http.StatusOK, JobAnswer{Job: id, State: jobs.Cancelled.String()})
+	httpjson.Write(w, http.StatusOK, JobAnswer{Job: id, State: jobs.Cancelled.String()})
 }
 
 func (a *api) waiting(w http.ResponseWriter, r *http.Request) {
@@ -138,7 +138,7 @@
 		refuse(w, rejection, true)
 		return
 	}
-	answer(w, http.StatusOK, QueueAnswer{Queue: call.Route.Queue.Name, Waiting: n})
+	httpjson.Write(w, http.StatusOK, QueueAnswer{Queue: call.Route.Queue.Name, Waiting: n})
 }
 
 // kinds maps rejections to statuses and reasons.
@@ -173,12 +173,5 @@
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
-	answer(w, k.status, body)
-}
-
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// A caller that left has no use for the answer.
-	_ = json.NewEncoder(w).Encode(body)
+	httpjson.Write(w, k.status, body)
 }
--- a/internal/adapter/storehttp/handler.go
+++ b/internal/adapter/storehttp/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/port"
 )
 
@@ -54,7 +55,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		var req request
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&req); err != nil {
-			answer(w, http.StatusBadRequest, &response{Error: err.Error()})
+			httpjson.Write(w, http.StatusBadRequest, &response{Error: err.Error()})
 			return
 		}
 		resp, err := call(r.Context(), req)
@@ -62,7 +63,7 @@
 			answerError(w, err)
 			return
 		}
-		answer(w, http.StatusOK, resp)
+		httpjson.Write(w, http.StatusOK, resp)
 	}
 }
 
@@ -73,21 +74,15 @@
 	var unknown *port.OutcomeUnknownError
 	switch {
 	case errors.As(err, &notFound):
-		answer(w, http.StatusNotFound, &response{Error: err.Error()})
+		httpjson.Write(w, http.StatusNotFound, &response{Error: err.Error()})
 	case errors.As(err, &conflict):
-		answer(w, http.StatusConflict, &response{Error: err.Error(), Entry: toWire(conflict.Current)})
+		httpjson.Write(w, http.StatusConflict, &response{Error: err.Error(), Entry: toWire(conflict.Current)})
 	case errors.As(err, &unavailable):
-		answer(w, http.StatusServiceUnavailable, &response{Error: err.Error()})
+		httpjson.Write(w, http.StatusServiceUnavailable, &response{Error: err.Error()})
 	case errors.As(err, &unknown):
 		// The caller must not take any answer for proof, so it gets none.
 		panic(http.ErrAbortHandler)
 	default:
-		answer(w, http.StatusInternalServerError, &response{Error: err.Error()})
+		httpjson.Write(w, http.StatusInternalServerError, &response{Error: err.Error()})
 	}
 }
-
-func answer(w http.ResponseWriter, status int, resp *response) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(resp)
-}
--- a/internal/adapter/workerhttp/handler.go
+++ b/internal/adapter/workerhttp/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/port"
 )
 
@@ -36,24 +37,18 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		var req Q
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(&req); err != nil {
-			answer(w, http.StatusBadRequest, refusedResponse{Error: err.Error()})
+			httpjson.Write(w, http.StatusBadRequest, refusedResponse{Error: err.Error()})
 			return
 		}
 		resp, err := call(r.Context(), req)
 		var refused *port.LeaseRefusedError
 		switch {
 		case err == nil:
-			answer(w, http.StatusOK, resp)
+			httpjson.Write(w, http.StatusOK, resp)
 		case errors.As(err, &refused):
-			answer(w, http.StatusConflict, refusedResponse{Worker: refused.Worker, Lease: refused.Lease, Current: refused.Current})
+			httpjson.Write(w, http.StatusConflict, refusedResponse{Worker: refused.Worker, Lease: refused.Lease, Current: refused.Current})
 		default:
-			answer(w, http.StatusInternalServerError, refusedResponse{Error: err.Error()})
+			httpjson.Write(w, http.StatusInternalServerError, refusedResponse{Error: err.Error()})
 		}
 	}
 }
-
-func answer(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
--- a/internal/celld/operators.go
+++ b/internal/celld/operators.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"auburnpier/internal/adapter/cellapi"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/httpjson"
 	"auburnpier/internal/port"
 )
 
@@ -48,7 +46,7 @@
 	} else {
 		s.Cell = &cell
 	}
-	i.writeJSON(w, http.StatusOK, s)
+	httpjson.Write(w, http.StatusOK, s)
 }
 
 func (i *Instance) overview(ctx context.Context) (port.CellOverview, error) {
@@ -64,29 +62,16 @@
 	defer cancel()
 	calls, _ := i.directory.Owner()
 	if calls == nil {
-		i.writeJSON(w, http.StatusServiceUnavailable, port.OperatorError{Error: errNoOwner.Error()})
+		httpjson.Write(w, http.StatusServiceUnavailable, port.OperatorError{Error: errNoOwner.Error()})
 		return
 	}
 	reply, err := calls.Explain(ctx, domain.JobID(r.PathValue("id")))
 	switch {
 	case err != nil:
-		i.writeJSON(w, http.StatusServiceUnavailable, port.OperatorError{Error: err.Error()})
+		httpjson.Write(w, http.StatusServiceUnavailable, port.OperatorError{Error: err.Error()})
 	case !reply.Known:
-		i.writeJSON(w, http.StatusNotFound, port.OperatorError{Error: "the owner knows no such job; it may have ended longer ago than states are kept, look into the logs"})
+		httpjson.Write(w, http.StatusNotFound, port.OperatorError{Error: "the owner knows no such job; it may have ended longer ago than states are kept, look into the logs"})
 	default:
-		i.writeJSON(w, http.StatusOK, reply.Job)
-	}
-}
-
-func (i *Instance) writeJSON(w http.ResponseWriter, status int, body any) {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		i.log.Error("answer to an operator cannot be encoded", zap.Error(err))
-		w.WriteHeader(http.StatusInternalServerError)
-		return
+		httpjson.Write(w, http.StatusOK, reply.Job)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// A caller that left has no use for the answer.
-	_, _ = w.Write(raw)
 }
