Write the refusals of the cell's own interface as all others

cellapi built the body, the faults and Retry-After of a refusal by itself, beside refusal.Write, which the other product interfaces call. It calls that now. Its answers thereby also carry X-Not-Run where the call provably had no effect, as those of the other interfaces do; bodies, statuses and Retry-After are as before.

--- a/internal/adapter/cellapi/api.go
+++ b/internal/adapter/cellapi/api.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -14,7 +13,6 @@
 	"auburnpier/internal/app/entry"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
-	"auburnpier/internal/fault"
 	"auburnpier/internal/httpjson"
 	"auburnpier/internal/refusal"
 	"auburnpier/internal/settings"
@@ -70,26 +68,20 @@
 		}
 		id := r.PathValue("id")
 		if !jobID.MatchString(id) {
-			httpjson.Write(w, http.StatusBadRequest, refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
-				"the job's ID is not 16 lower-case hexadecimal digits", "choose such an ID at random"))
+			refusal.Write(w, refusal.Body{Refusal: refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+				"the job's ID is not 16 lower-case hexadecimal digits", "choose such an ID at random")})
 			return
 		}
 		f(w, r, call, domain.JobID(id))
 	}
 }
 
-// faultyJob is a refusal of a job whose fields are wrong.
-type faultyJob struct {
-	*refusal.Refusal
-	Faults fault.List `json:"faults"`
-}
-
 func (a *api) submit(w http.ResponseWriter, r *http.Request, call entry.Call, id domain.JobID) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.service.MaxBody()))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		httpjson.Write(w, http.StatusRequestEntityTooLarge, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
-			"the job is longer than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes", "make the payload or the list of steps shorter"))
+		refusal.Write(w, refusal.Body{Refusal: refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge,
+			"the job is longer than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes", "make the payload or the list of steps shorter")})
 		return
 	}
 	if err != nil {
@@ -99,8 +91,8 @@
 	spec, err := settings.ParseJob("job", raw)
 	var faults *settings.FaultsError
 	if errors.As(err, &faults) {
-		httpjson.Write(w, http.StatusBadRequest, faultyJob{refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
-			"the job has wrong fields", "correct the fields that the faults name"), faults.Faults})
+		refusal.Write(w, refusal.Body{Faults: faults.Faults, Refusal: refusal.New(http.StatusBadRequest, refusal.InvalidRequest,
+			"the job has wrong fields", "correct the fields that the faults name")})
 		return
 	}
 	if rejection := a.service.Submit(r.Context(), call, id, spec, 0); rejection != nil {
@@ -162,7 +154,8 @@
 // effect, which an unknown outcome never has.
 func refuse(w http.ResponseWriter, r *entry.Rejection, notRun bool) {
 	k := kinds[r.Kind]
-	body := refusal.Refusal{Reason: k.reason, Message: k.message, Remedy: r.Remedy, NotRun: notRun && r.Kind != entry.Unknown}
+	body := &refusal.Refusal{Reason: k.reason, Message: k.message, Remedy: r.Remedy, NotRun: notRun && r.Kind != entry.Unknown,
+		RetryAfter: r.RetryAfter, Status: k.status}
 	if r.Kind == entry.Refused {
 		body.Reason = refusal.Reason(r.Remedy)
 		body.Remedy = "send it again under the same ID after the time named"
@@ -170,8 +163,5 @@
 			body.Remedy = "no worker or limit permits it; ask for less, or have the limit raised"
 		}
 	}
-	if r.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
-	}
-	httpjson.Write(w, k.status, body)
+	refusal.Write(w, refusal.Body{Refusal: body})
 }
