Say once how a fenced order ends a reign, and which instance is larger

Looks, paces and maintenance orders had the same check for a later owner's fence; endIfFenced serves them. The look groups and the reader of the registry ordered instances by the same two comparisons; compareSizes serves both. The records of waves are built only where a write may begin. No decision changes.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -107,6 +107,16 @@
 	c.cancel()
 }
 
+// endIfFenced ends the reign where an order met a later owner's fence.
+func (c *Cell) endIfFenced(err error) bool {
+	var fenced *port.FencedError
+	if !errors.As(err, &fenced) {
+		return false
+	}
+	c.end(err.Error())
+	return true
+}
+
 // mayOrder reports whether the owner may still speak to workers.
 func (c *Cell) mayOrder(nowMS int64) bool {
 	return nowMS < c.confirmedMS.Load()+c.options.UnconfirmedTTL.Milliseconds()
@@ -303,9 +313,7 @@
 
 func (c *Cell) sendPace(o jobs.PaceOrder) {
 	err := c.workers.Pace(c.ctx, c.reign.epoch, o)
-	var fenced *port.FencedError
-	if errors.As(err, &fenced) {
-		c.end(err.Error())
+	if c.endIfFenced(err) {
 		return
 	}
 	outcome := "done"
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -21,7 +21,7 @@
 	ttl   time.Duration
 	// ownerRevision fences transactions; laneRevisions are those of the chains' keys.
 	ownerRevision int64
-	laneRevisions [writeLanes + 1]int64
+	laneRevisions [waveLane + 1]int64
 	token         string
 	claimedMS     int64
 }
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -144,9 +143,7 @@
 		group := g.byHost[h]
 		return h.Address == own || group != nil && now < group.pausedMS
 	})
-	slices.SortFunc(hosts, func(a, b port.Hello) int {
-		return cmp.Or(cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(a.Address, b.Address))
-	})
+	slices.SortFunc(hosts, compareSizes)
 	for _, h := range hosts {
 		wanted := len(g.any) < relaysFor(total)
 		wantedHere := len(g.byZone[h.Zone]) < relaysFor(workers[h.Zone])
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -120,9 +119,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, r.Wait+c.answers.lookSlack())
 	defer cancel()
 	report, err := c.workers.Look(ctx, id, address, r)
-	var fenced *port.FencedError
-	if errors.As(err, &fenced) {
-		c.end(err.Error())
+	if c.endIfFenced(err) {
 		return
 	}
 	report.SentMS, report.ReceivedMS = sentMS, steady.NowMS()
--- a/internal/app/owner/maintenance.go
+++ b/internal/app/owner/maintenance.go
@@ -116,8 +116,11 @@
 // with the record, so neither is there without the other.
 func (c *Cell) storeWaves() {
 	m := c.maintenance
+	if m.writing {
+		return
+	}
 	records := m.planner.Dirty()
-	if m.writing || len(records) == 0 {
+	if len(records) == 0 {
 		return
 	}
 	r := records[0]
@@ -146,9 +149,7 @@
 // maintain sends one order.
 func (c *Cell) maintain(o waves.Order) {
 	outcome, err := c.vms.Maintain(c.ctx, c.options.Instance, c.reign.epoch, o)
-	var fenced *port.FencedError
-	if errors.As(err, &fenced) {
-		c.end(err.Error())
+	if c.endIfFenced(err) {
 		return
 	}
 	c.metrics.Counter("vms.maintain." + outcome.String()).Inc(1)
--- a/internal/app/owner/registry.go
+++ b/internal/app/owner/registry.go
@@ -64,7 +64,7 @@
 		return 0
 	}
 	best := slices.MinFunc(candidates, func(a, b port.Hello) int {
-		return cmp.Or(cmp.Compare(looking(a), looking(b)), cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(a.Address, b.Address))
+		return cmp.Or(cmp.Compare(looking(a), looking(b)), compareSizes(a, b))
 	})
 	c.log.Info("registry is read through an instance", zap.String("relay", string(best.Instance)), zap.Int("workers", len(c.looks)))
 	c.registryRelay.Store(&registryRelay{hello: best, changes: c.peers.Registry(best)})
--- a/internal/app/owner/relays.go
+++ b/internal/app/owner/relays.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -43,6 +44,11 @@
 	fails  int
 }
 
+// compareSizes orders instances by the size of their VMs, larger ones first.
+func compareSizes(a, b port.Hello) int {
+	return cmp.Or(cmp.Compare(b.CPUMilli, a.CPUMilli), cmp.Compare(a.Address, b.Address))
+}
+
 type relays struct {
 	list []*relay
 	// changes counts the changes of the list.
