--- a/internal/app/confsync/edit.go
+++ b/internal/app/confsync/edit.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"auburnpier/internal/core/confdoc"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -120,14 +121,7 @@
 func (w *editWrite) pause(ctx context.Context) bool {
 	backoff := min(editBackoffMin<<min(w.attempts, 8), editBackoffMax)
 	w.attempts++
-	timer := time.NewTimer(backoff/2 + rand.N(backoff))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return ctxtime.Sleep(ctx, backoff/2+rand.N(backoff))
 }
 
 // attempt reads the document, applies the edit and writes it once. It returns
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -307,10 +307,7 @@
 			if r.Team != c.Team {
 				return 0, s.reject(UnknownJob, 0, "the team has no such job")
 			}
-			if r.State == jobs.Queued && r.Started {
-				return jobs.Running, nil
-			}
-			return r.State, nil
+			return r.State.Shown(r.Started), nil
 		}
 		if !ctxtime.Sleep(ctx, queryRetry) {
 			return 0, s.reject(NoOwner, retryAfter, "neither the owner nor the store answers, come back")
--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -92,10 +92,11 @@
 func (s *Store) run(ctx context.Context, op string, call func(port.LeaseStore) error) error {
 	begun := time.Now()
 	err := s.route(ctx, call)
-	if result := outcome(err); result == "ok" || result == "refused" {
+	result := outcome(err)
+	if result == "ok" || result == "refused" {
 		s.answeredMS.Store(steady.NowMS())
 	}
-	s.metrics.Timer("store." + op + "." + outcome(err)).UpdateSince(begun)
+	s.metrics.Timer("store." + op + "." + result).UpdateSince(begun)
 	return err
 }
 
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -92,10 +92,8 @@
 	if !ok {
 		return JobView{}, false
 	}
-	v := JobView{Job: j.id, Team: j.team.ID, Queue: j.queue.Name, State: j.state.String(), AcceptedUnixMS: j.acceptedUnixMS, OverRate: j.overRate}
-	if j.state == Queued && j.everActive {
-		v.State = Running.String()
-	}
+	v := JobView{Job: j.id, Team: j.team.ID, Queue: j.queue.Name, State: j.state.Shown(j.everActive).String(),
+		AcceptedUnixMS: j.acceptedUnixMS, OverRate: j.overRate}
 	for _, o := range j.occs {
 		for _, s := range o.steps {
 			v.Steps = append(v.Steps, m.explainStep(s))
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -277,11 +277,7 @@
 	if !ok || !j.durable {
 		return 0, "", false
 	}
-	state := j.shownState
-	if state == Queued && j.everActive {
-		state = Running
-	}
-	return state, j.team.ID, true
+	return j.shownState.Shown(j.everActive), j.team.ID, true
 }
 
 // Waiting counts the accepted jobs of a queue of which no task has started.
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -174,6 +174,15 @@
 	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
 }
 
+// Shown returns the state that callers are told: a queued job of which a task has
+// started is running.
+func (s State) Shown(started bool) State {
+	if s == Queued && started {
+		return Running
+	}
+	return s
+}
+
 // Terminal reports whether the state never changes again.
 func (s State) Terminal() bool { return s >= Completed }
 
