Do what is due once a batch of events, and plan waves with one check of what runs

Since each event has its own time, each also looked for due occurrences, lapses and runs that stand still; with hundreds of events in a batch that is work for nothing. An event now sets the time, and what is due is done at the batch's begin and each tick, as before. A report's tails and whether serving tasks are there are found in one loop. The planner of waves emptied a worker and asked what runs on it in two places that differ by the time alone.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -143,6 +143,7 @@
 			c.failWaiters()
 			return
 		case event := <-c.events:
+			c.advance()
 			c.handle(event)
 			c.drainEvents()
 		case due := <-ticker.C:
@@ -170,7 +171,7 @@
 // its own time, since an answer that counts from before it came proves too much.
 func (c *Cell) handle(event func()) {
 	if c.ctx.Err() == nil {
-		c.advance()
+		c.machine.SetTime(steady.NowMS(), time.Now().UnixMilli())
 		event()
 	}
 }
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -104,10 +104,15 @@
 	}
 }
 
-// Advance sets the time. Earlier times are ignored.
-func (m *Machine) Advance(nowMS, unixMS int64) {
+// SetTime sets the time at which what follows has happened. Earlier times are ignored.
+func (m *Machine) SetTime(nowMS, unixMS int64) {
 	m.nowMS = max(m.nowMS, nowMS)
 	m.unixMS = unixMS
+}
+
+// Advance sets the time and does what is due.
+func (m *Machine) Advance(nowMS, unixMS int64) {
+	m.SetTime(nowMS, unixMS)
 	if m.nowMS-m.lastLapse >= lapseIntervalMS {
 		m.lastLapse = m.nowMS
 		m.lapse()
--- a/internal/core/jobs/pace.go
+++ b/internal/core/jobs/pace.go
@@ -67,15 +67,16 @@
 // takeMeasures takes the tails of a report and decides the worker's pace.
 func (m *Machine) takeMeasures(w *worker) {
 	p := &w.pacing
-	tail, known, leftover := 0.0, false, false
+	tail, known, leftover, serving := 0.0, false, false, false
 	for _, r := range w.runs {
 		leftover = leftover || r.task.step.spec.UsesLeftover
+		serving = serving || r.serves()
 		if r.serves() && r.measure > 0 {
 			tail = max(tail, float64(r.measure)/float64(r.task.step.spec.LatencyTargetMS))
 			known = true
 		}
 	}
-	if !leftover || !m.hasServing(w) {
+	if !leftover || !serving {
 		p.active, p.overMS = false, 0
 		p.tail = tail
 		return
--- a/internal/core/waves/waves.go
+++ b/internal/core/waves/waves.go
@@ -230,30 +230,27 @@
 		}
 		p.choose(w, nowMS, load)
 		down := w.count(ordered) + w.count(begun)
+		// occupied empties the member's worker and reports whether something runs there.
+		occupied := func(m *member, byMS int64) bool {
+			id := p.vms[m.id].Worker
+			if id == "" {
+				return false
+			}
+			empty[id] = Emptying{ByMS: byMS}
+			l, known := load(id)
+			return known && l.Runs > 0
+		}
 		for _, m := range w.members {
 			switch m.phase {
 			case emptying:
-				vm, ok := p.vms[m.id]
-				if ok && vm.Worker != "" {
-					empty[vm.Worker] = Emptying{ByMS: m.byMS}
-					if l, known := load(vm.Worker); known && l.Runs > 0 {
-						continue
-					}
-				}
-				if down < w.MostDown && nowMS > m.sinceMS {
+				if !occupied(m, m.byMS) && down < w.MostDown && nowMS > m.sinceMS {
 					m.phase, m.sinceMS, m.againMS = ordered, nowMS, 0
 					w.dirty = true
 					down++
 				}
 			case ordered:
-				if vm, ok := p.vms[m.id]; ok && vm.Worker != "" {
-					empty[vm.Worker] = Emptying{ByMS: nowMS}
-					if l, known := load(vm.Worker); known && l.Runs > 0 {
-						// After a takeover the former owner's work may still be there.
-						continue
-					}
-				}
-				if m.stored && !m.asking && nowMS >= m.againMS && nowMS >= p.quietUntilMS {
+				// After a takeover the former owner's work may still be there.
+				if !occupied(m, nowMS) && m.stored && !m.asking && nowMS >= m.againMS && nowMS >= p.quietUntilMS {
 					m.asking = true
 					orders = append(orders, Order{w.Number, m.id})
 				}
