Send the owner's orders through the instances that look at the workers

Cause: above 48 workers the owner ordered each start itself. Ruled out: decisions (p99 3.5 ms) and the store (4 ms an answer). Change: starts, stops and paces go to the instance that looks at the worker, those of 20 ms in one call; a group of one is the owner itself, by the same code. A repeat goes out from the owner, since the instance may be what does not answer. Looks and orders are divided above 60 workers. An outcome that does not exist counts as unanswered; it was an index out of range before. Tests: TestOrdersGoThroughInstances (800 of 800 starts were the owner's before), TestOrdersOfFrozenInstance, TestMalformedOrderAnswers, TestRelayDropsExpiredOrders, TestLookRelayFaults with orders.

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -20,7 +20,8 @@
 const (
 	dialTimeout = 600 * time.Millisecond
 	idleTimeout = 30 * time.Second
-	maxIdle     = 32
+	// maxIdle keeps the connections of the looks and orders under way at one instance.
+	maxIdle = 64
 )
 
 // Dialer reaches other instances.
--- a/internal/adapter/cellhttp/doc.go
+++ b/internal/adapter/cellhttp/doc.go
@@ -16,6 +16,7 @@
 	pathApprove  = "/cell/approve"
 	pathStore    = "/cell/store"
 	pathLooks    = "/cell/looks"
+	pathOrders   = "/cell/orders"
 	pathRegistry = "/cell/registry"
 )
 
--- a/internal/adapter/cellhttp/looks_test.go
+++ b/internal/adapter/cellhttp/looks_test.go
@@ -21,10 +21,15 @@
 	return f(ctx, looks, deliver)
 }
 
+// looksOnly is a relay that is asked for no orders.
+type looksOnly struct{ port.LookRelay }
+
+func (looksOnly) Orders(context.Context, port.OrderBatch, func([]port.OrderAnswer)) error { return nil }
+
 func relayOf(t *testing.T, f relayFunc) port.LookRelay {
-	s := httptest.NewServer(NewHandler(Local{Looks: f}))
+	s := httptest.NewServer(NewHandler(Local{Workers: looksOnly{f}}))
 	t.Cleanup(s.Close)
-	return NewDialer().Looks(port.Hello{Address: strings.TrimPrefix(s.URL, "http://")})
+	return NewDialer().Workers(port.Hello{Address: strings.TrimPrefix(s.URL, "http://")})
 }
 
 func looksAt(n int) []port.RelayedLook {
@@ -106,7 +111,7 @@
 	t.Run("nobody listens", func(t *testing.T) {
 		s := httptest.NewServer(nil)
 		s.Close()
-		relay := NewDialer().Looks(port.Hello{Address: strings.TrimPrefix(s.URL, "http://")})
+		relay := NewDialer().Workers(port.Hello{Address: strings.TrimPrefix(s.URL, "http://")})
 		err := relay.Looks(context.Background(), looksAt(1), nil)
 		var unreachable *port.OwnerUnreachableError
 		if !errors.As(err, &unreachable) || !unreachable.NotSent {
--- a/internal/adapter/cellhttp/server.go
+++ b/internal/adapter/cellhttp/server.go
@@ -18,8 +18,8 @@
 	Owner func() port.OwnerCalls
 	// Approver asks the approval service from this instance.
 	Approver port.Approver
-	// Looks makes looks at workers from this instance.
-	Looks port.LookRelay
+	// Workers calls workers from this instance.
+	Workers port.WorkerRelay
 	// Registry reads the workers' registry from this instance.
 	Registry port.WorkerChanges
 	// Store makes calls for instances that the store turns away.
@@ -44,7 +44,10 @@
 		return l.Approver.Approve(ctx, c.Step, c.Workers)
 	})
 	handle(mux, pathRegistry, serveRegistry(l.Registry))
-	mux.HandleFunc("POST "+pathLooks, serveLooks(l.Looks))
+	if l.Workers != nil {
+		mux.HandleFunc("POST "+pathLooks, serveLooks(l.Workers))
+		mux.HandleFunc("POST "+pathOrders, serveOrders(l.Workers))
+	}
 	return mux
 }
 
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
@@ -20,9 +21,12 @@
 	reign   *reign
 	machine *jobs.Machine
 	events  chan func()
-	orders  chan struct{}
-	cancel  context.CancelFunc
-	ctx     context.Context
+	// orders bounds the orders that are under way from here.
+	orders chan struct{}
+	// own sends orders from here.
+	own    port.OrderRelay
+	cancel context.CancelFunc
+	ctx    context.Context
 	// ended is closed once the loop has answered everything that waits.
 	ended chan struct{}
 
@@ -70,6 +74,7 @@
 	c := &Cell{
 		Owner: o, reign: r, machine: jobs.New(mc, now, time.Now().UnixMilli()),
 		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel, ended: make(chan struct{}),
+		own:            workerrelay.New(o.workers, o.metrics),
 		config:         config,
 		submitters:     make(map[domain.JobID][]func(port.SubmitReply, error)),
 		cancellers:     make(map[domain.JobID][]func(port.CancelReply, error)),
@@ -203,7 +208,8 @@
 		begun := time.Now()
 		c.machine.Schedule()
 		c.metrics.Timer("owner.decision").UpdateSince(begun)
-		c.dispatch(c.machine.Drain())
+		c.dispatch(c.machine.Drain(), now)
+		c.sendGroupOrders(now)
 		c.sendLooks(now)
 	}
 	c.write(now)
@@ -231,20 +237,12 @@
 }
 
 // dispatch sends the orders of a pass.
-func (c *Cell) dispatch(out jobs.Output) {
+func (c *Cell) dispatch(out jobs.Output, now int64) {
 	c.logNotes(out.Notes)
 	for _, ms := range out.FirstStartMS {
 		c.metrics.Timer("job.first_start").Update(time.Duration(ms) * time.Millisecond)
 	}
-	for _, o := range out.Starts {
-		c.send(func() { c.sendStart(o) })
-	}
-	for _, o := range out.Stops {
-		c.send(func() { c.sendStop(o) })
-	}
-	for _, o := range out.Paces {
-		c.send(func() { c.sendPace(o) })
-	}
+	c.sendOrders(out, now)
 	for _, r := range out.Approvals {
 		c.askApproval(r)
 	}
@@ -255,76 +253,3 @@
 		delete(c.endSeenMS, id)
 	}
 }
-
-// send runs a call of its own once the bound on calls under way permits it.
-func (c *Cell) send(call func()) {
-	go func() {
-		select {
-		case c.orders <- struct{}{}:
-		case <-c.ctx.Done():
-			return
-		}
-		defer func() { <-c.orders }()
-		call()
-	}()
-}
-
-// sendStart sends an order. After the usual time for an answer it counts as
-// unanswered, so that it is sent again; an answer that still comes counts too.
-func (c *Cell) sendStart(o jobs.StartOrder) {
-	ctx, cancel := context.WithTimeout(c.ctx, maxOrderTime)
-	defer cancel()
-	begun := time.Now()
-	late := time.AfterFunc(c.answers.order(), func() { c.startAnswered(o, jobs.StartUnanswered, errAnswerLate) })
-	outcome, err := c.workers.Start(ctx, c.reign.epoch, o)
-	c.metrics.Timer("task.start_order").UpdateSince(begun)
-	if outcome != jobs.StartUnanswered {
-		c.answers.note(time.Since(begun))
-	}
-	if inTime := late.Stop(); inTime || outcome != jobs.StartUnanswered {
-		c.startAnswered(o, outcome, err)
-	}
-}
-
-var errAnswerLate = errors.New("no answer within the time that answers take now")
-
-func (c *Cell) startAnswered(o jobs.StartOrder, outcome jobs.StartOutcome, err error) {
-	c.metrics.Counter("task.start." + outcome.String()).Inc(1)
-	if err != nil && c.ctx.Err() == nil {
-		c.log.Info("start not accepted", zap.String("job", string(o.Task.Job)), zap.Int("step", o.Task.Step),
-			zap.Int("task", o.Task.Index), zap.Int("run", o.Run), zap.String("worker", string(o.Worker)),
-			zap.String("outcome", outcome.String()), zap.Error(err))
-	}
-	if outcome == jobs.StartFenced {
-		c.end("worker " + string(o.Worker) + " has seen a higher fence")
-		return
-	}
-	c.post(func() { c.machine.StartAnswered(o.Worker, o.Task, o.Run, outcome) })
-}
-
-func (c *Cell) sendStop(o jobs.StopOrder) {
-	err := c.workers.Stop(c.ctx, c.reign.epoch, o)
-	if err != nil && c.ctx.Err() == nil {
-		c.metrics.Counter("task.stop.unanswered").Inc(1)
-		c.log.Info("stop not answered", zap.String("job", string(o.Task.Job)), zap.Int("task", o.Task.Index),
-			zap.Int("run", o.Run), zap.String("worker", string(o.Worker)), zap.Error(err))
-	}
-	c.post(func() { c.machine.StopAnswered(o.Worker, o.Task, o.Run, err == nil) })
-}
-
-func (c *Cell) sendPace(o jobs.PaceOrder) {
-	err := c.workers.Pace(c.ctx, c.reign.epoch, o)
-	if c.endIfFenced(err) {
-		return
-	}
-	outcome := "done"
-	if err != nil {
-		outcome = "unanswered"
-		if c.ctx.Err() == nil {
-			c.log.Info("pace not set", zap.String("job", string(o.Task.Job)), zap.Int("task", o.Task.Index), zap.Int("run", o.Run),
-				zap.String("worker", string(o.Worker)), zap.Int("percent", o.Percent), zap.Error(err))
-		}
-	}
-	c.metrics.Counter("task.pace." + outcome).Inc(1)
-	c.post(func() { c.machine.PaceAnswered(o, err == nil) })
-}
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -49,7 +49,7 @@
 // answers early, because a task ended, is looked at again until the round ends.
 type lookGroup struct {
 	hello port.Hello
-	relay port.LookRelay
+	relay port.WorkerRelay
 	// inRound tells that a round is under way, and endMS when its waits are over.
 	inRound bool
 	endMS   int64
@@ -58,6 +58,9 @@
 	pausedMS int64
 	next     []port.RelayedLook
 	wait     time.Duration
+	// orders are those that the next call takes, and orderedMS is when the last one left.
+	orders    []port.RelayedOrder
+	orderedMS int64
 }
 
 // admit decides whether a look may go out now, and how long it may wait.
@@ -124,11 +127,11 @@
 // arrange chooses the instances for the fleet's size. The workers of a zone are
 // looked at from that zone, which saves ways between regions, or from any
 // instance where the zone has none. Larger VMs come first.
-func (g *lookGroups) arrange(workers map[domain.ZoneID]int, own string, known []port.Hello, relays func(port.Hello) port.LookRelay, now int64) {
+func (g *lookGroups) arrange(workers map[domain.ZoneID]int, own string, known []port.Hello, relays func(port.Hello) port.WorkerRelay, now int64) {
 	g.any = g.any[:0]
 	clear(g.byZone)
 	for h, group := range g.byHost {
-		if group.calls == 0 && !slices.Contains(known, h) {
+		if group.calls == 0 && len(group.orders) == 0 && !slices.Contains(known, h) {
 			delete(g.byHost, h)
 		}
 	}
@@ -195,7 +198,7 @@
 		workers[l.zone]++
 	}
 	instances := c.relays.known(now)
-	c.groups.arrange(workers, c.options.Address, instances, c.peers.Looks, now)
+	c.groups.arrange(workers, c.options.Address, instances, c.peers.Workers, now)
 	c.arrangeRegistry(instances, now)
 }
 
@@ -262,7 +265,6 @@
 
 // groupLooked ends the looks of a group.
 func (c *Cell) groupLooked(g *lookGroup, round bool, missing []domain.WorkerID, err error) {
-	now := steady.NowMS()
 	g.calls--
 	if round {
 		g.inRound = false
@@ -273,8 +275,7 @@
 	c.metrics.Counter("worker.look.relay_failed").Inc(1)
 	c.log.Info("instance left looks unanswered", zap.String("relay", string(g.hello.Instance)), zap.Int("workers", len(missing)),
 		zap.Int64("paused_ms", relayPauseMS), zap.Error(err))
-	g.pausedMS = now + relayPauseMS
-	c.arrangedMS = 0
+	c.pauseGroup(g)
 	for _, id := range missing {
 		c.lookDirectly(id, recheckMS)
 	}
--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"auburnpier/internal/app/lookrelay"
 	"auburnpier/internal/app/workerfeed"
+	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
@@ -43,7 +43,7 @@
 
 func (p *fakePeers) Approver(port.Hello) port.Approver { return nil }
 
-func (p *fakePeers) Looks(h port.Hello) port.LookRelay { return &fakeRelay{p, h.Instance} }
+func (p *fakePeers) Workers(h port.Hello) port.WorkerRelay { return &fakeRelay{p, h.Instance} }
 
 func (p *fakePeers) Registry(h port.Hello) port.WorkerChanges {
 	if p.registry == nil {
@@ -72,7 +72,7 @@
 var errRelay = errors.New("the instance of the test fails")
 
 func (r *fakeRelay) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
-	relay := lookrelay.New(r.peers.workers, metrics.New())
+	relay := workerrelay.New(r.peers.workers, metrics.New())
 	switch r.peers.fault(r.id) {
 	case relayWorks:
 		return relay.Looks(ctx, looks, deliver)
@@ -96,6 +96,32 @@
 	return errRelay
 }
 
+func (r *fakeRelay) Orders(ctx context.Context, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
+	relay := workerrelay.New(r.peers.workers, metrics.New())
+	switch r.peers.fault(r.id) {
+	case relayWorks:
+		return relay.Orders(ctx, batch, deliver)
+	case relayDead:
+		return errRelay
+	case relaySilent:
+		<-ctx.Done()
+		return ctx.Err()
+	case relayCut:
+		var answers []port.OrderAnswer
+		for i := range batch.Orders {
+			answers = append(answers, port.OrderAnswer{Index: i, Start: jobs.StartUnanswered, Failure: "no way to the worker"})
+		}
+		deliver(answers)
+		return nil
+	case relayBreaks:
+		batch.Orders = batch.Orders[:len(batch.Orders)/2]
+		if err := relay.Orders(ctx, batch, deliver); err != nil {
+			return err
+		}
+	}
+	return errRelay
+}
+
 // ownLooks counts the looks that the owner makes itself.
 type ownLooks struct {
 	port.WorkerCalls
@@ -255,7 +281,7 @@
 		{Address: "b1", Zone: "b", CPUMilli: 200}}
 	peers := &fakePeers{faults: make(map[domain.InstanceID]relayFault)}
 	workers := map[domain.ZoneID]int{"a": workersPerRelay, "b": 2 * workersPerRelay, "c": 5}
-	g.arrange(workers, "own", hosts, peers.Looks, 0)
+	g.arrange(workers, "own", hosts, peers.Workers, 0)
 	for _, c := range []struct {
 		zone domain.ZoneID
 		want string
@@ -268,11 +294,11 @@
 		t.Error("workers of a zone without an instance are looked at by none")
 	}
 	g.byHost[hosts[2]].pausedMS = 10
-	g.arrange(workers, "own", hosts, peers.Looks, 5)
+	g.arrange(workers, "own", hosts, peers.Workers, 5)
 	if got := g.of(&look{zone: "a"}); got == nil || got.hello.Address != "a1" {
 		t.Errorf("while a2 is paused, its workers are looked at by %+v, want a1", got)
 	}
-	g.arrange(map[domain.ZoneID]int{"a": 10}, "own", hosts, peers.Looks, 5)
+	g.arrange(map[domain.ZoneID]int{"a": 10}, "own", hosts, peers.Workers, 5)
 	if g.of(&look{zone: "a"}) != nil {
 		t.Error("a small fleet is looked at through other instances")
 	}
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -60,7 +60,7 @@
 	lookRetryMax = time.Second
 	// eventRing bounds the events that wait for the loop.
 	eventRing = 8192
-	// maxOrders bounds the orders under way.
+	// maxOrders bounds the orders under way from the owner itself.
 	maxOrders = 512
 	// writeRetry is the pause after a write that had no effect.
 	writeRetry = 60 * time.Millisecond
@@ -84,8 +84,8 @@
 type PeerDirectory interface {
 	// Approver asks the approval service, which serves one call at a time for each instance.
 	Approver(h port.Hello) port.Approver
-	// Looks makes looks at workers.
-	Looks(h port.Hello) port.LookRelay
+	// Workers calls workers.
+	Workers(h port.Hello) port.WorkerRelay
 	// Registry reads the changes of the workers' registry.
 	Registry(h port.Hello) port.WorkerChanges
 }
--- /dev/null
+++ b/internal/app/owner/orders_test.go
@@ -0,0 +1,152 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"auburnpier/internal/app/workerrelay"
+	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
+	"auburnpier/internal/port"
+)
+
+// ownStarts counts the starts that the owner orders itself.
+type ownStarts struct {
+	port.WorkerCalls
+	count atomic.Int64
+}
+
+func (o *ownStarts) Start(ctx context.Context, fence int64, order jobs.StartOrder) (jobs.StartOutcome, error) {
+	o.count.Add(1)
+	return o.WorkerCalls.Start(ctx, fence, order)
+}
+
+// Guards against an owner whose own calls grow with the starts: at 350 workers
+// and 750 starts a second it answered nobody in time, while the other
+// instances had nothing to do.
+func TestOrdersGoThroughInstances(t *testing.T) {
+	const workers, tasks = 200, 800
+	c := newFleetTest(t, workers, 100*time.Millisecond)
+	own := &ownStarts{WorkerCalls: c.fleet}
+	c.workers, c.directWorkers = own, 60
+	c.peers = &fakePeers{workers: c.fleet, faults: make(map[domain.InstanceID]relayFault)}
+	i := c.start("a")
+	cell := i.owned(t)
+	greet(t, cell, 10)
+	time.Sleep(time.Second)
+	for n := range tasks / 40 {
+		if r := c.submit(cell, fmt.Sprint("j", n), 40); !r.Accepted {
+			t.Fatalf("submission: %+v", r)
+		}
+	}
+	for n := range tasks / 40 {
+		c.completed(i, fmt.Sprint("j", n))
+	}
+	if n := own.count.Load(); n > tasks/10 {
+		t.Errorf("the owner ordered %d of %d starts itself, want at most a tenth", n, tasks)
+	}
+	c.check()
+}
+
+// wrappedPeers are instances whose orders go through a function of the test.
+type wrappedPeers struct {
+	*fakePeers
+	orders func(ctx context.Context, relay port.OrderRelay, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error
+}
+
+type wrappedRelay struct {
+	port.WorkerRelay
+	peers *wrappedPeers
+}
+
+func (p *wrappedPeers) Workers(h port.Hello) port.WorkerRelay {
+	return &wrappedRelay{p.fakePeers.Workers(h), p}
+}
+
+func (r *wrappedRelay) Orders(ctx context.Context, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
+	return r.peers.orders(ctx, r.WorkerRelay, batch, deliver)
+}
+
+// orderFaults plays a burst of jobs over instances whose orders go through the function.
+func orderFaults(t *testing.T, f func(*cellTest) func(context.Context, port.OrderRelay, port.OrderBatch, func([]port.OrderAnswer)) error) {
+	const jobCount = 6
+	c := newFleetTest(t, 80, 200*time.Millisecond)
+	c.directWorkers = 10
+	c.peers = &wrappedPeers{&fakePeers{workers: c.fleet, faults: make(map[domain.InstanceID]relayFault)}, f(c)}
+	i := c.start("a")
+	cell := i.owned(t)
+	greet(t, cell, 4)
+	time.Sleep(time.Second)
+	for n := range jobCount {
+		if r := c.submit(cell, fmt.Sprint("j", n), 40); !r.Accepted {
+			t.Fatalf("submission: %+v", r)
+		}
+	}
+	for n := range jobCount {
+		c.completed(i, fmt.Sprint("j", n))
+	}
+	// Orders that wake later meet what has happened meanwhile.
+	time.Sleep(time.Second)
+	c.check()
+}
+
+// Guards against a task that runs twice, or a run that nobody knows of, when an
+// instance is frozen with orders in its hands and sends them once it wakes.
+func TestOrdersOfFrozenInstance(t *testing.T) {
+	orderFaults(t, func(c *cellTest) func(context.Context, port.OrderRelay, port.OrderBatch, func([]port.OrderAnswer)) error {
+		var calls atomic.Int64
+		late := workerrelay.New(c.fleet, metrics.New())
+		return func(ctx context.Context, relay port.OrderRelay, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
+			if calls.Add(1)%2 == 0 {
+				return relay.Orders(ctx, batch, deliver)
+			}
+			for _, delay := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond} {
+				time.AfterFunc(delay, func() {
+					if err := late.Orders(context.Background(), batch, func([]port.OrderAnswer) {}); err != nil {
+						c.t.Log(err)
+					}
+				})
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	})
+}
+
+// Guards against an owner that ends, or believes what was never said, when an
+// instance answers with orders that it was not given or outcomes that do not exist.
+func TestMalformedOrderAnswers(t *testing.T) {
+	orderFaults(t, func(*cellTest) func(context.Context, port.OrderRelay, port.OrderBatch, func([]port.OrderAnswer)) error {
+		return func(ctx context.Context, relay port.OrderRelay, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
+			deliver([]port.OrderAnswer{{Index: -1}, {Index: len(batch.Orders)}, {Index: 1 << 40, Fenced: true}})
+			return relay.Orders(ctx, batch, func(answers []port.OrderAnswer) {
+				for i := range answers {
+					if answers[i].Index%3 == 0 {
+						answers[i].Start = 250
+					}
+				}
+				deliver(answers)
+				deliver(answers)
+			})
+		}
+	})
+}
+
+// Guards against an order that an instance sends after its time, as one that
+// was suspended with the order in its hands.
+func TestRelayDropsExpiredOrders(t *testing.T) {
+	c := newFleetTest(t, 1, time.Minute)
+	own := &ownStarts{WorkerCalls: c.fleet}
+	relay := workerrelay.New(own, metrics.New())
+	order := jobs.StartOrder{Worker: c.ids[0], Task: jobs.TaskID{Job: "j"}, Run: 1, LimitClockMS: 60_000}
+	var got []port.OrderAnswer
+	err := relay.Orders(t.Context(), port.OrderBatch{Fence: 1, Orders: []port.RelayedOrder{{Start: &order}}},
+		func(a []port.OrderAnswer) { got = append(got, a...) })
+	if err != nil || len(got) != 1 || got[0].Start != jobs.StartUnanswered || own.count.Load() != 0 {
+		t.Errorf("answers %+v, error %v, %d orders sent", got, err, own.count.Load())
+	}
+}
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -36,7 +36,7 @@
 type noPeers struct{}
 
 func (noPeers) Approver(port.Hello) port.Approver      { return nil }
-func (noPeers) Looks(port.Hello) port.LookRelay        { return nil }
+func (noPeers) Workers(port.Hello) port.WorkerRelay    { return nil }
 func (noPeers) Registry(port.Hello) port.WorkerChanges { return nil }
 
 type cellTest struct {
--- a/internal/app/lookrelay/lookrelay.go
+++ b/internal/app/workerrelay/looks.go
@@ -1,6 +1,6 @@
-// Package lookrelay makes looks at workers for the owner of the cell. It keeps
-// no state: what to look at, the fence and the limits come with each call.
-package lookrelay
+// Package workerrelay calls workers for the owner of the cell. It keeps no
+// state: what to look at or to order, the fence and the limits come with each call.
+package workerrelay
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 // times the longest way between regions.
 const answerTime = 400 * time.Millisecond
 
-// Relay makes looks from this instance.
+// Relay calls workers from this instance.
 type Relay struct {
 	workers port.WorkerCalls
 	metrics *metrics.Registry
@@ -38,7 +38,12 @@
 	for _, l := range looks {
 		go func() { answers <- r.look(ctx, l) }()
 	}
-	for left := len(looks); left > 0; {
+	return deliverAll(ctx, answers, len(looks), deliver)
+}
+
+// deliverAll delivers the answers, several at a time, until all are there.
+func deliverAll[T any](ctx context.Context, answers <-chan T, count int, deliver func([]T)) error {
+	for left := count; left > 0; {
 		select {
 		case first := <-answers:
 			batch := collect(ctx, answers, first, left)
@@ -52,8 +57,8 @@
 }
 
 // collect returns the answers that come within a moment of the first.
-func collect(ctx context.Context, answers <-chan port.RelayedReport, first port.RelayedReport, most int) []port.RelayedReport {
-	batch := []port.RelayedReport{first}
+func collect[T any](ctx context.Context, answers <-chan T, first T, most int) []T {
+	batch := []T{first}
 	timer := time.NewTimer(gather)
 	defer timer.Stop()
 	for len(batch) < most {
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -15,10 +15,10 @@
 
 	"auburnpier/internal/adapter/cellhttp"
 	"auburnpier/internal/app/entry"
-	"auburnpier/internal/app/lookrelay"
 	"auburnpier/internal/app/owner"
 	"auburnpier/internal/app/storerelay"
 	"auburnpier/internal/app/workerfeed"
+	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/logring"
 	"auburnpier/internal/metrics"
@@ -55,8 +55,9 @@
 	ampleCPUShare = 0.8
 	maxClaimDelay = 400 * time.Millisecond
 	// directWorkers is the number of workers to which an owner makes all calls
-	// itself: at 300 that took a quarter of a core, at 999 most of one.
-	directWorkers = 400
+	// itself. At 350 workers with 750 starts a second those calls took all of its
+	// processor time; at 48 they take a tenth of a core.
+	directWorkers = 60
 	// startLimit bounds how late an unanswered start may take effect.
 	startLimit = 1500 * time.Millisecond
 	// keyTrustShare of the revocation bound leaves time for a watch that hears
@@ -216,7 +217,7 @@
 	ready.HandleFunc("GET /ready", i.serveReady)
 	peers := cellhttp.NewHandler(cellhttp.Local{
 		Instance: i.settings.Instance, Approver: i.adapters.Approver, Store: i.store.Direct(),
-		Looks:    lookrelay.New(i.adapters.Workers, i.metrics),
+		Workers:  workerrelay.New(i.adapters.Workers, i.metrics),
 		Registry: workerfeed.NewRelay(work, i.adapters.Registry(i.store.Direct()), i.metrics),
 		Owner: func() port.OwnerCalls {
 			if cell := i.directory.Seat().Local; cell != nil {
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -236,4 +236,8 @@
 	"unhealthy", "wrong_incarnation", "invalid", "unanswered"}
 
 // String returns the outcome in words.
-func (o StartOutcome) String() string { return startOutcomeNames[o] }
+func (o StartOutcome) String() string { return startOutcomeNames[o.OrUnanswered()] }
+
+// OrUnanswered returns an outcome that another instance told, or
+// StartUnanswered where it is none that is known here.
+func (o StartOutcome) OrUnanswered() StartOutcome { return min(o, StartUnanswered) }
--- a/internal/port/relay.go
+++ b/internal/port/relay.go
@@ -35,3 +35,59 @@
 type LookRelay interface {
 	Looks(ctx context.Context, looks []RelayedLook, deliver func([]RelayedReport)) error
 }
+
+// MaxRelayedOrders bounds the orders of one call to a relay.
+const MaxRelayedOrders = 512
+
+// RelayedOrder is an order to a worker that another instance sends for the
+// owner. One of the fields is set.
+type RelayedOrder struct {
+	Start *jobs.StartOrder `cbor:"1,keyasint,omitempty"`
+	Stop  *jobs.StopOrder  `cbor:"2,keyasint,omitempty"`
+	Pace  *jobs.PaceOrder  `cbor:"3,keyasint,omitempty"`
+}
+
+// Worker returns the worker that the order is for.
+func (o *RelayedOrder) Worker() domain.WorkerID {
+	switch {
+	case o.Start != nil:
+		return o.Start.Worker
+	case o.Stop != nil:
+		return o.Stop.Worker
+	case o.Pace != nil:
+		return o.Pace.Worker
+	}
+	return ""
+}
+
+// OrderBatch is what an instance orders for the owner in one call.
+type OrderBatch struct {
+	Fence int64 `cbor:"1,keyasint"`
+	// TimeMS is how long the call may take, in ms from its arrival.
+	TimeMS int64          `cbor:"2,keyasint"`
+	Orders []RelayedOrder `cbor:"3,keyasint"`
+}
+
+// OrderAnswer is the answer to the order with the index. Without an answer of
+// the worker the order may have taken effect, or may do so until its limit.
+type OrderAnswer struct {
+	Index int               `cbor:"1,keyasint"`
+	Start jobs.StartOutcome `cbor:"2,keyasint,omitempty"`
+	// Fenced tells that a later owner has spoken to the worker.
+	Fenced bool `cbor:"3,keyasint,omitempty"`
+	// Failure explains an order that was refused or not answered.
+	Failure string `cbor:"4,keyasint,omitempty"`
+}
+
+// OrderRelay sends orders from another instance. Deliver is called with the
+// answers as they come, never concurrently. Orders that were not delivered when
+// Orders returns have no answer; an error tells why.
+type OrderRelay interface {
+	Orders(ctx context.Context, batch OrderBatch, deliver func([]OrderAnswer)) error
+}
+
+// WorkerRelay calls workers for the owner.
+type WorkerRelay interface {
+	LookRelay
+	OrderRelay
+}
