Keep the claim during a recovery, read less in it, and let calls wait for it

Cause: the claim was renewed only after the state had been read. With 4,400 jobs and 18 pages one after the other that takes 0.5 s, and several seconds while the store is slow: then no successor could recover before its claim had ended. Callers were refused after 100 ms without an owner. Change: the claim is kept from its first moment. The specification of a job goes with its end, and both lists are read at once. The cell takes calls at its claim; submissions wait for the recovery up to 0.5 s, and for an owner up to a quarter of their objective. A greeting without an answer is repeated after 0.2 s instead of 1 s.

--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -26,18 +26,23 @@
 
 // Figures of calls to the owner.
 const (
-	// submitWait is how long a submission waits for an owner to be known. A
-	// refused caller comes back, so it is short beside the shortest objective.
-	submitWait = 100 * time.Millisecond
+	// submitWaitShare of a job's objective is how long its submission waits for an
+	// owner that can take it, within the bounds below. A refused caller comes back
+	// after a second or more, and a handover mostly takes less.
+	submitWaitShare = 0.25
+	minSubmitWait   = 100 * time.Millisecond
+	maxSubmitWait   = time.Second
 	// queryWait is the same for calls that change nothing or may be repeated.
 	queryWait = 1200 * time.Millisecond
 	// callTimeout bounds a call to the owner where the caller names no deadline.
 	callTimeout = 2500 * time.Millisecond
 	// answerMargin is left of the caller's deadline for the answer's way.
 	answerMargin = 60 * time.Millisecond
-	// helloTimeout bounds a greeting; helloRetry is the pause after one without an answer.
-	helloTimeout = time.Second
-	helloRetry   = time.Second
+	// helloTimeout bounds a greeting. After one without an answer the pause grows
+	// from minHelloRetry to maxHelloRetry: a new owner needs the instances at once.
+	helloTimeout  = time.Second
+	minHelloRetry = 200 * time.Millisecond
+	maxHelloRetry = time.Second
 	// waitingAge is how old a count of waiting jobs may be.
 	waitingAge = 300 * time.Millisecond
 	retryAfter = time.Second
@@ -75,31 +80,38 @@
 
 // Greet introduces the instance to each owner until ctx ends.
 func (s *Service) Greet(ctx context.Context) {
+	retry := minHelloRetry
 	for ctx.Err() == nil {
 		calls, changed := s.directory.Owner()
-		again := helloRetry
+		again := maxHelloRetry
 		if calls != nil {
-			again = s.greet(ctx, calls)
+			var greeted bool
+			if again, greeted = s.greet(ctx, calls); greeted {
+				retry = minHelloRetry
+			} else {
+				again, retry = retry, min(2*retry, maxHelloRetry)
+			}
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
+			retry = minHelloRetry
 		case <-time.After(again):
 		}
 	}
 }
 
 // greet greets the owner once and returns when to do so again.
-func (s *Service) greet(ctx context.Context, calls port.OwnerCalls) time.Duration {
+func (s *Service) greet(ctx context.Context, calls port.OwnerCalls) (again time.Duration, greeted bool) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	reply, err := calls.Hello(ctx, port.HelloCall{Hello: s.options.Self, KnownVersion: s.directory.version()})
 	if err != nil {
 		s.metrics.Counter("owner.hello.failed").Inc(1)
-		return helloRetry
+		return 0, false
 	}
 	s.directory.setInstances(reply)
-	return time.Duration(reply.AgainMS) * time.Millisecond
+	return time.Duration(reply.AgainMS) * time.Millisecond, true
 }
 
 // Call is an admitted call of a client.
@@ -189,8 +201,9 @@
 	defer cancel()
 	call := port.SubmitCall{Job: id, Queue: c.Route.Queue, Team: c.Team, Spec: spec}
 	var former port.OwnerCalls
+	waitUntil := time.Now().Add(submitWait(&c.Route.Queue, &spec))
 	for range submitTries {
-		calls := s.directory.await(ctx, former, submitWait)
+		calls := s.directory.await(ctx, former, max(0, time.Until(waitUntil)))
 		if calls == nil {
 			return s.reject(NoOwner, retryAfter, "no instance owns the cell now, come back")
 		}
@@ -208,6 +221,12 @@
 	return s.reject(NoOwner, retryAfter, "the owner of the cell changes, come back")
 }
 
+// submitWait is how long a submission of the job waits for an owner.
+func submitWait(q *jobs.Queue, spec *jobs.Spec) time.Duration {
+	share := time.Duration(submitWaitShare*float64(jobs.ObjectiveMS(spec, q))) * time.Millisecond
+	return min(maxSubmitWait, max(minSubmitWait, share))
+}
+
 // submitTries bounds the owners that are asked.
 const submitTries = 2
 
--- a/internal/app/entry/service_test.go
+++ b/internal/app/entry/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 }
 
 // dialer returns the owners by address.
-type dialer map[string]*fakeOwner
+type dialer map[string]port.OwnerCalls
 
 func (d dialer) Owner(address string) port.OwnerCalls { return d[address] }
 
@@ -44,7 +45,7 @@
 	}
 	valid := jobs.Spec{Steps: []jobs.StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1, MemoryMB: 1}}}}
 	for name, c := range map[string]struct {
-		first, second *fakeOwner
+		first, second port.OwnerCalls
 		spec          jobs.Spec
 		event, kind   string
 	}{
@@ -65,7 +66,7 @@
 				d.Publish(owner.Seat{Claim: &owner.Claim{Address: "a"}})
 			}
 			if c.second != nil {
-				time.AfterFunc(submitWait/4, func() { d.Publish(owner.Seat{Claim: &owner.Claim{Address: "b"}}) })
+				time.AfterFunc(minSubmitWait/4, func() { d.Publish(owner.Seat{Claim: &owner.Claim{Address: "b"}}) })
 			}
 			s := NewService(Options{}, nil, d, nil, zap.New(core), metrics.New())
 			call := Call{Route: &port.QueueRoute{Queue: jobs.Queue{Name: "q"}}, Team: "team"}
@@ -83,3 +84,67 @@
 		})
 	}
 }
+
+// Guards against submissions that are refused, with a second to stay away,
+// while a handover takes a fraction of that.
+func TestSubmissionWaitsForNextOwner(t *testing.T) {
+	queue := jobs.Queue{Name: "q", Stretch: 1.5, ObjectiveMS: 500}
+	spec := jobs.Spec{Steps: []jobs.StepSpec{{Tasks: 1, EstimateMS: 1000}}}
+	for _, c := range []struct {
+		name     string
+		handover time.Duration
+		accepted bool
+	}{{"a quarter of the objective", 400 * time.Millisecond, true}, {"longer", 800 * time.Millisecond, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := NewDirectory(dialer{"a": &fakeOwner{reply: port.SubmitReply{Accepted: true}}})
+			time.AfterFunc(c.handover, func() { d.Publish(owner.Seat{Claim: &owner.Claim{Address: "a"}}) })
+			s := NewService(Options{}, nil, d, nil, zap.NewNop(), metrics.New())
+			begun := time.Now()
+			rejection := s.Submit(t.Context(), Call{Route: &port.QueueRoute{Queue: queue}, Team: "team"}, "j", spec, 3*time.Second)
+			if (rejection == nil) != c.accepted {
+				t.Errorf("the answer is %+v", rejection)
+			}
+			if took := time.Since(begun); took > 600*time.Millisecond {
+				t.Errorf("the answer took %v", took)
+			}
+		})
+	}
+}
+
+// lateOwner does not answer greetings for a while, as while it recovers the cell.
+type lateOwner struct {
+	port.OwnerCalls
+	fails atomic.Int64
+	heard chan time.Time
+}
+
+func (o *lateOwner) Hello(context.Context, port.HelloCall) (port.HelloReply, error) {
+	if o.fails.Add(-1) >= 0 {
+		return port.HelloReply{}, &port.NotOwnerError{}
+	}
+	select {
+	case o.heard <- time.Now():
+	default:
+	}
+	return port.HelloReply{AgainMS: 1000}, nil
+}
+
+// Guards against a new owner that hears of the instances only a second after
+// its claim and looks at all workers itself until then.
+func TestNewOwnerIsGreetedSoon(t *testing.T) {
+	late := &lateOwner{heard: make(chan time.Time, 1)}
+	late.fails.Store(1)
+	d := NewDirectory(dialer{"a": late})
+	s := NewService(Options{}, nil, d, nil, zap.NewNop(), metrics.New())
+	go s.Greet(t.Context())
+	begun := time.Now()
+	d.Publish(owner.Seat{Claim: &owner.Claim{Address: "a"}})
+	select {
+	case at := <-late.heard:
+		if took := at.Sub(begun); took > 400*time.Millisecond {
+			t.Errorf("the owner was greeted after %v", took)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the owner was not greeted within 5 s")
+	}
+}
--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -98,9 +98,16 @@
 	// The reign outlives ctx by the time that it takes to resign.
 	cell := o.newCell(context.WithoutCancel(ctx), r, config())
 	defer o.endClaim(r)
-	if err := cell.recover(ctx); err != nil {
+	// The claim is kept from here on: a slow store may take longer than the claim
+	// lives to list the jobs of a large fleet.
+	go cell.keepClaim()
+	// Calls that come meanwhile wait for the recovery.
+	publish(Seat{Claim: &Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token}, Local: cell})
+	defer publish(Seat{})
+	if err := cell.recoverUntil(ctx); err != nil {
 		o.log.Warn("cell not recovered", zap.Error(err))
 		cell.end("not recovered")
+		close(cell.ended)
 		return
 	}
 	stop := context.AfterFunc(ctx, func() {
@@ -108,10 +115,8 @@
 		time.AfterFunc(resignTimeout, func() { cell.end("resigning took too long") })
 	})
 	defer stop()
-	publish(Seat{Claim: &Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token}, Local: cell})
 	cell.configure(config())
 	cell.run()
-	publish(Seat{})
 }
 
 // endClaim frees the cell at once, so that another instance need not wait for the claim to expire.
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -27,6 +27,8 @@
 	own    port.OrderRelay
 	cancel context.CancelFunc
 	ctx    context.Context
+	// recovered is closed once the state of the cell is loaded.
+	recovered chan struct{}
 	// ended is closed once the loop has answered everything that waits.
 	ended chan struct{}
 
@@ -75,7 +77,8 @@
 	now := steady.NowMS()
 	c := &Cell{
 		Owner: o, reign: r, machine: jobs.New(mc, now, time.Now().UnixMilli()),
-		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel, ended: make(chan struct{}),
+		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel,
+		recovered: make(chan struct{}), ended: make(chan struct{}),
 		own:            workerrelay.New(o.workers, o.metrics),
 		config:         config,
 		submitters:     make(map[domain.JobID][]func(port.SubmitReply, error)),
@@ -132,12 +135,17 @@
 // confirmed reports whether the claim certainly holds.
 func (c *Cell) confirmed() bool { return steady.NowMS() < c.confirmedMS.Load() }
 
+// keepClaim renews the claim until the reign ends.
+func (c *Cell) keepClaim() {
+	c.keep(c.ctx, c.reign, c.confirmedMS.Store, func() { c.end("claim expired") })
+}
+
 // run serves the cell until the reign ends.
 func (c *Cell) run() {
 	defer close(c.ended)
 	defer c.gauges.drop()
 	c.configure(c.config)
-	go c.keep(c.ctx, c.reign, c.confirmedMS.Store, func() { c.end("claim expired") })
+	close(c.recovered)
 	go c.followRegistry()
 	if c.maintenance != nil {
 		go c.followWaves()
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -77,6 +78,9 @@
 
 // Submit implements port.OwnerCalls.
 func (c *Cell) Submit(ctx context.Context, s port.SubmitCall) (port.SubmitReply, error) {
+	if !c.awaitRecovery(ctx) {
+		return port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance}
+	}
 	if !c.confirmed() {
 		return port.SubmitReply{Reason: reasonStore, RetryAfterMS: storeRetryMS}, nil
 	}
@@ -91,6 +95,28 @@
 	return reply, nil
 }
 
+// recoveryWait is how long a submission waits for the recovery of the cell. It
+// is a quarter of the time that the shortest class of jobs has.
+const recoveryWait = 500 * time.Millisecond
+
+// awaitRecovery reports whether the state of the cell is loaded in time.
+func (c *Cell) awaitRecovery(ctx context.Context) bool {
+	select {
+	case <-c.recovered:
+		return true
+	default:
+	}
+	ctx, cancel := context.WithTimeout(ctx, recoveryWait)
+	defer cancel()
+	select {
+	case <-c.recovered:
+		return true
+	case <-c.ended:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (c *Cell) submit(s port.SubmitCall, reply func(port.SubmitReply, error)) {
 	if c.resigning {
 		reply(port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance})
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -129,6 +129,10 @@
 			puts = append(puts, port.Put{Key: jobKey(j.ID), Value: j.Job})
 		}
 		puts = append(puts, port.Put{Key: StateKey(j.ID), Value: j.State})
+		if j.Ended && j.Job == nil {
+			// The state alone is asked for from now on, and a successor lists less.
+			deletes = append(deletes, jobKey(j.ID))
+		}
 	}
 	for _, id := range b.Forgotten {
 		deletes = append(deletes, jobKey(id), StateKey(id))
@@ -240,13 +244,45 @@
 	}
 }
 
+// listing is a list of the store that is being read.
+type listing struct {
+	entries []port.Entry
+	err     error
+	done    chan struct{}
+}
+
+func (l *listing) wait() ([]port.Entry, error) {
+	<-l.done
+	return l.entries, l.err
+}
+
+// listAsync begins to read a list.
+func (c *Cell) listAsync(ctx context.Context, prefix string) *listing {
+	l := &listing{done: make(chan struct{})}
+	go func() {
+		defer close(l.done)
+		l.entries, _, l.err = c.store.List(ctx, prefix)
+	}()
+	return l
+}
+
+// recoverUntil loads the cell's state, unless ctx or the reign ends before.
+func (c *Cell) recoverUntil(ctx context.Context) error {
+	own, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	return c.recover(own)
+}
+
 // recover loads the cell's state. It is used before the loop runs.
 func (c *Cell) recover(ctx context.Context) error {
-	states, _, err := c.store.List(ctx, statePrefix)
+	// Nobody writes these keys now: former owners' transactions fail by their condition.
+	specs := c.listAsync(ctx, jobPrefix)
+	states, err := c.listAsync(ctx, statePrefix).wait()
 	if err != nil {
 		return err
 	}
-	specs, _, err := c.store.List(ctx, jobPrefix)
+	specEntries, err := specs.wait()
 	if err != nil {
 		return err
 	}
@@ -259,8 +295,8 @@
 	} else if missing := (*port.NotFoundError)(nil); !errors.As(err, &missing) {
 		return err
 	}
-	byID := make(map[domain.JobID][]byte, len(specs))
-	for _, e := range specs {
+	byID := make(map[domain.JobID][]byte, len(specEntries))
+	for _, e := range specEntries {
 		byID[domain.JobID(e.Key[len(jobPrefix):])] = e.Value
 	}
 	for _, e := range states {
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -82,10 +82,11 @@
 
 // entries is how many entries the next write of the job has.
 func (j *job) entries() int {
-	if j.durable {
-		return 1
+	// A new job is stored with its specification, which goes with the job's end.
+	if !j.durable || j.state.Terminal() {
+		return newJobEntries
 	}
-	return newJobEntries
+	return 1
 }
 
 // Entries returns how many entries wait to be written, up to the bound.
@@ -146,7 +147,7 @@
 	if stored.State, err = cbor.Marshal(j.stateRecord()); err != nil {
 		return stored, fmt.Errorf("encode state of job %s: %w", j.id, err)
 	}
-	if !j.durable {
+	if !j.durable && !stored.Ended {
 		if stored.Job, err = cbor.Marshal(j.record()); err != nil {
 			return stored, fmt.Errorf("encode job %s: %w", j.id, err)
 		}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -112,11 +112,17 @@
 	m.openOccurrence(j, 0)
 }
 
-// objectiveMS is the time from acceptance in which callers want the job done.
-func (j *job) objectiveMS() int64 {
-	return int64(j.queue.Stretch*float64(j.chainMS)) + j.queue.ObjectiveMS
+// ObjectiveMS is the time in ms from acceptance in which callers of the queue
+// want a job of the specification done.
+func ObjectiveMS(spec *Spec, q *Queue) int64 { return objectiveMS(q, chainOf(spec, q)) }
+
+func objectiveMS(q *Queue, chainMS int64) int64 {
+	return int64(q.Stretch*float64(chainMS)) + q.ObjectiveMS
 }
 
+// objectiveMS is that time of the job, by the present settings of its queue.
+func (j *job) objectiveMS() int64 { return objectiveMS(j.queue, j.chainMS) }
+
 // chainOf returns the longest chain of estimated work with one approval a step.
 func chainOf(spec *Spec, q *Queue) int64 {
 	ends := make([]int64, len(spec.Steps))
