Give up the runs of a worker at once when its process is certainly gone

The successor knows only IDs of the workers that may have tasks; those that left are in no registry any more, so it waited the whole former lease of 7.9 s for 28 of them. Recovered jobs did not start (54 steps with "workers of the former owner have not reported") and teams stood at their limit with what those workers might run (57 steps), from 36 to 44 s. A crashed worker kept its runs for 4.8 s in the same way. Ruled out: room and approvals in that span. Change: the stored set of workers has their addresses and sizes, and a successor asks them itself. A refused connection, or another incarnation at the address, proves that the worker's process is gone; after two such looks its runs are started elsewhere. A worker that is silent or breaks off keeps its runs until its lease has lapsed. Runs whose order had no answer are kept until their limit. The stored set of earlier versions is still read.

--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -251,7 +251,7 @@
 		case r.Failure != "":
 			c.metrics.Counter("worker.look.relay_unanswered").Inc(1)
 			if l, ok := c.looks[r.Worker]; ok && l.retryMS > 0 {
-				c.looked(r.Worker, jobs.WorkerReport{}, errors.New(r.Failure))
+				c.looked(r.Worker, jobs.WorkerReport{}, relayedFailure(r))
 				continue
 			}
 			// Whether the worker answers is found out from here first.
@@ -263,6 +263,15 @@
 	}
 }
 
+// relayedFailure is the error that the instance met.
+func relayedFailure(r port.RelayedReport) error {
+	err := errors.New(r.Failure)
+	if r.Gone {
+		return &port.WorkerGoneError{Worker: r.Worker, Address: "its address", Err: err}
+	}
+	return err
+}
+
 // groupLooked ends the looks of a group.
 func (c *Cell) groupLooked(g *lookGroup, round bool, missing []domain.WorkerID, err error) {
 	g.calls--
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -28,6 +29,8 @@
 	// worker's tasks from ever lapsing.
 	reported bool
 	bornMS   int64
+	// refused counts the looks in a row that prove that the worker is gone.
+	refused int
 	// hash chooses the group of the worker.
 	hash uint32
 	// directUntilMS is the time until which the worker is looked at from here.
@@ -139,6 +142,7 @@
 		l.reported = false
 		l.directUntilMS = 0
 		c.machine.LookFailed(id)
+		c.noteGone(l, err)
 		if l.retryMS == 0 {
 			c.log.Info("worker does not answer", zap.String("worker", string(id)), zap.Error(err))
 		}
@@ -151,6 +155,7 @@
 		c.log.Info("worker answers again", zap.String("worker", string(id)))
 	}
 	l.retryMS = 0
+	l.refused = 0
 	l.reported = true
 	if l.bornMS != report.BornMS {
 		l.bornMS = report.BornMS
@@ -167,6 +172,25 @@
 	}
 }
 
+// refusalsOfGone is how many looks in a row must find a worker's process gone
+// before its runs are started elsewhere, so that none depends on one answer.
+const refusalsOfGone = 2
+
+// noteGone gives up a worker whose process has certainly ended, at once and
+// not only when its lease has lapsed. A worker that is silent keeps its runs.
+func (c *Cell) noteGone(l *look, err error) {
+	var gone *port.WorkerGoneError
+	if !errors.As(err, &gone) {
+		l.refused = 0
+		return
+	}
+	if l.refused++; l.refused == refusalsOfGone {
+		c.log.Info("worker is gone", zap.String("worker", string(l.id)), zap.Error(err))
+		c.metrics.Counter("worker.gone").Inc(1)
+		c.machine.WorkerGone(l.id)
+	}
+}
+
 // logNotes writes one line for each decision.
 func (c *Cell) logNotes(notes []jobs.Note) {
 	for _, n := range notes {
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +55,8 @@
 	vms           port.VMFleet
 	waves         port.WaveSource
 	directWorkers int
+	// removed are workers that the registry does not list to instances that start now.
+	removed []domain.WorkerID
 }
 
 func newCellTest(t *testing.T, runTime time.Duration) *cellTest { return newFleetTest(t, 4, runTime) }
@@ -80,6 +83,9 @@
 func (c *cellTest) start(name string) *instance {
 	var fixed fixedRegistry
 	for _, id := range c.ids {
+		if slices.Contains(c.removed, id) {
+			continue
+		}
 		fixed = append(fixed, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", BornMS: 1,
 			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
 	}
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -244,6 +244,25 @@
 	}
 }
 
+// decodeMembers reads the workers that may have tasks. Earlier versions stored
+// their IDs alone.
+func decodeMembers(value []byte) ([]jobs.Member, error) {
+	var members []jobs.Member
+	err := cbor.Unmarshal(value, &members)
+	if err == nil {
+		return members, nil
+	}
+	var ids []domain.WorkerID
+	if cbor.Unmarshal(value, &ids) != nil {
+		return nil, fmt.Errorf("value of %s cannot be read: %w", membersKey, err)
+	}
+	members = make([]jobs.Member, 0, len(ids))
+	for _, id := range ids {
+		members = append(members, jobs.Member{ID: id})
+	}
+	return members, nil
+}
+
 // listing is a list of the store that is being read.
 type listing struct {
 	entries []port.Entry
@@ -287,11 +306,16 @@
 		return err
 	}
 	if entry, err := c.store.Get(ctx, membersKey); err == nil {
-		var members []domain.WorkerID
-		if err := cbor.Unmarshal(entry.Value, &members); err != nil {
-			return fmt.Errorf("value of %s cannot be read: %w", membersKey, err)
+		members, err := decodeMembers(entry.Value)
+		if err != nil {
+			return err
 		}
 		c.machine.SuspectWorkers(members)
+		for _, m := range members {
+			if m.Address != "" {
+				c.lookAt(jobs.WorkerInfo{ID: m.ID, Address: m.Address, Zone: m.Zone})
+			}
+		}
 	} else if missing := (*port.NotFoundError)(nil); !errors.As(err, &missing) {
 		return err
 	}
--- a/internal/app/workerrelay/looks.go
+++ b/internal/app/workerrelay/looks.go
@@ -84,7 +84,8 @@
 		return port.RelayedReport{Worker: l.Worker, Fenced: true}
 	case err != nil:
 		r.metrics.Counter("relay.look.unanswered").Inc(1)
-		return port.RelayedReport{Worker: l.Worker, Failure: err.Error()}
+		var gone *port.WorkerGoneError
+		return port.RelayedReport{Worker: l.Worker, Failure: err.Error(), Gone: errors.As(err, &gone)}
 	}
 	r.metrics.Counter("relay.look.answered").Inc(1)
 	return port.RelayedReport{Worker: l.Worker, Report: report}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -172,7 +172,7 @@
 		m.register(info)
 	}
 	if len(m.order) > before {
-		slices.SortFunc(m.order, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+		m.sortWorkers()
 	}
 	for _, w := range m.order {
 		if w.registered && !seen[w.id] {
@@ -186,13 +186,8 @@
 func (m *Machine) register(info WorkerInfo) {
 	w, ok := m.workers[info.ID]
 	if !ok {
-		w = &worker{id: info.ID, runs: make(map[TaskID]*run), slowness: 1, lastMS: m.nowMS,
-			deadMS: m.nowMS + m.cfg.FormerLeaseMS}
-		m.workers[info.ID] = w
-		w.slot = m.slots
-		m.slots++
+		w = m.addWorker(info.ID)
 		m.membersChanged = true
-		m.order = append(m.order, w)
 	}
 	if info.Draining && !w.draining {
 		m.out.note("worker_draining", w.id, "")
@@ -203,13 +198,66 @@
 	w.labels, w.capacity, w.draining = info.Labels, info.Capacity, info.Draining
 }
 
+// Member is a worker that may have tasks, as the store names it. With its
+// address a successor can ask it, or learn that it is gone, also where the
+// registry does not list it any more.
+type Member struct {
+	ID       domain.WorkerID  `cbor:"1,keyasint"`
+	Address  string           `cbor:"2,keyasint,omitempty"`
+	Zone     domain.ZoneID    `cbor:"3,keyasint,omitempty"`
+	Capacity domain.Resources `cbor:"4,keyasint"`
+}
+
 // SuspectWorkers names workers that the former owner may have given tasks.
-func (m *Machine) SuspectWorkers(ids []domain.WorkerID) {
-	for _, id := range ids {
-		if w, ok := m.workers[id]; ok && w.contacted {
+func (m *Machine) SuspectWorkers(members []Member) {
+	for _, member := range members {
+		w, ok := m.workers[member.ID]
+		if ok && w.contacted {
 			continue
 		}
-		m.suspects[id] = m.nowMS + m.cfg.FormerLeaseMS
+		m.suspects[member.ID] = m.nowMS + m.cfg.FormerLeaseMS
+		if !ok && member.Address != "" {
+			w = m.addWorker(member.ID)
+			w.address, w.zone, w.capacity, w.recorded = member.Address, member.Zone, member.Capacity, true
+		}
+	}
+	m.sortWorkers()
+}
+
+func (m *Machine) addWorker(id domain.WorkerID) *worker {
+	w := &worker{id: id, runs: make(map[TaskID]*run), slowness: 1, lastMS: m.nowMS,
+		deadMS: m.nowMS + m.cfg.FormerLeaseMS, slot: m.slots}
+	m.workers[id] = w
+	m.slots++
+	m.order = append(m.order, w)
+	return w
+}
+
+func (m *Machine) sortWorkers() {
+	slices.SortFunc(m.order, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+}
+
+// WorkerGone tells that the process of a worker is certainly not there any
+// more, so that all that ran on it has ended. An order without an answer may
+// still reach the next process at its address; its run is kept until its limit.
+func (m *Machine) WorkerGone(id domain.WorkerID) {
+	if _, ok := m.suspects[id]; ok {
+		delete(m.suspects, id)
+		m.membersChanged = true
+	}
+	m.needsPass = true
+	w, ok := m.workers[id]
+	if !ok {
+		return
+	}
+	// It gets work again once a look was answered.
+	w.contacted, w.unanswered = false, true
+	ended := func(r *run) bool { return r.confirmedMS > 0 }
+	if m.dropRuns(w, ended) > 0 {
+		m.out.note("worker_gone", w.id, "")
+	}
+	if len(w.runs) == 0 {
+		w.deadMS = min(w.deadMS, m.nowMS)
 	}
 }
 
@@ -232,7 +280,7 @@
 		// time, still lists how its runs ended; only one that does not answer is given up.
 		if m.nowMS >= w.deadMS && len(w.runs) > 0 && w.unanswered {
 			m.out.note("worker_lapsed", w.id, "")
-			m.dropRuns(w)
+			m.dropRuns(w, anyRun)
 		}
 		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.deadMS {
 			delete(m.workers, w.id)
@@ -245,11 +293,15 @@
 	m.order = kept
 }
 
-// dropRuns ends all runs of a worker whose tasks have certainly ended.
-func (m *Machine) dropRuns(w *worker) {
+func anyRun(*run) bool { return true }
+
+// dropRuns ends the runs of a worker that have certainly ended, and counts them.
+func (m *Machine) dropRuns(w *worker, ended func(*run) bool) int {
 	runs := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
-		runs = append(runs, r)
+		if ended(r) {
+			runs = append(runs, r)
+		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) })
 	if w.givenUp == nil {
@@ -259,6 +311,7 @@
 		w.givenUp[r.task.id()] = r.number
 		m.endRun(r, EndLapsed, "")
 	}
+	return len(runs)
 }
 
 func compareTasks(a, b TaskID) int {
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -55,7 +56,7 @@
 	Jobs      []StoredJob
 	Forgotten []domain.JobID
 	// Members lists all workers that may have tasks, where the set has changed.
-	Members []domain.WorkerID
+	Members []Member
 	taken   []takenJob
 }
 
@@ -169,17 +170,17 @@
 }
 
 // members lists the workers that may have tasks, also those of a former owner.
-func (m *Machine) members() []domain.WorkerID {
-	list := make([]domain.WorkerID, 0, len(m.order)+len(m.suspects))
+func (m *Machine) members() []Member {
+	list := make([]Member, 0, len(m.order)+len(m.suspects))
 	for _, w := range m.order {
-		list = append(list, w.id)
+		list = append(list, Member{ID: w.id, Address: w.address, Zone: w.zone, Capacity: w.capacity})
 	}
 	for id := range m.suspects {
 		if _, ok := m.workers[id]; !ok {
-			list = append(list, id)
+			list = append(list, Member{ID: id})
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
@@ -199,8 +200,8 @@
 	if b.Members != nil {
 		m.membersWriting = false
 	}
-	for _, id := range b.Members {
-		if w, ok := m.workers[id]; ok {
+	for _, member := range b.Members {
+		if w, ok := m.workers[member.ID]; ok {
 			w.recorded = true
 		}
 	}
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -247,7 +247,7 @@
 // because the stored set of workers still names them.
 func TestLapsedSuspectsAreForgotten(t *testing.T) {
 	m := New(testConfig(), 0, 0)
-	m.SuspectWorkers([]domain.WorkerID{"gone"})
+	m.SuspectWorkers([]Member{{ID: "gone"}})
 	oneWorker(m)
 	report(m, nil)
 	if _, err := m.TakeBatch(testBatchEntries); err != nil {
@@ -259,7 +259,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(b.Members) != 1 || b.Members[0] != "w" {
+	if len(b.Members) != 1 || b.Members[0].ID != "w" {
 		t.Errorf("the stored set is %v after the suspect lapsed, want the present worker only", b.Members)
 	}
 }
@@ -311,7 +311,7 @@
 			m.Submit("old", q, "limited", &old)
 			next := successor(t, m)
 			next.Configure([]Queue{*q}, teams)
-			next.SuspectWorkers([]domain.WorkerID{"w", "silent"})
+			next.SuspectWorkers([]Member{{ID: "w"}, {ID: "silent"}})
 			next.ListWorkers([]WorkerInfo{{ID: "w", Address: "10.0.0.1:1", Service: "svc", Capacity: size, BornMS: 1},
 				{ID: "silent", Address: "10.0.0.2:1", Service: "svc", Capacity: size, BornMS: 1}})
 			report(next, nil)
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -115,7 +115,7 @@
 func (m *Machine) reborn(w *worker, bornMS int64) {
 	if w.bornMS != 0 {
 		m.out.note("worker_reborn", w.id, "")
-		m.dropRuns(w)
+		m.dropRuns(w, anyRun)
 	}
 	w.bornMS = bornMS
 	w.lastEnd, w.pending, w.givenUp, w.heldEnd = 0, nil, nil, 0
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -76,7 +76,7 @@
 	Stop(ctx context.Context, fence int64, order jobs.StopOrder) error
 	// Pace returns nil once the worker lets the run work at the percentage, or a *FencedError.
 	Pace(ctx context.Context, fence int64, order jobs.PaceOrder) error
-	// Look returns the report, a *FencedError, or a *WorkerUnreachableError.
+	// Look returns the report, a *FencedError, a *WorkerGoneError, or a *WorkerUnreachableError.
 	Look(ctx context.Context, id domain.WorkerID, address string, r LookRequest) (jobs.WorkerReport, error)
 }
 
@@ -87,6 +87,21 @@
 	return fmt.Sprintf("worker %s has seen a higher fence; another instance owns the cell", e.Worker)
 }
 
+// WorkerGoneError tells that the process of the worker is certainly not there
+// any more: its address refuses connections, or another process answers there.
+type WorkerGoneError struct {
+	Worker  domain.WorkerID
+	Address string
+	Err     error
+}
+
+func (e *WorkerGoneError) Error() string {
+	return fmt.Sprintf("worker %s is not at %s any more, what ran on it has ended: %v", e.Worker, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *WorkerGoneError) Unwrap() error { return e.Err }
+
 // Approver asks the external policy service which workers may run a step.
 type Approver interface {
 	Approve(ctx context.Context, step jobs.StepID, workers []domain.WorkerID) (ApprovalAnswer, error)
--- a/internal/port/relay.go
+++ b/internal/port/relay.go
@@ -27,6 +27,8 @@
 	// Failure is set where the worker did not answer; Report is then empty.
 	Failure string            `cbor:"3,keyasint,omitempty"`
 	Report  jobs.WorkerReport `cbor:"4,keyasint"`
+	// Gone tells that the failure proves that the worker's process has ended.
+	Gone bool `cbor:"5,keyasint,omitempty"`
 }
 
 // LookRelay makes looks from another instance. Deliver is called with the
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -35,6 +35,7 @@
 	id      domain.WorkerID
 	fence   int64
 	cut     bool
+	crashed bool
 	until   int64
 	running map[jobs.TaskID]int
 	over    map[jobs.TaskID]int
@@ -75,6 +76,21 @@
 	f.workers[id].cut = cut
 }
 
+// Crash ends the process of a worker, with all that runs there.
+func (f *Fleet) Crash(id domain.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.crashed = true
+	for task := range w.running {
+		f.running[task]--
+	}
+	clear(w.running)
+	w.ends = nil
+	close(w.news)
+	w.news = make(chan struct{})
+}
+
 // Starts returns the number of runs that began.
 func (f *Fleet) Starts() int {
 	f.mu.Lock()
@@ -121,7 +137,7 @@
 	w := f.workers[o.Worker]
 	f.lapse(w)
 	switch {
-	case w.cut:
+	case w.cut || w.crashed:
 		return jobs.StartUnanswered, errCut
 	case fence < w.fence:
 		return jobs.StartFenced, fmt.Errorf("fence %d is below %d", fence, w.fence)
@@ -241,6 +257,9 @@
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	f.lapse(w)
+	if w.crashed {
+		return jobs.WorkerReport{}, &port.WorkerGoneError{Worker: id, Address: address, Err: errCut}
+	}
 	if w.cut {
 		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
 	}
@@ -265,6 +284,9 @@
 		}
 		f.mu.Lock()
 	}
+	if w.crashed {
+		return jobs.WorkerReport{}, &port.WorkerGoneError{Worker: id, Address: address, Err: errCut}
+	}
 	if w.cut {
 		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
 	}
