Keep unexpected errors and run-out claims from acting beyond one duty

The kind of an end, or the state of a job, that does not exist (from another instance, or from the store) indexed past a table of names and ended the process; its successors would have met the same value. Workers refuse lower fences once a successor has spoken to them; VM maintenance is not fenced everywhere. Change: names of values from outside are total, a stored job with a state that does not exist is not recovered, and internal/guard turns a panic into an error with a log line and a counter: the owner's reign ends, a relayed call fails, a duty of the instance begins again. The claim is checked once more right before orders and VM maintenance are sent.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -11,6 +11,7 @@
 	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/guard"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
 )
@@ -79,7 +80,7 @@
 		Owner: o, reign: r, machine: jobs.New(mc, now, time.Now().UnixMilli()),
 		events: make(chan func(), eventRing), orders: make(chan struct{}, maxOrders), ctx: ctx, cancel: cancel,
 		recovered: make(chan struct{}), ended: make(chan struct{}),
-		own:            workerrelay.New(o.workers, o.metrics),
+		own:            workerrelay.New(o.workers, o.log, o.metrics),
 		config:         config,
 		submitters:     make(map[domain.JobID][]func(port.SubmitReply, error)),
 		cancellers:     make(map[domain.JobID][]func(port.CancelReply, error)),
@@ -169,13 +170,21 @@
 		if c.ctx.Err() != nil {
 			continue
 		}
-		c.settle()
+		c.guarded("decisions", c.settle)
 		if c.resigning && c.writing == 0 && !c.machine.HasChanges() {
 			c.end("resigned")
 		}
 	}
 }
 
+// guarded runs a part of the reign and ends the reign where it panics: what the
+// machine holds may be half changed, and a successor reads what is stored.
+func (c *Cell) guarded(duty string, f func()) {
+	if err := guard.Run(c.log, c.metrics, "owner_"+duty, f); err != nil {
+		c.end(err.Error())
+	}
+}
+
 // Resign stores what is confirmed and ends the reign. New submissions are sent elsewhere.
 func (c *Cell) Resign() {
 	c.post(func() { c.resigning = true })
@@ -187,7 +196,7 @@
 func (c *Cell) handle(event func()) {
 	if c.ctx.Err() == nil {
 		c.machine.SetTime(steady.NowMS(), time.Now().UnixMilli())
-		event()
+		c.guarded("event", event)
 	}
 }
 
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -214,7 +214,7 @@
 			g.inRound, g.endMS = true, now+wait.Milliseconds()
 		}
 		g.calls++
-		go c.lookThrough(g, looks, wait, round)
+		go c.guarded("looks", func() { c.lookThrough(g, looks, wait, round) })
 	}
 }
 
--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"auburnpier/internal/app/workerfeed"
 	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
@@ -72,7 +74,7 @@
 var errRelay = errors.New("the instance of the test fails")
 
 func (r *fakeRelay) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
-	relay := workerrelay.New(r.peers.workers, metrics.New())
+	relay := workerrelay.New(r.peers.workers, zap.NewNop(), metrics.New())
 	switch r.peers.fault(r.id) {
 	case relayWorks:
 		return relay.Looks(ctx, looks, deliver)
@@ -97,7 +99,7 @@
 }
 
 func (r *fakeRelay) Orders(ctx context.Context, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
-	relay := workerrelay.New(r.peers.workers, metrics.New())
+	relay := workerrelay.New(r.peers.workers, zap.NewNop(), metrics.New())
 	switch r.peers.fault(r.id) {
 	case relayWorks:
 		return relay.Orders(ctx, batch, deliver)
--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -84,7 +84,8 @@
 			continue
 		}
 		l.sentMS, l.underWay = now, true
-		go c.look(l.id, l.address, c.lookRequest(l, c.groups.directWait(workers)), release)
+		request := c.lookRequest(l, c.groups.directWait(workers))
+		go c.guarded("look", func() { c.look(l.id, l.address, request, release) })
 	}
 }
 
--- a/internal/app/owner/maintenance.go
+++ b/internal/app/owner/maintenance.go
@@ -148,6 +148,13 @@
 
 // maintain sends one order.
 func (c *Cell) maintain(o waves.Order) {
+	// Where fences are not checked, the claim alone keeps two owners apart, and
+	// the process may have been paused since the decision.
+	if !c.confirmed() {
+		c.metrics.Counter("vms.maintain.claim_not_confirmed").Inc(1)
+		c.post(func() { c.maintenance.planner.Answered(o, waves.Unanswered, steady.NowMS()) })
+		return
+	}
 	outcome, err := c.vms.Maintain(c.ctx, c.options.Instance, c.reign.epoch, o)
 	if c.endIfFenced(err) {
 		return
--- a/internal/app/owner/orders.go
+++ b/internal/app/owner/orders.go
@@ -75,10 +75,10 @@
 		}
 		g.orderedMS = now
 		g.calls++
-		go func() {
+		go c.guarded("orders", func() {
 			err := c.order(g.relay, orders)
 			c.post(func() { c.groupOrdered(g, err) })
-		}()
+		})
 	}
 }
 
@@ -110,7 +110,7 @@
 			return
 		}
 		defer func() { <-c.orders }()
-		call()
+		c.guarded("call", call)
 	}()
 }
 
@@ -132,6 +132,12 @@
 	ctx, cancel := context.WithTimeout(c.ctx, maxOrderTime+orderRelaySlack)
 	defer cancel()
 	call := &orderCall{cell: c, orders: orders, begun: time.Now(), answered: make([]bool, len(orders))}
+	// The process may have been paused since the decision.
+	if !c.mayOrder(steady.NowMS()) {
+		c.metrics.Counter("worker.order.claim_not_confirmed").Inc(int64(len(orders)))
+		call.finish()
+		return nil
+	}
 	timer := time.AfterFunc(c.answers.order(), call.overdue)
 	defer timer.Stop()
 	err := relay.Orders(ctx, port.OrderBatch{Fence: c.reign.epoch, TimeMS: maxOrderTime.Milliseconds(), Orders: orders}, call.deliver)
--- a/internal/app/owner/orders_test.go
+++ b/internal/app/owner/orders_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
 	"auburnpier/internal/domain"
@@ -99,7 +101,7 @@
 func TestOrdersOfFrozenInstance(t *testing.T) {
 	orderFaults(t, func(c *cellTest) func(context.Context, port.OrderRelay, port.OrderBatch, func([]port.OrderAnswer)) error {
 		var calls atomic.Int64
-		late := workerrelay.New(c.fleet, metrics.New())
+		late := workerrelay.New(c.fleet, zap.NewNop(), metrics.New())
 		return func(ctx context.Context, relay port.OrderRelay, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
 			if calls.Add(1)%2 == 0 {
 				return relay.Orders(ctx, batch, deliver)
@@ -141,7 +143,7 @@
 func TestRelayDropsExpiredOrders(t *testing.T) {
 	c := newFleetTest(t, 1, time.Minute)
 	own := &ownStarts{WorkerCalls: c.fleet}
-	relay := workerrelay.New(own, metrics.New())
+	relay := workerrelay.New(own, zap.NewNop(), metrics.New())
 	order := jobs.StartOrder{Worker: c.ids[0], Task: jobs.TaskID{Job: "j"}, Run: 1, LimitClockMS: 60_000}
 	var got []port.OrderAnswer
 	err := relay.Orders(t.Context(), port.OrderBatch{Fence: 1, Orders: []port.RelayedOrder{{Start: &order}}},
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -55,7 +55,7 @@
 		l.busy = true
 		c.writing++
 		c.lastWrite = now
-		go c.storeBatch(l, batch)
+		go c.guarded("write", func() { c.storeBatch(l, batch) })
 	}
 }
 
--- a/internal/app/workerrelay/looks.go
+++ b/internal/app/workerrelay/looks.go
@@ -7,6 +7,9 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
+	"auburnpier/internal/guard"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 )
@@ -22,12 +25,13 @@
 // Relay calls workers from this instance.
 type Relay struct {
 	workers port.WorkerCalls
+	log     *zap.Logger
 	metrics *metrics.Registry
 }
 
 // New returns a relay.
-func New(workers port.WorkerCalls, m *metrics.Registry) *Relay {
-	return &Relay{workers: workers, metrics: m}
+func New(workers port.WorkerCalls, log *zap.Logger, m *metrics.Registry) *Relay {
+	return &Relay{workers: workers, log: log, metrics: m}
 }
 
 // Looks implements port.LookRelay.
@@ -36,7 +40,13 @@
 	defer cancel()
 	answers := make(chan port.RelayedReport, len(looks))
 	for _, l := range looks {
-		go func() { answers <- r.look(ctx, l) }()
+		go func() {
+			answer := port.RelayedReport{Worker: l.Worker}
+			if err := guard.Run(r.log, r.metrics, "relay_look", func() { answer = r.look(ctx, l) }); err != nil {
+				answer.Failure = err.Error()
+			}
+			answers <- answer
+		}()
 	}
 	return deliverAll(ctx, answers, len(looks), deliver)
 }
--- a/internal/app/workerrelay/orders.go
+++ b/internal/app/workerrelay/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/guard"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
 )
@@ -21,7 +22,13 @@
 	answers := make(chan port.OrderAnswer, len(batch.Orders))
 	for i := range batch.Orders {
 		go func() {
-			answer := r.order(orderCtx, batch.Fence, &batch.Orders[i], deadlineMS)
+			answer := port.OrderAnswer{Start: jobs.StartUnanswered}
+			err := guard.Run(r.log, r.metrics, "relay_order", func() {
+				answer = r.order(orderCtx, batch.Fence, &batch.Orders[i], deadlineMS)
+			})
+			if err != nil {
+				answer.Failure = err.Error()
+			}
 			answer.Index = i
 			answers <- answer
 		}()
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -20,6 +20,7 @@
 	"auburnpier/internal/app/workerfeed"
 	"auburnpier/internal/app/workerrelay"
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/guard"
 	"auburnpier/internal/logring"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -165,12 +166,17 @@
 	}
 	campaign, resign := context.WithCancel(work)
 	campaignDone := make(chan struct{})
-	go i.config.Run(work)
-	go i.service.Greet(work)
-	go i.summarize(work)
+	keep := func(duty string, f func(context.Context)) {
+		go guard.Keep(work, i.log, i.metrics, duty, func() { f(work) })
+	}
+	keep("configuration", i.config.Run)
+	keep("greeting", i.service.Greet)
+	keep("summary", i.summarize)
 	go func() {
 		defer close(campaignDone)
-		i.owner.Campaign(campaign, i.config.Plain, i.directory.Publish)
+		guard.Keep(campaign, i.log, i.metrics, "campaign", func() {
+			i.owner.Campaign(campaign, i.config.Plain, i.directory.Publish)
+		})
 	}()
 	<-ctx.Done()
 	i.log.Info("stop", zap.Int64("grace_ms", i.settings.Bounds.GraceMS))
@@ -217,7 +223,7 @@
 	ready.HandleFunc("GET /ready", i.serveReady)
 	peers := cellhttp.NewHandler(cellhttp.Local{
 		Instance: i.settings.Instance, Approver: i.adapters.Approver, Store: i.store.Direct(),
-		Workers:  workerrelay.New(i.adapters.Workers, i.metrics),
+		Workers:  workerrelay.New(i.adapters.Workers, i.log, i.metrics),
 		Registry: workerfeed.NewRelay(work, i.adapters.Registry(i.store.Direct()), i.metrics),
 		Owner: func() port.OwnerCalls {
 			if cell := i.directory.Seat().Local; cell != nil {
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -280,6 +280,9 @@
 	if err := cbor.Unmarshal(stateValue, &state); err != nil {
 		return fmt.Errorf("decode state of job %s: %w", id, err)
 	}
+	if state.State > Cancelled {
+		return fmt.Errorf("stored job %s has state %s", id, state.State)
+	}
 	if jobValue == nil {
 		if !state.State.Terminal() {
 			return fmt.Errorf("job %s is %s and its specification is missing", id, state.State)
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -169,9 +169,19 @@
 	Cancelled
 )
 
+var stateNames = []string{"queued", "running", "completed", "failed", "cancelled"}
+
+// nameOf returns the name of a value that may come from a store or another instance.
+func nameOf(names []string, value int) string {
+	if value < len(names) {
+		return names[value]
+	}
+	return fmt.Sprintf("invalid_%d", value)
+}
+
 // String returns the state in words.
 func (s State) String() string {
-	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+	return nameOf(stateNames, int(s))
 }
 
 // Shown returns the state that callers are told: a queued job of which a task has
@@ -203,9 +213,11 @@
 	EndAlone
 )
 
+var endKindNames = []string{"unknown", "succeeded", "failed", "stopped", "lapsed", "broken", "alone"}
+
 // String returns the kind in words.
 func (k EndKind) String() string {
-	return [...]string{"unknown", "succeeded", "failed", "stopped", "lapsed", "broken", "alone"}[k]
+	return nameOf(endKindNames, int(k))
 }
 
 // StartOutcome is what is known of a start order after its answer.
