--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -21,8 +21,6 @@
 	avoidMaxMS   = 12_000
 	// slownessWeight is the share of the newest run in the smoothed slowness.
 	slownessWeight = 0.25
-	// maxSlowness bounds what one run says of a worker.
-	maxSlowness = 8
 )
 
 func (h *health) refuse(nowMS, forMS int64) {
@@ -71,22 +69,16 @@
 	}
 }
 
-// learnSpeed compares the run time with that of the step's other tasks. The
-// estimate says little of a worker: it is rough, and the same for all tasks of
-// a step.
+// learnSpeed compares the run time with that of the step's other tasks.
 func (m *Machine) learnSpeed(r *run) {
 	s := r.task.step
-	if r.confirmedMS == 0 || s.spec.Gang || r.task.checkpoint != "" {
+	if r.confirmedMS == 0 || s.spec.EstimateMS <= 0 || s.spec.Gang || r.task.checkpoint != "" {
 		return
 	}
-	took := float64(max(1, m.nowMS-r.confirmedMS))
-	if s.timed > 0 {
-		ratio := min(maxSlowness, max(1/maxSlowness, took*float64(s.timed)/s.tookMS))
-		w := r.worker
-		w.slowness += (ratio - w.slowness) * slownessWeight
-	}
-	s.timed++
-	s.tookMS += took
+	took := float64(m.nowMS - r.confirmedMS)
+	ratio := min(8, max(0.2, took/float64(s.spec.EstimateMS)))
+	w := r.worker
+	w.slowness += (ratio - w.slowness) * slownessWeight
 }
 
 // Figures of runs that stand still.
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -83,9 +83,6 @@
 	gangBroken   bool
 	gangPlacedMS int64
 	perWorker    map[domain.WorkerID]int
-	// timed counts the runs that succeeded and tookMS is the sum of their times.
-	timed  int
-	tookMS float64
 
 	// verdicts is indexed by the workers' slots and may be shorter. Tickets are
 	// kept by slot for the few workers that were approved.
