End idle connections between instances at the caller first

Cause: callers kept idle connections for 30 s and servers for 15 s, so a call could go out over a connection that was being closed. Change: callers end idle connections after 10 s; the servers' bound is derived from it. Conclusion: kept; no test beyond the constant that ties both.

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -19,7 +19,9 @@
 // Bounds of connections between instances.
 const (
 	dialTimeout = 600 * time.Millisecond
-	idleTimeout = 30 * time.Second
+	// IdleTimeout ends idle connections to other instances. Servers keep theirs
+	// for longer: a call over one that is being closed has an unknown outcome.
+	IdleTimeout = 10 * time.Second
 	// maxIdle keeps the connections of the looks and orders under way at one instance.
 	maxIdle = 64
 )
@@ -31,7 +33,7 @@
 func NewDialer() *Dialer {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second}
 	return &Dialer{&http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idleTimeout,
+		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: IdleTimeout,
 		DisableCompression: true, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
 	}}}
 }
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -72,7 +72,7 @@
 	gcPercent     = 200
 	// Bounds of callers' connections.
 	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
+	idleTimeout    = cellhttp.IdleTimeout + 5*time.Second
 	maxHeaderBytes = 16 << 10
 )
 
