--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -64,6 +64,8 @@
 	endSeenMS map[domain.WorkerID]int64
 	gauges    gauges
 	processed map[domain.WorkerID]int64
+	// settled is when decisions were made last.
+	settled time.Time
 	// resigning tells that the instance hands the cell over.
 	resigning bool
 }
@@ -164,6 +166,10 @@
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	// settle is due after events, at most once in settleInterval.
+	due := time.NewTimer(settleInterval)
+	defer due.Stop()
+	waiting := true
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -173,8 +179,16 @@
 			c.advance()
 			c.handle(event)
 			c.drainEvents()
-		case due := <-ticker.C:
-			c.metrics.Timer("owner.loop_lag").UpdateSince(due)
+			if !waiting {
+				waiting = true
+				due.Reset(max(0, settleInterval-time.Since(c.settled)))
+			}
+			continue
+		case <-due.C:
+			waiting = false
+			c.advance()
+		case tick := <-ticker.C:
+			c.metrics.Timer("owner.loop_lag").UpdateSince(tick)
 			c.advance()
 			c.measure(steady.NowMS())
 		}
@@ -182,6 +196,7 @@
 			continue
 		}
 		c.guarded("decisions", c.settle)
+		c.settled = time.Now()
 		if c.resigning && c.writing == 0 && !c.machine.HasChanges() {
 			c.end("resigned")
 		}
--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -20,6 +20,8 @@
 	// workersPerRelay is how many workers one instance looks at. A look costs up
 	// to 1 ms of processor time in a small VM, so this is about 5 % of a core.
 	workersPerRelay = 50
+	// lookGatherMS collects the looks of one instance into a call.
+	lookGatherMS = 10
 	// rejoinMS is the time left of a group's round under which a worker waits for
 	// the next round instead of being looked at within this one.
 	rejoinMS = 100
@@ -58,6 +60,8 @@
 	pausedMS int64
 	next     []port.RelayedLook
 	wait     time.Duration
+	// lookedMS is when the last call of looks left.
+	lookedMS int64
 	// orders are those that the next call takes, and orderedMS is when the last one left.
 	orders    []port.RelayedOrder
 	orderedMS int64
@@ -65,7 +69,7 @@
 
 // admit decides whether a look may go out now, and how long it may wait.
 func (g *lookGroup) admit(l *look, now int64) (time.Duration, bool) {
-	if len(g.next) >= port.MaxRelayedLooks {
+	if len(g.next) >= port.MaxRelayedLooks || now-g.lookedMS < lookGatherMS {
 		return 0, false
 	}
 	if !g.inRound {
@@ -209,7 +213,7 @@
 			continue
 		}
 		looks, wait, round := g.next, g.wait, !g.inRound
-		g.next, g.wait = nil, 0
+		g.next, g.wait, g.lookedMS = nil, 0, now
 		if round {
 			g.inRound, g.endMS = true, now+wait.Milliseconds()
 		}
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -41,6 +41,9 @@
 const (
 	// tickInterval bounds how late a due decision is.
 	tickInterval = 25 * time.Millisecond
+	// settleInterval is the least time between two rounds of decisions and calls,
+	// each of which goes over all workers. It is half the time between passes.
+	settleInterval = 4 * time.Millisecond
 	// writeInterval collects changes into one transaction; each write is priced.
 	writeInterval = 25 * time.Millisecond
 	// writeLanes bounds the writes under way. A store that takes 350 ms for each
