Store which runs were given up before their tasks start again

Two owners later nobody knows of the second run, and the success that the worker lists when it is back was acknowledged: TWICE. Change: the state of the job has the last run of each task that was given up; the task is started again once that is stored, and later owners take the success without acknowledging it. Test: TestSuccessSeenByThirdOwner; without the record the success is acknowledged, and the task starts before the store knows. Cost: one write for each job with a run on a worker whose lease lapsed.

--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -30,7 +30,7 @@
 	}
 	j := s.job
 	for _, t := range s.tasks {
-		if m.nowMS < t.notBeforeMS {
+		if !m.startable(t) {
 			return
 		}
 	}
@@ -184,7 +184,7 @@
 		}
 	}
 	for _, t := range s.tasks {
-		if t.phase != taskWaiting || !repairable {
+		if t.phase != taskWaiting || !repairable || !m.startable(t) {
 			continue
 		}
 		w := m.pick(s)
--- a/internal/core/jobs/held_test.go
+++ b/internal/core/jobs/held_test.go
@@ -109,3 +109,83 @@
 		t.Errorf("%d of 3 tasks are open after one succeeded", s.open)
 	}
 }
+
+// Guards against a success that is acknowledged by the third owner in a row:
+// the first gave the run up and started the task again, the second saw that
+// run fail, and the third knows neither run when the silent worker is back.
+func TestSuccessSeenByThirdOwner(t *testing.T) {
+	queue := Queue{Name: "q", Service: "svc", Stretch: 100, ObjectiveMS: 600_000, MaxAttempts: 3}
+	capacity := domain.Resources{CPUMilli: 4000, MemoryMB: 4000}
+	workers := []WorkerInfo{{ID: "a", Address: "x", Service: "svc", BornMS: 1, Capacity: capacity},
+		{ID: "b", Address: "y", Service: "svc", BornMS: 1, Capacity: capacity}}
+	task := TaskID{Job: "job"}
+	var jobValue, stateValue []byte
+	now := int64(0)
+	store := func(m *Machine) {
+		b, err := m.TakeBatch(testBatchEntries)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, j := range b.Jobs {
+			if j.Job != nil {
+				jobValue = j.Job
+			}
+			stateValue = j.State
+		}
+		m.Stored(b)
+	}
+	report := func(m *Machine, id domain.WorkerID, ends []EndReport, running ...RunReport) []StartOrder {
+		now += 100
+		m.Advance(now, 1_000_000+now)
+		m.LeaseLimit(id)
+		m.Report(WorkerReport{Worker: id, BornMS: 1, SentMS: now - 1, ReceivedMS: now, ClockMS: now, Ends: ends, Running: running})
+		m.Schedule()
+		return m.Drain().Starts
+	}
+	owner := func(epoch int64) *Machine {
+		cfg := testConfig()
+		cfg.Epoch = epoch
+		m := New(cfg, now, 1_000_000+now)
+		m.Configure([]Queue{queue}, nil)
+		if stateValue != nil {
+			if err := m.Recover("job", jobValue, stateValue); err != nil {
+				t.Fatal(err)
+			}
+		}
+		m.FinishRecovery()
+		return m
+	}
+	first := owner(1)
+	first.ListWorkers(workers[:1])
+	report(first, "a", nil)
+	first.Submit("job", &queue, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: capacity, EstimateMS: 500}}})
+	store(first)
+	report(first, "a", nil, RunReport{Task: task, Run: 1})
+	first.ListWorkers(workers)
+	first.LookFailed("a")
+	store(first)
+	for end := now + 12_000; now < end && len(first.workers["a"].runs) > 0; {
+		if starts := report(first, "b", nil); len(starts) > 0 {
+			t.Fatal("the task was started again before the store knew that its run was given up")
+		}
+	}
+	store(first)
+	second := report(first, "b", nil)
+	if len(second) != 1 || second[0].Worker != "b" {
+		t.Fatalf("the task is not started elsewhere: %+v", second)
+	}
+	next := owner(2)
+	next.ListWorkers(workers)
+	report(next, "b", []EndReport{{Number: 1, Task: task, Run: second[0].Run, Kind: EndStopped}})
+	store(next)
+	third := owner(3)
+	third.ListWorkers(workers)
+	report(third, "a", []EndReport{{Number: 4, Task: task, Run: 1, Kind: EndSucceeded}})
+	store(third)
+	if got := third.Acknowledgeable("a"); got >= 4 {
+		t.Errorf("ends up to %d are acknowledged, the success of a run that was given up is number 4", got)
+	}
+	if state, _, _ := third.Known("job"); state != Completed {
+		t.Errorf("the job is %v, want completed", state)
+	}
+}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -280,6 +280,7 @@
 		// time, still lists how its runs ended; only one that does not answer is given up.
 		if m.nowMS >= w.deadMS && len(w.runs) > 0 && w.unanswered {
 			m.out.note("worker_lapsed", w.id, "")
+			m.recordGivenUp(w)
 			m.dropRuns(w, anyRun)
 		}
 		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.deadMS {
@@ -293,6 +294,19 @@
 	m.order = kept
 }
 
+// recordGivenUp has the store tell later owners which runs are given up. The
+// worker may be back and list the success of one of them after a second run was
+// started, has ended and is forgotten.
+func (m *Machine) recordGivenUp(w *worker) {
+	for _, r := range w.runs {
+		t := r.task
+		if j := t.step.job; !j.state.Terminal() && !t.step.spec.Lasting && !t.step.spec.CopiesAllowed {
+			m.markDirty(j)
+			t.givenUp, t.givenUpVersion = max(t.givenUp, r.number), j.version
+		}
+	}
+}
+
 func anyRun(*run) bool { return true }
 
 // dropRuns ends the runs of a worker that have certainly ended, and counts them.
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -141,8 +141,15 @@
 	lastRun    int
 	// startedRun is the last run that this owner started or took over.
 	startedRun int
-	checkpoint string
-	runs       []*run
+	// givenUp is the last run that was given up while its worker was silent, and
+	// givenUpVersion the version of the job that tells so. The task is started
+	// again once that is stored: the run may still prove to have succeeded.
+	givenUp, givenUpVersion int
+	// formerGivenUp is the last run that a former owner gave up. It may have
+	// started the task again, whatever is found of that.
+	formerGivenUp int
+	checkpoint    string
+	runs          []*run
 	// notBeforeMS delays a repeat.
 	notBeforeMS int64
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -40,6 +40,8 @@
 	FailedRuns     map[int][]int `cbor:"4,keyasint,omitempty"`
 	GangFailedRuns []int         `cbor:"5,keyasint,omitempty"`
 	LastRun        int           `cbor:"6,keyasint,omitempty"`
+	// GivenUp holds the last run of each task that was given up, by its index.
+	GivenUp map[int]int `cbor:"7,keyasint,omitempty"`
 }
 
 // StoredJob is a job's pair of values for the store. Job is nil where only the state changed.
@@ -263,6 +265,13 @@
 		if t.phase == taskDone {
 			r.Done[i/8] |= 1 << (i % 8)
 		}
+		if number := max(t.givenUp, t.formerGivenUp); number > 0 {
+			if r.GivenUp == nil {
+				r.GivenUp = make(map[int]int)
+			}
+			r.GivenUp[i] = number
+			changed = true
+		}
 		if len(t.failedRuns) > 0 {
 			if r.FailedRuns == nil {
 				r.FailedRuns = make(map[int][]int)
@@ -345,6 +354,7 @@
 	for i, t := range s.tasks {
 		t.lastRun = r.LastRun
 		t.failedRuns = r.FailedRuns[i]
+		t.formerGivenUp = r.GivenUp[i]
 		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
 			m.finishTask(t)
 		}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -263,7 +263,7 @@
 // startedAfter reports whether a later run of the task was started where only
 // one may succeed.
 func (t *task) startedAfter(number int) bool {
-	return !t.step.spec.CopiesAllowed && !t.step.spec.Lasting && t.startedRun > number
+	return !t.step.spec.CopiesAllowed && !t.step.spec.Lasting && (t.startedRun > number || t.formerGivenUp >= number)
 }
 
 // EndsHeld reports whether the worker lists an end that must not be acknowledged.
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -206,7 +206,7 @@
 	p.scans++
 	p.stale = true
 	for _, t := range s.tasks {
-		if t.phase != taskWaiting || m.nowMS < t.notBeforeMS {
+		if t.phase != taskWaiting || !m.startable(t) {
 			continue
 		}
 		if !j.team.withinLimit(s.spec.Need) {
@@ -225,6 +225,11 @@
 	}
 }
 
+// startable reports whether nothing keeps a waiting task from its next run.
+func (m *Machine) startable(t *task) bool {
+	return m.nowMS >= t.notBeforeMS && t.givenUpVersion <= t.step.job.storedVersion
+}
+
 // epochRun is the number that runs of this owner are higher than. Runs of
 // former owners are not stored, so each later epoch begins a range of its own.
 func (m *Machine) epochRun(j *job) int {
