--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"auburnpier/internal/domain"
 )
 
@@ -332,3 +334,29 @@
 		})
 	}
 }
+
+// Guards against values that do not exist, from another instance or the store,
+// that end the process in the name of an end's kind or of a job's state.
+func TestValuesThatDoNotExist(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+	storeAll(t, m)
+	task := TaskID{Job: "j"}
+	report(m, nil, RunReport{Task: task, Run: 1})
+	report(m, []EndReport{{Number: 1, Task: task, Run: 1, Kind: 250}})
+	if s := m.findStep(task.StepOf()); s.waiting != 1 || s.open != 1 {
+		t.Errorf("%d tasks wait and %d are open after an end of no known kind, want 1 and 1", s.waiting, s.open)
+	}
+	state, err := cbor.Marshal(StateRecord{State: 77})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Recover("k", nil, state); err == nil {
+		t.Error("a job with a state that does not exist was recovered")
+	}
+	if got := StartOutcome(200).String(); got != StartUnanswered.String() {
+		t.Errorf("an outcome that does not exist is %q", got)
+	}
+}
