Ask for approval of more workers where a gang needs room at once

Cause: a gang asked for about as many workers as it needs at half of them approved. Change: gangs name workers for three times their need.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -20,6 +20,10 @@
 	approvalRateWeight  = 0.1
 	// approvalSurplus asks for more workers than the rate makes necessary.
 	approvalSurplus = 1.4
+	// gangApprovalSurplus is the same for gangs. All members need room at once, so
+	// a gang finds it sooner among more approved workers; naming them costs a
+	// part of a second of its objective of many.
+	gangApprovalSurplus = 3
 	approvalExtra   = 2
 	// MaxApprovalWorkers is the most workers that one request names.
 	MaxApprovalWorkers = 100
@@ -175,6 +179,10 @@
 func (m *Machine) approvalCount(s *step, suits []*worker) int {
 	rate := max(0.05, m.statsOf(s.job.queue).rate)
 	need := s.spec.Reserved()
+	surplus := approvalSurplus
+	if s.spec.Gang {
+		surplus = gangApprovalSurplus
+	}
 	room, workers := 0, 0
 	for _, w := range suits {
 		fits := m.fitCount(s, w, need)
@@ -187,7 +195,7 @@
 		}
 		room += int(math.Ceil(expected * 100))
 		workers++
-		if float64(room)/100 >= float64(s.waiting)*approvalSurplus {
+		if float64(room)/100 >= float64(s.waiting)*surplus {
 			break
 		}
 	}
