--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -24,7 +24,7 @@
 	// a gang finds it sooner among more approved workers; naming them costs a
 	// part of a second of its objective of many.
 	gangApprovalSurplus = 3
-	approvalExtra   = 2
+	approvalExtra       = 2
 	// MaxApprovalWorkers is the most workers that one request names.
 	MaxApprovalWorkers = 100
 	// approvalMarginMS is the way of a start order that uses an approval.
