Weigh a tight fit above small differences of speed

Cause: what a worker is believed to be slow by comes from rough estimates and differs by a third between like workers; the fit of a placement was weighed 0.4 of the free share, so large rooms were broken up at random and gangs waited for room. Change: the fit is weighed 2. A worker that is really slow is 2 to 8 times as slow and is still avoided.

--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -277,7 +277,7 @@
 const (
 	slownessCost = 1.0
 	farCost      = 1.0
-	fitCost      = 0.4
+	fitCost      = 2.0
 )
 
 // cost is lower for fast workers near the data and for a tight fit, which
