--- a/internal/app/owner/orders.go
+++ b/internal/app/owner/orders.go
@@ -24,8 +24,9 @@
 )
 
 var (
-	errAnswerLate   = errors.New("no answer within the time that answers take now")
-	errOrderNotSent = errors.New("the instance that sends the order did not answer")
+	errAnswerLate     = errors.New("no answer within the time that answers take now")
+	errNoAnswer       = errors.New("the instance that sends the order did not answer")
+	errClaimNotProven = errors.New("the claim of the cell was not confirmed in time, the order was not sent")
 )
 
 // sendOrders sends the orders of a pass through the instances that look at
@@ -135,15 +136,14 @@
 	// The process may have been paused since the decision.
 	if !c.mayOrder(steady.NowMS()) {
 		c.metrics.Counter("worker.order.claim_not_confirmed").Inc(int64(len(orders)))
-		call.finish()
+		call.finish(errClaimNotProven)
 		return nil
 	}
 	timer := time.AfterFunc(c.answers.order(), call.overdue)
 	defer timer.Stop()
 	err := relay.Orders(ctx, port.OrderBatch{Fence: c.reign.epoch, TimeMS: maxOrderTime.Milliseconds(), Orders: orders}, call.deliver)
-	missing := call.finish()
-	if err == nil && missing > 0 {
-		err = errOrderNotSent
+	if missing := call.finish(errNoAnswer); err == nil && missing > 0 {
+		err = errNoAnswer
 	}
 	return err
 }
@@ -203,8 +203,8 @@
 	}
 }
 
-// finish tells the loop of the orders that have no answer, and counts them.
-func (p *orderCall) finish() (missing int) {
+// finish tells the loop of the orders that have no answer and why, and counts them.
+func (p *orderCall) finish(cause error) (missing int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.orders {
@@ -213,7 +213,7 @@
 		}
 		missing++
 		p.answered[i] = true
-		p.take(port.OrderAnswer{Index: i, Start: jobs.StartUnanswered, Failure: errOrderNotSent.Error()})
+		p.take(port.OrderAnswer{Index: i, Start: jobs.StartUnanswered, Failure: cause.Error()})
 	}
 	return missing
 }
