Renew the claim through another instance when the store is silent to its owner

A silent way to the store counted as failed only where the caller had time left when the call gave up; renewals give up after 0.6 s, so all of them went the silent way. Each second after a failure all calls went that way once more. Change: 0.5 s without an answer is a failure also where the caller gives up; while the way fails, one call a second tries it and all others go through another instance. Ruled out: a longer claim, which lengthens every other gap.

--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -68,6 +68,10 @@
 	eventRing = 8192
 	// maxOrders bounds the orders under way from the owner itself.
 	maxOrders = 512
+	// writeTime is how long a write may take before it is sent again, through
+	// another instance if the store is silent to this one. A slow store answers
+	// within 400 ms, and a write that took effect is recognized.
+	writeTime = 700 * time.Millisecond
 	// writeRetry is the pause after a write that had no effect.
 	writeRetry = 60 * time.Millisecond
 	// storeDown is how long no write may be answered, while some are under way,
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -157,7 +157,7 @@
 	}
 	for c.ctx.Err() == nil {
 		begun := time.Now()
-		revision, err := c.store.Commit(c.ctx, txn)
+		revision, err := c.commitOnce(txn)
 		c.metrics.Timer("store.commit").UpdateSince(begun)
 		if err == nil {
 			l.revision = revision
@@ -179,6 +179,13 @@
 	return errCellClosed
 }
 
+// commitOnce tries a transaction once.
+func (c *Cell) commitOnce(txn port.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, writeTime)
+	defer cancel()
+	return c.store.Commit(ctx, txn)
+}
+
 // appliedRevision reports whether the conflicting state is the transaction's own effect.
 func appliedRevision(conflict *port.TxnConflictError, key string, mine sequence) (int64, bool) {
 	for _, e := range conflict.Current {
--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// directRetryMS is how long after a failure calls go through others first.
+	// directRetryMS is the time between calls that try the direct way while it fails.
 	directRetryMS = 1000
+	// directSilence without an answer counts as a failure of the direct way also
+	// where the caller then gives up. A slow store answers within 400 ms.
+	directSilence = 500 * time.Millisecond
 	// maxPeers bounds the instances that are asked for one call.
 	maxPeers = 2
 )
@@ -54,18 +57,24 @@
 	if !s.healthy() {
 		return &port.UnavailableError{Op: "relay", Err: errDirectFailed}
 	}
+	return s.callDirect(ctx, call)
+}
+
+// callDirect makes a call to the store itself and notes whether it answered.
+func (s *Store) callDirect(ctx context.Context, call func(port.LeaseStore) error) error {
+	begun := time.Now()
 	err := call(s.direct)
-	if ctx.Err() == nil {
+	silent := errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(begun) >= directSilence
+	if ctx.Err() == nil || silent {
 		s.note(err)
 	}
 	return err
 }
 
-// healthy reports whether the last direct call succeeded, or none failed lately.
-func (s *Store) healthy() bool {
-	failed := s.failedMS.Load()
-	return failed == 0 || steady.NowMS()-failed > directRetryMS
-}
+// healthy reports whether the last direct call was answered. One call in
+// directRetryMS finds out whether the way is open again: if all did, each of
+// them would wait for a store that is silent.
+func (s *Store) healthy() bool { return s.failedMS.Load() == 0 }
 
 // probeDue reports whether this call should try the direct way in spite of failures.
 func (s *Store) probeDue() bool {
@@ -122,10 +131,7 @@
 func (s *Store) route(ctx context.Context, call func(port.LeaseStore) error) error {
 	var err error = &port.UnavailableError{Op: "call", Err: errDirectFailed}
 	if s.healthy() || s.probeDue() {
-		err = call(s.direct)
-		if ctx.Err() == nil {
-			s.note(err)
-		}
+		err = s.callDirect(ctx, call)
 		if !isUnavailable(err) || ctx.Err() != nil {
 			return err
 		}
--- a/internal/app/storerelay/relay_test.go
+++ b/internal/app/storerelay/relay_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
@@ -61,6 +64,55 @@
 	}
 }
 
+// silent is a store that does not answer this instance.
+type silent struct {
+	port.LeaseStore
+	calls atomic.Int64
+}
+
+func (s *silent) KeepLease(ctx context.Context, _ int64) error {
+	s.calls.Add(1)
+	<-ctx.Done()
+	return &port.OutcomeUnknownError{Op: "keep lease", Err: ctx.Err()}
+}
+
+// Guards against an owner that loses its claim because the store is silent to
+// it alone: its renewals gave up before the way counted as failed, so none went
+// through another instance, and again each second all went the silent way.
+func TestRenewalsPassASilentWay(t *testing.T) {
+	const ttl, renewals, renewalTime = 1200 * time.Millisecond, 12, 600 * time.Millisecond
+	store := leasestore.New()
+	lease, _, err := store.GrantLease(t.Context(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	direct := &silent{}
+	s := relayOver(direct, store)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	last, worst := time.Now(), time.Duration(0)
+	for range renewals {
+		all.Go(func() {
+			sent := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), renewalTime)
+			defer cancel()
+			if s.KeepLease(ctx, lease) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			worst = max(worst, time.Since(last))
+			last = sent
+		})
+		time.Sleep(ttl / 4)
+	}
+	all.Wait()
+	if worst = max(worst, time.Since(last)-renewalTime); worst > ttl {
+		t.Errorf("%v passed between answered renewals, the claim lives for %v", worst, ttl)
+	}
+	t.Logf("worst gap %v, %d calls went the silent way", worst, direct.calls.Load())
+}
+
 // Guards against an outage of the store that is multiplied: an instance that
 // does not reach the store itself makes no calls for others, and tries its own
 // way once a second.
