--- a/internal/app/owner/lookgroups_test.go
+++ b/internal/app/owner/lookgroups_test.go
@@ -75,49 +75,45 @@
 
 func (r *fakeRelay) Looks(ctx context.Context, looks []port.RelayedLook, deliver func([]port.RelayedReport)) error {
 	relay := workerrelay.New(r.peers.workers, zap.NewNop(), metrics.New())
-	switch r.peers.fault(r.id) {
-	case relayWorks:
-		return relay.Looks(ctx, looks, deliver)
-	case relayDead:
-		return errRelay
-	case relaySilent:
-		<-ctx.Done()
-		return ctx.Err()
-	case relayCut:
+	return r.play(ctx, len(looks), func(n int) error { return relay.Looks(ctx, looks[:n], deliver) }, func() {
 		var batch []port.RelayedReport
 		for _, l := range looks {
 			batch = append(batch, port.RelayedReport{Worker: l.Worker, Failure: "no way to the worker"})
 		}
 		deliver(batch)
-		return nil
-	case relayBreaks:
-		if err := relay.Looks(ctx, looks[:len(looks)/2], deliver); err != nil {
-			return err
-		}
-	}
-	return errRelay
+	})
 }
 
 func (r *fakeRelay) Orders(ctx context.Context, batch port.OrderBatch, deliver func([]port.OrderAnswer)) error {
 	relay := workerrelay.New(r.peers.workers, zap.NewNop(), metrics.New())
+	orders := batch.Orders
+	serve := func(n int) error {
+		batch.Orders = orders[:n]
+		return relay.Orders(ctx, batch, deliver)
+	}
+	return r.play(ctx, len(orders), serve, func() {
+		var answers []port.OrderAnswer
+		for i := range orders {
+			answers = append(answers, port.OrderAnswer{Index: i, Start: jobs.StartUnanswered, Failure: "no way to the worker"})
+		}
+		deliver(answers)
+	})
+}
+
+// play serves the first n calls of count, or tells that no worker is reached,
+// by the fault of the instance.
+func (r *fakeRelay) play(ctx context.Context, count int, serve func(n int) error, unreachable func()) error {
 	switch r.peers.fault(r.id) {
 	case relayWorks:
-		return relay.Orders(ctx, batch, deliver)
-	case relayDead:
-		return errRelay
+		return serve(count)
 	case relaySilent:
 		<-ctx.Done()
 		return ctx.Err()
 	case relayCut:
-		var answers []port.OrderAnswer
-		for i := range batch.Orders {
-			answers = append(answers, port.OrderAnswer{Index: i, Start: jobs.StartUnanswered, Failure: "no way to the worker"})
-		}
-		deliver(answers)
+		unreachable()
 		return nil
 	case relayBreaks:
-		batch.Orders = batch.Orders[:len(batch.Orders)/2]
-		if err := relay.Orders(ctx, batch, deliver); err != nil {
+		if err := serve(count / 2); err != nil {
 			return err
 		}
 	}
