--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -84,8 +84,9 @@
 			continue
 		}
 		l.sentMS, l.underWay = now, true
-		request := c.lookRequest(l, c.groups.directWait(workers))
-		go c.guarded("look", func() { c.look(l.id, l.address, request, release) })
+		// The loop may change the look's state before the call begins.
+		id, address, request := l.id, l.address, c.lookRequest(l, c.groups.directWait(workers))
+		go c.guarded("look", func() { c.look(id, address, request, release) })
 	}
 }
 
--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -86,7 +86,10 @@
 	var unavailable *port.UnavailableError
 	var unknown *port.OutcomeUnknownError
 	if errors.As(err, &unavailable) || errors.As(err, &unknown) {
-		s.failedMS.Store(steady.NowMS())
+		now := steady.NowMS()
+		s.failedMS.Store(now)
+		// The failure is as good as a try: the next one comes after the usual time.
+		s.probeMS.Store(now)
 		return
 	}
 	s.failedMS.Store(0)
