--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -46,8 +46,8 @@
 	arrangeMS = 250
 )
 
-// lookGroup is the part of the workers that one instance looks at. Most looks
-// are made in rounds: they go out together and end together. A worker that
+// lookGroup is the part of the workers that one instance looks at, and sends
+// orders to, for the owner. Most looks are made in rounds: they go out together and end together. A worker that
 // answers early, because a task ended, is looked at again until the round ends.
 type lookGroup struct {
 	hello port.Hello
@@ -255,7 +255,7 @@
 		case r.Failure != "":
 			c.metrics.Counter("worker.look.relay_unanswered").Inc(1)
 			if l, ok := c.looks[r.Worker]; ok && l.retryMS > 0 {
-				c.looked(r.Worker, jobs.WorkerReport{}, relayedFailure(r))
+				c.looked(r.Worker, jobs.WorkerReport{}, relayedFailure(r, l.address))
 				continue
 			}
 			// Whether the worker answers is found out from here first.
@@ -268,10 +268,10 @@
 }
 
 // relayedFailure is the error that the instance met.
-func relayedFailure(r port.RelayedReport) error {
+func relayedFailure(r port.RelayedReport, address string) error {
 	err := errors.New(r.Failure)
 	if r.Gone {
-		return &port.WorkerGoneError{Worker: r.Worker, Address: "its address", Err: err}
+		return &port.WorkerGoneError{Worker: r.Worker, Address: address, Err: err}
 	}
 	return err
 }
