--- a/internal/app/owner/lookgroups.go
+++ b/internal/app/owner/lookgroups.go
@@ -47,8 +47,9 @@
 )
 
 // lookGroup is the part of the workers that one instance looks at, and sends
-// orders to, for the owner. Most looks are made in rounds: they go out together and end together. A worker that
-// answers early, because a task ended, is looked at again until the round ends.
+// orders to, for the owner. Most looks are made in rounds: they go out together
+// and end together. A worker that answers early, because a task ended, is
+// looked at again until the round ends.
 type lookGroup struct {
 	hello port.Hello
 	relay port.WorkerRelay
