Store a worker's new address before it gets tasks there

Cause, found by reading: a worker may be back under its ID at another address. The stored set of workers kept the former one, so a successor that asks it before it has read the registry finds nobody there, takes the worker for gone and starts again what runs at the new address. Change: a changed address or size is stored before the worker gets work. Test: TestMovedWorkerIsStoredFirst; before, nothing was stored and the start went out.

--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -22,7 +22,6 @@
 // A transaction takes any batch.
 const _ = uint(entriesPerTxn - jobs.MinBatchEntries)
 
-
 // lane is one chain of transactions. A chain's next transaction waits for the
 // outcome of the one before; several chains keep writes under way while a slow
 // store answers. Writes of one job are never under way in two chains.
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -189,6 +189,11 @@
 		w = m.addWorker(info.ID)
 		m.membersChanged = true
 	}
+	if ok && (w.address != info.Address || w.capacity != info.Capacity) {
+		// A successor would ask, and find gone, the worker at its former address.
+		w.recorded = false
+		m.membersChanged = true
+	}
 	if info.Draining && !w.draining {
 		m.out.note("worker_draining", w.id, "")
 		w.leavesMS = m.nowMS + info.LeavesInMS
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -203,7 +203,7 @@
 		m.membersWriting = false
 	}
 	for _, member := range b.Members {
-		if w, ok := m.workers[member.ID]; ok {
+		if w, ok := m.workers[member.ID]; ok && w.address == member.Address {
 			w.recorded = true
 		}
 	}
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -360,3 +360,33 @@
 		t.Errorf("an outcome that does not exist is %q", got)
 	}
 }
+
+// Guards against a worker that is back under its ID at another address and gets
+// tasks while the store names the former one: a successor finds nobody there
+// and starts the tasks again while they run.
+func TestMovedWorkerIsStoredFirst(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	oneWorker(m)
+	storeAll(t, m)
+	m.ListWorkers([]WorkerInfo{{ID: "w", Address: "10.0.0.9:1", Service: "svc", Capacity: workerSize, BornMS: 2}})
+	report(m, nil)
+	m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+	b, err := m.TakeBatch(testBatchEntries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Members) != 1 || b.Members[0].Address != "10.0.0.9:1" {
+		t.Errorf("the stored set is %+v after the worker moved", b.Members)
+	}
+	m.Schedule()
+	if starts := m.Drain().Starts; len(starts) > 0 {
+		t.Errorf("%d starts on a worker whose address is not stored", len(starts))
+	}
+	m.Stored(b)
+	m.Advance(m.nowMS+passIntervalMS, m.unixMS)
+	m.Schedule()
+	if starts := m.Drain().Starts; len(starts) != 1 {
+		t.Errorf("%d starts once the address is stored, want 1", len(starts))
+	}
+}
