Try a failed way to the store by a read of its own

Change: a read of its own tries the way each 0.5 s, and no call waits for it. Tests: TestWithdrawnKey and TestWayOpensAgainBesideWatches, three runs each; TestRenewalsPassASilentWay still passes.

--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// directRetryMS is the time between calls that try the direct way while it fails.
-	directRetryMS = 1000
+	// directRetryMS is the time between tries of the direct way while it fails.
+	directRetryMS = 500
+	// probeKey is read to try the direct way. That it is missing is an answer.
+	probeKey = "auburnpier/probe"
 	// directSilence without an answer counts as a failure of the direct way also
 	// where the caller then gives up. A slow store answers within 400 ms.
 	directSilence = 500 * time.Millisecond
@@ -36,7 +38,7 @@
 	failedMS atomic.Int64
 	// answeredMS is when a call last had an answer, directly or through another instance.
 	answeredMS atomic.Int64
-	// probeMS is when a direct call was last tried in spite of failures.
+	// probeMS is when the direct way last failed or was tried in spite of failures.
 	probeMS atomic.Int64
 }
 
@@ -71,12 +73,20 @@
 	return err
 }
 
-// healthy reports whether the last direct call was answered. One call in
-// directRetryMS finds out whether the way is open again: if all did, each of
-// them would wait for a store that is silent.
+// healthy reports whether the last direct call was answered. While it was not,
+// a read of its own tries the way: calls that did would wait for a store that
+// is silent, and a watch is answered long after the way is open again.
 func (s *Store) healthy() bool { return s.failedMS.Load() == 0 }
 
-// probeDue reports whether this call should try the direct way in spite of failures.
+// probe tries the direct way.
+func (s *Store) probe() {
+	ctx, cancel := context.WithTimeout(context.Background(), directSilence)
+	defer cancel()
+	_, err := s.direct.Get(ctx, probeKey)
+	s.note(err)
+}
+
+// probeDue reports whether the direct way should be tried in spite of failures.
 func (s *Store) probeDue() bool {
 	now, last := steady.NowMS(), s.probeMS.Load()
 	return now-last > directRetryMS && s.probeMS.CompareAndSwap(last, now)
@@ -133,7 +143,10 @@
 // route makes a call directly and, where that had no effect, through others.
 func (s *Store) route(ctx context.Context, call func(port.LeaseStore) error) error {
 	var err error = &port.UnavailableError{Op: "call", Err: errDirectFailed}
-	if s.healthy() || s.probeDue() {
+	if !s.healthy() && s.probeDue() {
+		go s.probe()
+	}
+	if s.healthy() {
 		err = s.callDirect(ctx, call)
 		if !isUnavailable(err) || ctx.Err() != nil {
 			return err
--- a/internal/app/storerelay/relay_test.go
+++ b/internal/app/storerelay/relay_test.go
@@ -76,6 +76,11 @@
 	return &port.OutcomeUnknownError{Op: "keep lease", Err: ctx.Err()}
 }
 
+func (s *silent) Get(ctx context.Context, _ string) (port.Entry, error) {
+	<-ctx.Done()
+	return port.Entry{}, &port.UnavailableError{Op: "get", Err: ctx.Err()}
+}
+
 // Guards against an owner that loses its claim because the store is silent to
 // it alone: its renewals gave up before the way counted as failed, so none went
 // through another instance, and again each second all went the silent way.
@@ -131,3 +136,55 @@
 		t.Errorf("%d calls reached the store that is down, want at most 3", down.calls)
 	}
 }
+
+// outage is a store that is down for a while, and whose watches last.
+type outage struct {
+	*leasestore.Store
+	down atomic.Bool
+}
+
+var errDown = &port.UnavailableError{Op: "watch", Err: errors.New("status 503")}
+
+func (o *outage) Get(ctx context.Context, key string) (port.Entry, error) {
+	if o.down.Load() {
+		return port.Entry{}, errDown
+	}
+	return o.Store.Get(ctx, key)
+}
+
+func (o *outage) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (port.WatchResult, error) {
+	if o.down.Load() {
+		return port.WatchResult{}, errDown
+	}
+	return o.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against an instance that stays without the store after an outage
+// because the call that tried the way again was a watch, which is answered late.
+func TestWayOpensAgainBesideWatches(t *testing.T) {
+	store := &outage{Store: leasestore.New()}
+	s := relayOver(store)
+	store.down.Store(true)
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	all.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if _, err := s.Watch(t.Context(), "k", 0, 2*time.Second); err != nil {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	})
+	time.Sleep(700 * time.Millisecond)
+	store.down.Store(false)
+	time.Sleep((directRetryMS + 200) * time.Millisecond)
+	if _, err := s.Get(t.Context(), "k"); errors.As(err, new(*port.UnavailableError)) {
+		t.Errorf("%d ms after the outage a read was answered with %v", directRetryMS+200, err)
+	}
+	close(stop)
+	all.Wait()
+}
