Report an instance as ready only once its own cell is recovered

Change: an instance whose own cell is not recovered yet is not ready, as before; calls that reach it still wait.

--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -75,6 +75,9 @@
 // Ready reports whether new connections should come to this instance.
 func (s *Service) Ready() bool {
 	calls, _ := s.directory.Owner()
+	if cell, local := calls.(*owner.Cell); local && !cell.Recovered() {
+		return false
+	}
 	return s.config.Current() != nil && calls != nil && s.config.AgeMS() < s.options.KeyTrust.Milliseconds()
 }
 
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -99,12 +99,20 @@
 // is a quarter of the time that the shortest class of jobs has.
 const recoveryWait = 500 * time.Millisecond
 
-// awaitRecovery reports whether the state of the cell is loaded in time.
-func (c *Cell) awaitRecovery(ctx context.Context) bool {
+// Recovered reports whether the state of the cell is loaded.
+func (c *Cell) Recovered() bool {
 	select {
 	case <-c.recovered:
 		return true
 	default:
+		return false
+	}
+}
+
+// awaitRecovery reports whether the state of the cell is loaded in time.
+func (c *Cell) awaitRecovery(ctx context.Context) bool {
+	if c.Recovered() {
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, recoveryWait)
 	defer cancel()
