--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -159,17 +159,7 @@
 }
 
 // HasChanges reports whether TakeBatch has something to write.
-func (m *Machine) HasChanges() bool {
-	if len(m.forgotten) > 0 || m.membersChanged && !m.membersWriting {
-		return true
-	}
-	for _, j := range m.dirty {
-		if j.dirty && !j.writing {
-			return true
-		}
-	}
-	return false
-}
+func (m *Machine) HasChanges() bool { return m.Entries(1) > 0 }
 
 // members lists the workers that may have tasks, also those of a former owner.
 func (m *Machine) members() []Member {
