Ask for approval in the order of the steps, and only through a free instance

Cause: a request for approval was handed to the instance that would answer first, up to 1.2 s of work ahead of it. Ruled out: the service itself. Change: internal/core/approvals grants an instance only what keeps the service busy for it, learns the way of a request, and leaves a third of the instances to short requests. A pass asks in its own order; the rest waits in the ready list and is ordered anew at each answer.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -48,8 +48,10 @@
 	cancellers map[domain.JobID][]func(port.CancelReply, error)
 	looks      map[domain.WorkerID]*look
 	relays     relays
-	groups     lookGroups
-	arrangedMS int64
+	// approversVersion is the version of the relays that the machine knows.
+	approversVersion int64
+	groups           lookGroups
+	arrangedMS       int64
 	// maintenance is nil where the platform asks for none.
 	maintenance *maintenance
 	// registryPaused is the time before which an instance does not read the registry.
@@ -250,6 +252,7 @@
 	// An owner that resigns only stores what it knows; the rest is its successor's.
 	if c.mayOrder(now) && !c.resigning {
 		c.planMaintenance(now)
+		c.shareApprovers(now)
 		begun := time.Now()
 		c.machine.Schedule()
 		c.metrics.Timer("owner.decision").UpdateSince(begun)
--- a/internal/app/owner/relays.go
+++ b/internal/app/owner/relays.go
@@ -25,10 +25,6 @@
 	missedHellos = 3.5
 	// versionBits of a version count the changes of the list within a reign.
 	versionBits = 32
-	// longApprovalMS divides requests: long ones leave some instances to the short.
-	longApprovalMS = 100
-	// maxRelayQueueMS bounds the requests that wait at one instance.
-	maxRelayQueueMS = 1200
 	// approvalSlack is added to the expected duration of a request.
 	approvalSlack = 1500 * time.Millisecond
 )
@@ -39,9 +35,7 @@
 	hello    port.Hello
 	approver port.Approver
 	lastMS   int64
-	// freeMS is when the requests under way will have been answered.
-	freeMS int64
-	fails  int
+	fails    int
 }
 
 // compareSizes orders instances by the size of their VMs, larger ones first.
@@ -90,45 +84,44 @@
 	r.changes += int64(before - len(r.list))
 }
 
-// choose returns the instance that will answer first.
-func (r *relays) choose(expectedMS float64, now int64) *relay {
-	r.expire(now)
-	candidates := r.list
-	if expectedMS >= longApprovalMS && len(candidates) > 1 {
-		candidates = candidates[:(len(candidates)*2+2)/3]
+// shareApprovers tells the machine through which instances the approval service is asked.
+func (c *Cell) shareApprovers(now int64) {
+	c.relays.expire(now)
+	if c.relays.changes == c.approversVersion {
+		return
 	}
-	var best *relay
-	for _, k := range candidates {
-		if best == nil || max(k.freeMS, now) < max(best.freeMS, now) {
-			best = k
-		}
+	c.approversVersion = c.relays.changes
+	addresses := make([]string, 0, len(c.relays.list))
+	for _, k := range c.relays.list {
+		addresses = append(addresses, k.hello.Address)
 	}
-	// Short requests come to the instances from the other end.
-	if expectedMS < longApprovalMS {
-		for _, k := range slices.Backward(candidates) {
-			if max(k.freeMS, now) < max(best.freeMS, now) || max(k.freeMS, now) == max(best.freeMS, now) && best.freeMS <= now {
-				best = k
-				break
-			}
+	c.machine.SetApprovers(addresses)
+}
+
+// at returns the instance of an address, nil where it is not known any more.
+func (r *relays) at(address string) *relay {
+	for _, k := range r.list {
+		if k.hello.Address == address {
+			return k
 		}
 	}
-	if best == nil || best.freeMS-now > maxRelayQueueMS {
-		return nil
-	}
-	return best
+	return nil
 }
 
-// askApproval sends a request through the instance that will answer first.
+// askApproval sends a request through the instance that the machine chose.
 func (c *Cell) askApproval(r jobs.ApprovalRequest) {
-	now := steady.NowMS()
-	k := c.relays.choose(r.ExpectedMS, now)
+	k := c.relays.at(r.Grant.Instance)
 	if k == nil {
 		c.metrics.Counter("approval.no_instance").Inc(1)
-		c.machine.ApprovalAnswered(r.Step, nil, nil, 0)
+		c.machine.ApprovalFailed(r)
 		return
 	}
-	k.freeMS = max(k.freeMS, now) + int64(r.ExpectedMS) + 1
-	timeout := time.Duration(k.freeMS-now)*time.Millisecond + approvalSlack
+	queue := "approval." + string(r.Queue)
+	c.metrics.Counter(queue + ".requests").Inc(1)
+	c.metrics.Counter(queue + ".workers").Inc(int64(len(r.Workers)))
+	c.metrics.Counter(queue + ".service_ms").Inc(int64(r.Grant.ExpectedMS))
+	c.metrics.Timer(queue + ".waited").Update(time.Duration(r.WaitedMS) * time.Millisecond)
+	timeout := time.Duration(r.Grant.TimeLeftMS())*time.Millisecond + approvalSlack
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, timeout)
 		defer cancel()
@@ -148,9 +141,10 @@
 		if k.fails >= 2 {
 			k.lastMS = 0
 		}
-		c.machine.ApprovalAnswered(r.Step, nil, nil, 0)
+		c.machine.ApprovalFailed(r)
 		return
 	}
 	k.fails = 0
-	c.machine.ApprovalAnswered(r.Step, r.Workers, a.Good, a.ValidMS)
+	c.metrics.Counter("approval." + string(r.Queue) + ".approved").Inc(int64(len(a.Good)))
+	c.machine.ApprovalAnswered(r, a.Good, a.ValidMS)
 }
--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -65,7 +65,7 @@
 
 // askApproval requests approvals for the workers that suit the step best.
 func (m *Machine) askApproval(s *step, suits []*worker) {
-	if s.asking || m.nowMS < s.askAgainMS || len(suits) == 0 {
+	if s.asking || m.nowMS < s.askAgainMS || len(suits) == 0 || !m.approverFree(s, s.job.queue.Approval.BaseMS) {
 		return
 	}
 	if !s.spec.Gang {
@@ -85,13 +85,37 @@
 	for _, w := range workers[:min(len(workers), MaxApprovalWorkers)] {
 		ids = append(ids, w.id)
 	}
+	expectedMS := q.Approval.BaseMS + q.Approval.PerWorkerMS*float64(len(ids))
+	if !m.approverFree(s, expectedMS) {
+		return
+	}
+	grant, _ := m.approvers.Take(expectedMS, m.nowMS)
 	s.asking = true
 	m.out.Approvals = append(m.out.Approvals, ApprovalRequest{
-		Step: StepID{s.job.id, s.occ.number, s.number}, Queue: q.Name, Workers: ids,
-		ExpectedMS: q.Approval.BaseMS + q.Approval.PerWorkerMS*float64(len(ids)),
+		Step: StepID{s.job.id, s.occ.number, s.number}, Queue: q.Name, Workers: ids, Grant: grant, WaitedMS: m.nowMS - s.wantsMS,
 	})
 }
 
+// approverFree reports whether a request of the step could be sent now. Steps
+// want one in their order, so the most urgent of those that wait is the next.
+func (m *Machine) approverFree(s *step, expectedMS float64) bool {
+	if s.wantsMS == 0 {
+		s.wantsMS = m.nowMS
+	}
+	if m.approvers.Has(expectedMS, m.nowMS) {
+		return true
+	}
+	s.waitReason = waitApprover
+	return false
+}
+
+// SetApprovers replaces the instances through which the approval service is
+// asked, by address.
+func (m *Machine) SetApprovers(addresses []string) {
+	m.approvers.SetInstances(addresses)
+	m.needsPass = true
+}
+
 // candidate is a worker with what decides whether to name it in a request.
 type candidate struct {
 	w     *worker
@@ -217,19 +241,36 @@
 	Ticket string
 }
 
-// ApprovalAnswered takes the answer to an approval request. Asked is the list
-// that was named, nil where the request failed.
-func (m *Machine) ApprovalAnswered(id StepID, asked []domain.WorkerID, good []Approval, validMS int64) {
+// ApprovalFailed tells that a request had no answer.
+func (m *Machine) ApprovalFailed(r ApprovalRequest) {
+	m.approvers.Failed(r.Grant, m.nowMS)
+	if s := m.requestEnded(r.Step); s != nil {
+		s.askAgainMS = m.nowMS + approvalRetryMS
+	}
+}
+
+// requestEnded returns the step of a request that is over, nil where it needs
+// no approval any more.
+func (m *Machine) requestEnded(id StepID) *step {
+	m.needsPass = true
 	s := m.findStep(id)
 	if s == nil || s.job.state.Terminal() {
-		return
+		return nil
 	}
 	s.asking = false
-	m.needsPass = true
-	if asked == nil {
-		s.askAgainMS = m.nowMS + approvalRetryMS
+	s.wantsMS = 0
+	return s
+}
+
+// ApprovalAnswered takes the answer to a request: the workers that are approved
+// and for how long.
+func (m *Machine) ApprovalAnswered(r ApprovalRequest, good []Approval, validMS int64) {
+	m.approvers.Answered(r.Grant, m.nowMS)
+	s := m.requestEnded(r.Step)
+	if s == nil {
 		return
 	}
+	asked := r.Workers
 	s.askAgainMS = m.nowMS + approvalAgainMS
 	s.asked = true
 	if s.open == 0 {
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -17,6 +17,7 @@
 	waitTurn       = "more urgent steps come first in this pass"
 	waitRoom       = "no worker has room"
 	waitApproval   = "approval is asked for"
+	waitApprover   = "no instance is free to ask for approval"
 	waitNoApproval = "approved workers have no room"
 	waitReserved   = "room is kept until tasks end"
 	waitRepair     = "gang members are placed again"
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -38,6 +38,15 @@
 	sharing *sharing
 	// lookMS is the time between looks at an idle worker.
 	lookMS int64
+	// servedMS is when the approval service has answered all requests of an instance,
+	// and transitMS the way of a request and of its answer together.
+	servedMS  map[string]int64
+	addresses []string
+	// goodOf is the share for each request, nil where it is good for all.
+	goodOf func(ApprovalRequest) float64
+	// waits lists how long steps waited for an instance.
+	waits     map[domain.QueueID][]int64
+	transitMS int64
 }
 
 type fakeWorker struct {
@@ -91,6 +100,8 @@
 		completed: make(map[domain.JobID]int64), succeeded: make(map[TaskID]bool), runningRuns: make(map[TaskID]int)}
 	f.work = func(o StartOrder) int64 { return 1000 }
 	f.lookMS = 500
+	f.transitMS = 10
+	f.approvers(manyApprovers)
 	var list []WorkerInfo
 	for i := range workers {
 		id := domain.WorkerID(fmt.Sprintf("w%03d", i))
@@ -150,7 +161,7 @@
 		f.after(5, func() { f.sharing.pace(f, o) })
 	}
 	for _, r := range out.Approvals {
-		f.after(int64(r.ExpectedMS)+10, func() { f.approve(r) })
+		f.ask(r)
 	}
 	f.write()
 }
@@ -187,14 +198,40 @@
 	f.after(f.writeMS, done)
 }
 
+// manyApprovers leaves no request waiting for an instance.
+const manyApprovers = 200
+
+// approvers sets the number of instances that ask the approval service.
+func (f *fleet) approvers(n int) {
+	f.addresses = make([]string, n)
+	for i := range f.addresses {
+		f.addresses[i] = fmt.Sprintf("instance-%03d", i)
+	}
+	f.servedMS, f.waits = make(map[string]int64), make(map[domain.QueueID][]int64)
+	f.m.SetApprovers(f.addresses)
+}
+
+// ask has the approval service answer, one request of an instance after the other.
+func (f *fleet) ask(r ApprovalRequest) {
+	instance := r.Grant.Instance
+	f.waits[r.Queue] = append(f.waits[r.Queue], r.WaitedMS)
+	served := max(f.nowMS+f.transitMS/2, f.servedMS[instance]) + int64(r.Grant.ExpectedMS)
+	f.servedMS[instance] = served
+	f.after(served+f.transitMS-f.transitMS/2-f.nowMS, func() { f.approve(r) })
+}
+
 func (f *fleet) approve(r ApprovalRequest) {
 	var good []Approval
+	share := f.good
+	if f.goodOf != nil {
+		share = f.goodOf(r)
+	}
 	for _, w := range r.Workers {
-		if fnv(string(r.Step.Job)+string(w)) < f.good {
+		if fnv(string(r.Step.Job)+string(w)) < share {
 			good = append(good, Approval{w, "t"})
 		}
 	}
-	f.m.ApprovalAnswered(r.Step, r.Workers, good, 1500)
+	f.m.ApprovalAnswered(r, good, 1500)
 }
 
 func fnv(s string) float64 {
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"auburnpier/internal/core/approvals"
 	"auburnpier/internal/domain"
 )
 
@@ -80,6 +81,7 @@
 	forgotten      []domain.JobID
 	dirty          []*job
 	approvals      map[domain.QueueID]*approvalStats
+	approvers      approvals.Pool
 	// imagePaces is the pace at which leftover tasks of an image did not disturb
 	// serving tasks.
 	imagePaces          map[string]float64
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -86,10 +86,12 @@
 
 	// verdicts is indexed by the workers' slots and may be shorter. Tickets are
 	// kept by slot for the few workers that were approved.
-	tickets    map[int]approval
-	verdicts   []verdict
-	asked      bool
-	asking     bool
+	tickets  map[int]approval
+	verdicts []verdict
+	asked    bool
+	asking   bool
+	// wantsMS is since when the step wants to ask, zero where it does not.
+	wantsMS    int64
 	askAgainMS int64
 	orderKey   int64
 	// waitReason is why the last pass placed nothing more; waitNoted is the last one logged.
--- a/internal/core/jobs/output.go
+++ b/internal/core/jobs/output.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "auburnpier/internal/domain"
+import (
+	"auburnpier/internal/core/approvals"
+	"auburnpier/internal/domain"
+)
 
 // StartOrder tells a worker to start a task.
 type StartOrder struct {
@@ -30,8 +33,10 @@
 	Step    StepID
 	Queue   domain.QueueID
 	Workers []domain.WorkerID
-	// ExpectedMS is how long the service takes to answer.
-	ExpectedMS float64
+	// Grant names the instance that sends the request.
+	Grant approvals.Grant
+	// WaitedMS is how long the step waited for an instance.
+	WaitedMS int64
 }
 
 // Note is one decision for the log.
