--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -183,7 +183,8 @@
 	rejection := s.submit(ctx, c, id, spec, deadline)
 	s.metrics.Timer("job.answer").UpdateSince(begun)
 	if rejection == nil {
-		s.log.Info("job_accepted", zap.String("job", string(id)))
+		s.log.Info("job_accepted", zap.String("job", string(id)), zap.String("queue", string(c.Route.Queue.Name)),
+			zap.String("team", string(c.Team)))
 		return nil
 	}
 	event := "job_refused"
