Name as many workers in a request as add little to its fixed duration

Ruled out: tickets that lapse; a gang whose workers have room keeps it until its tickets arrive. Change: a request names at least as many workers as lengthen it by a quarter, for gangs by half.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -25,6 +25,11 @@
 	// part of a second of its objective of many.
 	gangApprovalSurplus = 3
 	approvalExtra       = 2
+	// cheapShare of a request's fixed duration may go into naming workers. The
+	// next request for the same step would cost the fixed part again.
+	cheapShare = 0.25
+	// gangCheapShare is the same for gangs, which need room at many workers at once.
+	gangCheapShare = 0.5
 	// MaxApprovalWorkers is the most workers that one request names.
 	MaxApprovalWorkers = 100
 	// approvalMarginMS is the way of a start order that uses an approval.
@@ -224,10 +229,24 @@
 			break
 		}
 	}
-	least := int(math.Ceil(2 / rate))
+	least := max(int(math.Ceil(2/rate)), cheapCount(s))
 	return min(MaxApprovalWorkers, max(workers+approvalExtra, least))
 }
 
+// cheapCount is how many workers may be named at little cost beside the fixed
+// part of the request.
+func cheapCount(s *step) int {
+	policy := s.job.queue.Approval
+	if policy.PerWorkerMS <= 0 {
+		return MaxApprovalWorkers
+	}
+	share := cheapShare
+	if s.spec.Gang {
+		share = gangCheapShare
+	}
+	return int(policy.BaseMS * share / policy.PerWorkerMS)
+}
+
 func (m *Machine) fitCount(s *step, w *worker, need domain.Resources) int {
 	most := s.waiting
 	if s.spec.MaxPerWorker > 0 {
