Let work with time to spare yield to short work

Those beyond their team's weight and those that were late waited behind all steps within rate and in time, also ones with ten seconds to spare, until 20 to 40 s later everything else had ended. Ruled out: approvals (waits for an instance 32 ms at p99 by then), and the team's limit (used 380 of 490 cores in the flood). Change: steps that are in time have a first tier only while half of their time to spare or less is left, or where they are gangs; all other useful steps share one tier, ordered by priority, then rank. Hopeless ones stay last.

--- a/internal/core/jobs/approval_test.go
+++ b/internal/core/jobs/approval_test.go
@@ -131,3 +131,41 @@
 		t.Errorf("%.3f of the lookups are in time after a takeover, want 0.90", share)
 	}
 }
+
+// Guards against a team that sends more than its weight grants and whose short
+// jobs then wait behind work of seconds that has time to spare, and against
+// other teams that are late for it.
+func TestFloodOfOneTeam(t *testing.T) {
+	f := newLensFleet(t, 7)
+	f.m.Configure(lensQueues, []Team{{ID: "hot", Weight: 15, Limit: domain.Resources{CPUMilli: 490_000}}, {ID: "team", Weight: 60}})
+	playLens(f, 300, 20_000, 1)
+	for i := range lensQueues {
+		q := &lensQueues[i]
+		n := 0
+		for at := 2000.0; at < 10_000; at += f.rng.ExpFloat64() * 1000 / (2 * lensRates[q.Name]) {
+			n++
+			id := domain.JobID(fmt.Sprintf("flood-%s-%d", q.Name, n))
+			f.after(int64(at)-f.nowMS, func() { f.submit(id, q, "hot", lensSpec(q.Name)) })
+		}
+	}
+	f.runUntil(60_000)
+	f.check()
+	if share := f.reportWaits("lookup"); share < 0.9 {
+		t.Errorf("%.3f of the other teams' lookups are in time during a flood, want 0.90", share)
+	}
+	spec := lensSpec("lookup")
+	useful := lateFactor * ObjectiveMS(&spec, &lensQueues[0])
+	served, accepted := 0, 0
+	for id, begun := range f.submitted {
+		if strings.HasPrefix(string(id), "flood-lookup") {
+			accepted++
+			if done, ok := f.completed[id]; ok && done-begun <= useful {
+				served++
+			}
+		}
+	}
+	t.Logf("%d of %d accepted lookups of the flood were of use", served, accepted)
+	if float64(served) < 0.95*float64(accepted) {
+		t.Errorf("%d of %d accepted lookups of the flood were of use, want 95 %%", served, accepted)
+	}
+}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -94,6 +94,7 @@
 	wantsMS    int64
 	askAgainMS int64
 	orderKey   int64
+	tier       int64
 	// waitReason is why the last pass placed nothing more; waitNoted is the last one logged.
 	waitReason, waitNoted string
 	reservation           map[*worker]domain.Resources
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -37,6 +37,45 @@
 	return rankNormal
 }
 
+// Tiers of waiting steps, before priority.
+const (
+	// tierHurried steps miss their objective if they wait much longer.
+	tierHurried int64 = iota
+	// tierPatient steps have time left, or are late, or beyond their team's rate.
+	tierPatient
+	tierHopeless
+)
+
+// Figures of the time that a step has to spare.
+const (
+	// hurriedShare of the time to spare at the beginning is when a step is hurried.
+	hurriedShare = 0.5
+	// hurriedMS is the time to spare under which a step is always hurried. Room
+	// and approvals may take that long when all is full.
+	hurriedMS = 2000
+)
+
+// tier orders a waiting step of a rank. Work that has time to spare yields to
+// short work of any kind until half of that time is used up. Gangs do not: they
+// need it to gather approvals and room. A team that sends
+// more than its weight grants makes no other late.
+func (m *Machine) tier(s *step, rank int64) int64 {
+	switch {
+	case rank == rankHopeless:
+		return tierHopeless
+	case rank != rankNormal:
+		return tierPatient
+	case s.spec.Lasting || s.spec.Gang:
+		return tierHurried
+	}
+	spare := s.occ.deadlineMS - m.nowMS - s.spec.EstimateMS
+	initial := s.job.objectiveMS() - s.job.chainMS
+	if spare < max(hurriedMS, int64(hurriedShare*float64(initial))) {
+		return tierHurried
+	}
+	return tierPatient
+}
+
 // passIntervalMS is the least time between placement passes. Changes in
 // between are placed together.
 const passIntervalMS = 8
@@ -74,6 +113,7 @@
 	}
 	for _, s := range m.ready {
 		s.orderKey = m.rank(s)
+		s.tier = m.tier(s, s.orderKey)
 	}
 	slices.SortStableFunc(m.ready, compareSteps)
 	m.pass = make(map[string]*servicePass)
@@ -126,8 +166,9 @@
 
 func compareSteps(a, b *step) int {
 	return cmp.Or(
-		cmp.Compare(a.orderKey, b.orderKey),
+		cmp.Compare(a.tier, b.tier),
 		cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+		cmp.Compare(a.orderKey, b.orderKey),
 		cmp.Compare(a.occ.deadlineMS, b.occ.deadlineMS),
 		cmp.Compare(a.job.id, b.job.id),
 		cmp.Compare(a.number, b.number),
