--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -289,6 +289,32 @@
 	c.store.SetFault(leasestore.None)
 }
 
+// Guards against a result that is ready and is withheld until the store is
+// back, and against a job that is shown as completed before it is.
+func TestCompletedWhileStoreIsDown(t *testing.T) {
+	c := newCellTest(t, 300*time.Millisecond)
+	i := c.start("a")
+	cell := i.owned(t)
+	c.submit(cell, "job", 2)
+	c.store.SetFault(leasestore.Down)
+	defer c.store.SetFault(leasestore.None)
+	shown := func() (port.StateReply, error) {
+		return cell.State(context.Background(), port.JobCall{Job: "job", Team: "team"})
+	}
+	begun := time.Now()
+	for time.Since(begun) < 3*time.Second {
+		if r, err := shown(); err == nil && r.State == jobs.Completed {
+			if took := time.Since(begun); took < 150*time.Millisecond {
+				t.Errorf("the job was shown as completed after %v, its tasks run for 300 ms", took)
+			}
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r, err := shown()
+	t.Errorf("3 s after the store went down the job of 300 ms is shown as %+v, %v", r, err)
+}
+
 // Guards against a handover that waits for a moment without changes, which
 // under load never comes.
 func TestResignUnderLoad(t *testing.T) {
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -167,12 +167,15 @@
 
 // State implements port.OwnerCalls.
 func (c *Cell) State(ctx context.Context, j port.JobCall) (port.StateReply, error) {
-	// A former owner does not know the jobs that its successor accepted.
-	if !c.confirmed() {
-		return port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance}
-	}
+	confirmed := c.confirmed()
 	return ask(ctx, c, func(reply func(port.StateReply, error)) {
 		state, team, known := c.machine.Known(j.Job)
+		// A former owner does not know what its successor did, but that a job has
+		// completed stays true.
+		if !confirmed && (!known || state != jobs.Completed) {
+			reply(port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance})
+			return
+		}
 		reply(port.StateReply{Known: known && team == j.Team, State: state}, nil)
 	})
 }
