Answer submissions whose write the store refuses

Ruled out: lost answers of the store; those still leave the outcome unknown. Change: a write that was refused at each try for 450 ms is given up, its changes wait for the next one, and new jobs in it are withdrawn and refused with a time to come back. TestRefusedWriteIsAnswered fails before (held 5 s).

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -61,6 +61,8 @@
 	lastWrite      int64
 	// storeHeardMS is when a write was answered last, or none was under way.
 	storeHeardMS int64
+	// storeRefuses tells that the last write was given up because it had no effect.
+	storeRefuses bool
 	acked        map[domain.WorkerID]int64
 	// endSeenMS is when the first end that is not acknowledged was listed.
 	endSeenMS map[domain.WorkerID]int64
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -289,6 +289,38 @@
 	c.store.SetFault(leasestore.None)
 }
 
+// Guards against a submission whose write the store refuses and that is held
+// until its deadline and answered with an unknown outcome, though it has not run.
+func TestRefusedWriteIsAnswered(t *testing.T) {
+	c := newCellTest(t, 50*time.Millisecond)
+	i := c.start("a")
+	cell := i.owned(t)
+	c.submit(cell, "before", 1)
+	c.completed(i, "before")
+	c.store.SetFault(leasestore.Down)
+	for _, id := range []string{"first", "second"} {
+		begun := time.Now()
+		r := c.submit(cell, id, 1)
+		if r.Accepted || r.Unknown || r.RetryAfterMS == 0 {
+			t.Errorf("%s: the store refused the write and the answer is %+v, want a refusal with a time to come back", id, r)
+		}
+		if took := time.Since(begun); took > 2*storeDown {
+			t.Errorf("%s: the refusal took %v, want at most %v", id, took, 2*storeDown)
+		}
+	}
+	c.store.SetFault(leasestore.None)
+	// The claim has ended meanwhile.
+	next := i.owned(t)
+	if r, err := next.State(context.Background(), port.JobCall{Job: "first", Team: "team"}); err != nil || r.Known {
+		t.Errorf("a job that was refused is shown as %+v, %v once the store is back", r, err)
+	}
+	if r := c.submit(next, "first", 1); !r.Accepted {
+		t.Errorf("the job that was refused is answered with %+v when it is sent again", r)
+	}
+	c.completed(i, "first")
+	c.check()
+}
+
 // Guards against a result that is ready and is withheld until the store is
 // back, and against a job that is shown as completed before it is.
 func TestCompletedWhileStoreIsDown(t *testing.T) {
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -35,7 +35,7 @@
 // write starts the next write where there is something to store.
 func (c *Cell) write(now int64) {
 	c.releaseEnds()
-	if c.writing == 0 {
+	if c.writing == 0 && !c.storeRefuses {
 		c.storeHeardMS = now
 	}
 	if now-c.storeHeardMS > storeDown.Milliseconds() {
@@ -104,18 +104,32 @@
 		c.end("state cannot be encoded")
 		return
 	}
-	if err := c.commit(l, puts, deletes); err != nil {
+	err = c.commit(l, puts, deletes)
+	if err != nil && !errors.Is(err, errWithoutEffect) {
 		c.end(err.Error())
 		return
 	}
 	c.post(func() {
 		l.busy = false
 		c.writing--
+		if c.storeRefuses = err != nil; c.storeRefuses {
+			c.machine.NotStored(batch)
+			c.withdrawWaiting()
+			return
+		}
 		c.storeHeardMS = steady.NowMS()
 		c.stored(batch)
 	})
 }
 
+// errWithoutEffect tells that no try of a transaction had an effect.
+var errWithoutEffect = errors.New("the transaction had no effect")
+
+func withoutEffect(err error) bool {
+	var unavailable *port.UnavailableError
+	return errors.As(err, &unavailable)
+}
+
 func entriesOf(b *jobs.Batch) ([]port.Put, []string, error) {
 	var puts []port.Put
 	var deletes []string
@@ -144,7 +158,9 @@
 }
 
 // commit writes one transaction of the reign. It repeats until the outcome is
-// known, and fails once another instance has claimed the cell.
+// known, and fails once another instance has claimed the cell. Where the store
+// refuses every try, it returns errWithoutEffect, so that callers can be told
+// that their jobs have not run.
 func (c *Cell) commit(l *lane, puts []port.Put, deletes []string) error {
 	r := c.reign
 	l.number++
@@ -158,6 +174,7 @@
 		Puts:    append([]port.Put{{Key: l.key, Value: value}}, puts...),
 		Deletes: deletes,
 	}
+	first, refused := time.Now(), true
 	for c.ctx.Err() == nil {
 		begun := time.Now()
 		revision, err := c.commitOnce(txn)
@@ -177,6 +194,9 @@
 		}
 		c.metrics.Counter("store.commit.repeated").Inc(1)
 		c.log.Warn("write repeated", zap.Int64("sequence", mine.Number), zap.Error(err))
+		if refused = refused && withoutEffect(err); refused && time.Since(first) >= storeDown {
+			return errWithoutEffect
+		}
 		ctxtime.Sleep(c.ctx, writeRetry)
 	}
 	return errCellClosed
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -200,6 +200,25 @@
 	m.needsPass = true
 }
 
+// NotStored tells that the write of a batch certainly had no effect. Its
+// changes wait for the next one, and new jobs may be withdrawn.
+func (m *Machine) NotStored(b *Batch) {
+	for _, taken := range b.taken {
+		j := taken.job
+		j.writing = false
+		j.written = j.durable
+		if !j.dirty {
+			j.dirty = true
+			m.dirty = append(m.dirty, j)
+		}
+	}
+	m.forgotten = append(m.forgotten, b.Forgotten...)
+	if b.Members != nil {
+		m.membersWriting = false
+		m.membersChanged = true
+	}
+}
+
 // Acknowledgeable returns the last end of the worker that may be acknowledged:
 // all effects of the ends up to it are stored.
 func (m *Machine) Acknowledgeable(id domain.WorkerID) int64 {
