Admit by each team's backlog and limit, from kept sums

Cause: the backlog of a team that its own limit keeps from running counted in full against the other teams' jobs, and not at all against its own limit; and each submission went over all workers and all waiting steps. Change: admit.go sums work by team and priority, in processors and memory, at most every 100 ms; other teams count for no more than their limits permit in the time that the job has to spare, and a team's own backlog is held against its limit where half of that is in use.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -1,38 +1,170 @@
 package jobs
 
+import "auburnpier/internal/domain"
+
 // Figures of admission.
 const (
-	// backlogFactor times the objective is the wait at which a job is refused.
+	// backlogFactor times the time that a job has to spare is the wait at which it
+	// is refused. One that starts later is late, and makes those behind it late.
 	backlogFactor = 1.0
 	// minRetryMS and maxRetryMS bound the advice when to come back.
 	minRetryMS = 1000
 	maxRetryMS = 5000
+	// loadAgeMS is how old the sums may be from which jobs are admitted. Jobs that
+	// were accepted meanwhile are added.
+	loadAgeMS = 100
+	// busyShare of a service, or of a team's limit, has to be in use before a
+	// backlog is taken for more than a moment's wait.
+	busyShare = 0.5
 )
 
-// overloaded reports whether the work that waits before a new job of the queue
-// would use up the job's objective, and when it is worth coming back.
-func (m *Machine) overloaded(q *Queue, t *team, spec *Spec) (retryMS int64, refuse bool) {
-	var capacity, busy float64
-	for _, w := range m.order {
-		if w.service == q.Service && w.registered && w.contacted && !w.draining {
-			capacity += float64(w.capacity.CPUMilli)
-			busy += float64(w.used.CPUMilli)
+// work is an amount of resources over time.
+type work struct {
+	// cpu is in thousandths of a core, memory in MB, both times milliseconds.
+	cpu, memory float64
+}
+
+func workOf(need domain.Resources, tasks int, ms int64) work {
+	x := float64(tasks) * float64(ms)
+	return work{cpu: float64(need.CPUMilli) * x, memory: float64(need.MemoryMB) * x}
+}
+
+func (w work) add(o work) work { return work{cpu: w.cpu + o.cpu, memory: w.memory + o.memory} }
+
+// atMost bounds the work by what a limit permits in the time; a zero component bounds nothing.
+func (w work) atMost(limit domain.Resources, ms float64) work {
+	if limit.CPUMilli > 0 {
+		w.cpu = min(w.cpu, float64(limit.CPUMilli)*ms)
+	}
+	if limit.MemoryMB > 0 {
+		w.memory = min(w.memory, float64(limit.MemoryMB)*ms)
+	}
+	return w
+}
+
+// timeOn is how long resources of that size take for the work, in milliseconds.
+func (w work) timeOn(r domain.Resources) float64 {
+	ms := 0.0
+	if r.CPUMilli > 0 {
+		ms = max(ms, w.cpu/float64(r.CPUMilli))
+	}
+	if r.MemoryMB > 0 {
+		ms = max(ms, w.memory/float64(r.MemoryMB))
+	}
+	return ms
+}
+
+// load is what a service can do and what waits for it.
+type load struct {
+	capacity, used domain.Resources
+	waiting        map[backlogKey]work
+}
+
+type backlogKey struct {
+	team     *team
+	priority int
+}
+
+func (l *load) add(t *team, priority int, w work) {
+	k := backlogKey{t, priority}
+	l.waiting[k] = l.waiting[k].add(w)
+}
+
+// ahead returns the work of each team that comes before a new job of the priority.
+func (l *load) ahead(priority int) map[*team]work {
+	sums := make(map[*team]work)
+	for k, w := range l.waiting {
+		if k.priority <= priority {
+			sums[k.team] = sums[k.team].add(w)
 		}
 	}
-	if capacity == 0 || spec.Recurring() {
-		return 0, false
+	return sums
+}
+
+// waitMS estimates how long a new job of the team waits until its turn comes.
+// Other teams take no more of the time than their limits permit, so that a
+// flood of one of them is no reason to refuse the others.
+func (l *load) waitMS(t *team, priority int, spareMS float64) float64 {
+	var all work
+	wait := 0.0
+	for other, w := range l.ahead(priority) {
+		if other != t {
+			all = all.add(w.atMost(other.Limit, spareMS))
+			continue
+		}
+		all = all.add(w)
+		if isBusy(t.used, t.Limit) {
+			wait = w.timeOn(t.Limit)
+		}
+	}
+	if isBusy(l.used, l.capacity) {
+		wait = max(wait, all.timeOn(l.capacity))
+	}
+	return wait
+}
+
+func isBusy(used, of domain.Resources) bool {
+	busy := func(used, of int64) bool { return of > 0 && float64(used) >= busyShare*float64(of) }
+	return busy(used.CPUMilli, of.CPUMilli) || busy(used.MemoryMB, of.MemoryMB)
+}
+
+// loadOf returns the load of a service, summed anew where it is out of date.
+func (m *Machine) loadOf(service string) *load {
+	if m.loads == nil || m.nowMS-m.loadsMS >= loadAgeMS {
+		m.sumLoads()
+	}
+	l, ok := m.loads[service]
+	if !ok {
+		l = &load{waiting: make(map[backlogKey]work)}
+		m.loads[service] = l
+	}
+	return l
+}
+
+func (m *Machine) sumLoads() {
+	m.loads, m.loadsMS = make(map[string]*load), m.nowMS
+	for _, w := range m.order {
+		l, ok := m.loads[w.service]
+		if !ok {
+			l = &load{waiting: make(map[backlogKey]work)}
+			m.loads[w.service] = l
+		}
+		if w.registered && w.contacted && !w.draining {
+			l.capacity = l.capacity.Add(w.capacity)
+			l.used = l.used.Add(w.used)
+		}
 	}
-	var waiting float64
 	for _, s := range m.ready {
-		if s.job.queue.Service == q.Service && s.job.queue.Priority <= q.Priority && s.orderKey <= rankNormal {
-			waiting += float64(s.spec.Need.CPUMilli) * float64(s.waiting) * float64(s.spec.EstimateMS)
+		if l, ok := m.loads[s.job.queue.Service]; ok && s.orderKey <= rankNormal {
+			l.add(s.job.team, s.job.queue.Priority, workOf(s.spec.Need, s.waiting, s.spec.EstimateMS))
 		}
 	}
-	// Work that has to be done before the job's turn, at full speed of the fleet.
-	waitMS := waiting / capacity
-	slack := float64(q.ObjectiveMS) + (q.Stretch-1)*float64(chainOf(spec, q))
-	if waitMS <= slack*backlogFactor || busy < capacity/2 {
+}
+
+// overloaded reports whether the work that waits before a new job of the queue
+// would use up the time that the job has to spare, and when it is worth coming back.
+func (m *Machine) overloaded(q *Queue, t *team, spec *Spec) (retryMS int64, refuse bool) {
+	l := m.loadOf(q.Service)
+	if l.capacity.IsZero() || spec.Recurring() {
 		return 0, false
 	}
-	return min(maxRetryMS, max(minRetryMS, int64(waitMS-slack))), true
+	spareMS := float64(ObjectiveMS(spec, q) - chainOf(spec, q))
+	waitMS := l.waitMS(t, q.Priority, spareMS)
+	if waitMS <= spareMS*backlogFactor {
+		return 0, false
+	}
+	return min(maxRetryMS, max(minRetryMS, int64(waitMS-spareMS))), true
+}
+
+// noteAdmitted counts the first steps of an accepted job as waiting.
+func (m *Machine) noteAdmitted(j *job) {
+	if j.overRate {
+		return
+	}
+	l := m.loadOf(j.queue.Service)
+	for i := range j.spec.Steps {
+		if s := &j.spec.Steps[i]; len(s.After) == 0 {
+			l.add(j.team, j.queue.Priority, workOf(s.Need, s.Tasks, s.EstimateMS))
+		}
+	}
 }
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -82,6 +82,9 @@
 	dirty          []*job
 	approvals      map[domain.QueueID]*approvalStats
 	approvers      approvals.Pool
+	// loads holds the load of each service as of loadsMS.
+	loads   map[string]*load
+	loadsMS int64
 	// approverAtMS is when a step that found no instance free may find one, zero for none.
 	approverAtMS int64
 	// imagePaces is the pace at which leftover tasks of an image did not disturb
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -61,6 +61,7 @@
 	j.epoch = m.cfg.Epoch
 	j.overRate = !t.takeToken(m.nowMS)
 	m.insert(j)
+	m.noteAdmitted(j)
 	m.markDirty(j)
 	return SubmitResult{}
 }
