Keep a team's limit for its short urgent steps and for its gangs

Cause: in a flood of one team its lookups beyond the rate waited behind its own gangs for the limit; each part of the limit that became free went to small tasks, so that a gang never fitted; and of a pass at most ten gangs were considered, which the flood's gangs, stopped by the limit, took up: other teams' gangs waited for "more urgent steps" on a half-free fleet. Ruled out: approvals for lookups (0.1 s to the first start at the median). Change: a step leaves the limit to its team's more urgent steps of half its duration or less; the first gang that the limit stops keeps what it needs of it; gangs that the limit stops take no other's turn, and a pass considers as many gangs as go over 10,000 workers.

--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -13,6 +13,7 @@
 	waitNotStored  = "job is not stored yet"
 	waitSuspects   = "workers of the former owner have not reported"
 	waitTeamLimit  = "team is at its limit"
+	waitTeamUrgent = "the team's limit is left to its more urgent steps"
 	waitTooWide    = "gang is wider than the team's limit"
 	waitTurn       = "more urgent steps come first in this pass"
 	waitRoom       = "no worker has room"
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -21,17 +21,13 @@
 	preemptAgainMS = 1200
 )
 
-// placeGang starts all members of a gang or none.
-func (m *Machine) placeGang(s *step, blocked map[*team]bool) {
-	if s.waiting < s.open {
-		s.waitReason = waitRepair
-		m.repairGang(s)
-		return
-	}
+// gangMayStart reports whether neither the team's limit nor the state of a
+// member keeps a gang from its start.
+func (m *Machine) gangMayStart(s *step, blocked map[*team]bool) bool {
 	j := s.job
 	for _, t := range s.tasks {
 		if !m.startable(t) {
-			return
+			return false
 		}
 	}
 	total := s.spec.Need.Scale(int64(s.open))
@@ -41,11 +37,23 @@
 			// It starts once the team runs nothing else, so nothing else is started.
 			s.waitReason = waitTooWide
 			blocked[j.team] = true
+		} else if j.team.kept.IsZero() {
+			// Small tasks of the team would take each part that becomes free.
+			j.team.kept = total
 		}
-		return
+		return false
 	}
+	if !j.team.leavesRoom(s, total) && !j.team.used.IsZero() {
+		s.waitReason = waitTeamUrgent
+		return false
+	}
+	return true
+}
+
+// placeGang starts all members of a gang or none.
+func (m *Machine) placeGang(s *step) {
 	if plan := m.planGang(s, m.approved, m.freeFor); plan != nil {
-		if !j.durable {
+		if !s.job.durable {
 			s.waitReason = waitNotStored
 			m.hold(s, plan)
 			return
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -168,7 +168,7 @@
 func (m *Machine) teamOf(id domain.TeamID) *team {
 	t, ok := m.teams[id]
 	if !ok {
-		t = &team{Team: Team{ID: id}, tokensMS: m.nowMS, tokens: -1}
+		t = &team{Team: Team{ID: id}, tokensMS: m.nowMS, tokens: -1, demand: make(map[int]demand)}
 		m.teams[id] = t
 	}
 	return t
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -264,6 +264,10 @@
 	// unseen bounds what else the team's tasks may run on workers of the former
 	// owner that have not reported.
 	unseen domain.Resources
+	// demand is what the team's useful waiting steps need, by the priority of their queues.
+	demand map[int]demand
+	// kept is the part of the limit that a gang waits for in this pass.
+	kept domain.Resources
 	// tokens counts the jobs that the team may hand in at once within its weight.
 	tokens   float64
 	tokensMS int64
@@ -272,11 +276,34 @@
 
 // withinLimit reports whether the team may start a task of that size.
 func (t *team) withinLimit(need domain.Resources) bool {
-	after := t.used.Add(t.unseen).Add(need)
+	after := t.used.Add(t.unseen).Add(t.kept).Add(need)
 	return within(after.CPUMilli, t.Limit.CPUMilli) && within(after.MemoryMB, t.Limit.MemoryMB) &&
 		within(after.Accelerators, t.Limit.Accelerators)
 }
 
+// demand is what waiting steps need, and how long their tasks take together.
+type demand struct {
+	need  domain.Resources
+	tasks int
+	sumMS int64
+}
+
+// shorterFactor is how much longer a step's tasks have to be than more urgent
+// ones to leave them room: it then waits little for them, and they much for it.
+const shorterFactor = 2
+
+// leavesRoom reports whether the limit has room for the step's need beside what
+// the team's more urgent and shorter steps wait for. They may be later in the
+// order of the cell, where the team sends more than its weight grants.
+func (t *team) leavesRoom(s *step, need domain.Resources) bool {
+	for priority, d := range t.demand {
+		if priority < s.job.queue.Priority && d.sumMS*shorterFactor <= s.spec.EstimateMS*int64(d.tasks) {
+			need = need.Add(d.need)
+		}
+	}
+	return t.withinLimit(need)
+}
+
 // fitsAlone reports whether work of that size is within the limit and its
 // permitted overshoot while the team runs nothing else.
 func (t *team) fitsAlone(need domain.Resources, overshoot float64) bool {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -86,9 +86,11 @@
 	scansTimesWorkers = 42_000
 	minScansPerPass   = 60
 	maxScansPerPass   = 400
+	// gangsTimesWorkers bounds the gangs of a pass in the same way, and
+	// workersPerGang lets a large fleet place more.
+	gangsTimesWorkers = 10_000
 	minGangsPerPass   = 10
-	// workersPerGang lets a large fleet place more gangs in a pass.
-	workersPerGang = 10
+	workersPerGang    = 10
 )
 
 // servicePass is what a placement pass knows of a service's workers.
@@ -121,6 +123,7 @@
 		w.held = domain.Resources{}
 	}
 	m.countUnseen()
+	m.countDemand()
 	blocked := make(map[*team]bool)
 	for _, s := range slices.Clone(m.ready) {
 		if s.ready {
@@ -175,6 +178,23 @@
 	)
 }
 
+// countDemand sums what the teams' useful steps wait for.
+func (m *Machine) countDemand() {
+	for _, t := range m.teams {
+		clear(t.demand)
+		t.kept = domain.Resources{}
+	}
+	for _, s := range m.ready {
+		if t := s.job.team; s.tier != tierHopeless {
+			d := t.demand[s.job.queue.Priority]
+			d.need = d.need.Add(s.spec.Need.Scale(int64(s.waiting)))
+			d.tasks += s.waiting
+			d.sumMS += int64(s.waiting) * s.spec.EstimateMS
+			t.demand[s.job.queue.Priority] = d
+		}
+	}
+}
+
 // countUnseen bounds what each team may run on workers that have not reported
 // since the takeover: no more than its recovered tasks that are not accounted
 // for, and no more than those workers hold.
@@ -229,9 +249,19 @@
 		return
 	}
 	if s.spec.Gang {
-		if p.gangs++; p.gangs <= max(minGangsPerPass, len(p.usable)/workersPerGang) || s.waiting < s.open {
+		if s.waiting < s.open {
+			s.waitReason = waitRepair
+			m.repairGang(s)
+			p.stale = true
+			return
+		}
+		// A gang that its team's limit keeps back takes no other's turn.
+		if !m.gangMayStart(s, blocked) {
+			return
+		}
+		if p.gangs++; p.gangs <= gangsPerPass(len(p.usable)) {
 			p.scans++
-			m.placeGang(s, blocked)
+			m.placeGang(s)
 			p.stale = true
 		}
 		return
@@ -255,6 +285,10 @@
 			s.waitReason = waitTeamLimit
 			return
 		}
+		if !j.team.leavesRoom(s, s.spec.Need) {
+			s.waitReason = waitTeamUrgent
+			return
+		}
 		w := m.pick(s)
 		if w == nil || !j.durable {
 			break
@@ -266,6 +300,10 @@
 	}
 }
 
+func gangsPerPass(workers int) int {
+	return max(minGangsPerPass, workers/workersPerGang, gangsTimesWorkers/max(1, workers))
+}
+
 // startable reports whether nothing keeps a waiting task from its next run.
 func (m *Machine) startable(t *task) bool {
 	return m.nowMS >= t.notBeforeMS && t.givenUpVersion <= t.step.job.storedVersion
