End the claim of an owner whose process is proven gone

Cause: after the owner's process was killed nobody accepted work until its claim expired, 1.2 s of the 0.5 to 1 s that the short class has beyond its run. Ruled out: a shorter claim; the platform's least is 1 s, and a slow store takes two renewals of it. Change: an instance whose call to the owner has no answer probes it; where two connections in a row are refused, so that the VM is up and nothing listens, it ends the lease that the claim names. Silence, a cut or a freeze proves nothing.

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,30 +29,52 @@
 )
 
 // Dialer reaches other instances.
-type Dialer struct{ client *http.Client }
+type Dialer struct {
+	client *http.Client
+	net    *net.Dialer
+	// OnFailure is told the address of each call that had no answer. It is set
+	// before the first call.
+	OnFailure func(address string)
+}
 
 // NewDialer returns a dialer with its own connections.
 func NewDialer() *Dialer {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: 2 * time.Second}
-	return &Dialer{&http.Client{Transport: &http.Transport{
+	return &Dialer{net: d, OnFailure: func(string) {}, client: &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: IdleTimeout,
 		DisableCompression: true, WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
 	}}}
 }
 
 // Owner implements entry.Dialer.
-func (d *Dialer) Owner(address string) port.OwnerCalls { return &peer{d.client, address} }
+func (d *Dialer) Owner(address string) port.OwnerCalls { return d.peer(address) }
+
+func (d *Dialer) peer(address string) *peer { return &peer{d.client, address, d.OnFailure} }
+
+// Probe returns a *port.ProcessGoneError where the VM at address refuses
+// connections: its system is up and no process listens there.
+func (d *Dialer) Probe(ctx context.Context, address string) error {
+	conn, err := d.net.DialContext(ctx, "tcp", address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return &port.ProcessGoneError{Address: address, Err: err}
+	case err != nil:
+		return &port.OwnerUnreachableError{Address: address, NotSent: true, Err: err}
+	}
+	return conn.Close()
+}
 
 // Approver implements owner.PeerDirectory.
-func (d *Dialer) Approver(h port.Hello) port.Approver { return &peer{d.client, h.Address} }
+func (d *Dialer) Approver(h port.Hello) port.Approver { return d.peer(h.Address) }
 
 // Store reaches the store through the instance at address.
-func (d *Dialer) Store(address string) port.LeaseStore { return &relayStore{&peer{d.client, address}} }
+func (d *Dialer) Store(address string) port.LeaseStore { return &relayStore{d.peer(address)} }
 
 // peer is another instance.
 type peer struct {
-	client  *http.Client
-	address string
+	client    *http.Client
+	address   string
+	onFailure func(address string)
 }
 
 func (p *peer) newRequest(ctx context.Context, path string, body any) (*http.Request, error) {
@@ -70,6 +94,7 @@
 func (p *peer) send(req *http.Request) (*http.Response, error) {
 	resp, err := p.client.Do(req)
 	if err != nil {
+		p.onFailure(p.address)
 		return nil, &port.OwnerUnreachableError{Address: p.address, NotSent: port.NotSent(err), Err: err}
 	}
 	return resp, nil
--- a/internal/adapter/cellhttp/registry.go
+++ b/internal/adapter/cellhttp/registry.go
@@ -20,7 +20,7 @@
 
 // Registry reaches the registry of workers through the instance.
 func (d *Dialer) Registry(h port.Hello) port.WorkerChanges {
-	return &relayRegistry{&peer{d.client, h.Address}}
+	return &relayRegistry{d.peer(h.Address)}
 }
 
 // Changes implements port.WorkerChanges.
--- a/internal/adapter/cellhttp/relay.go
+++ b/internal/adapter/cellhttp/relay.go
@@ -16,7 +16,7 @@
 // sent as soon as it is there. Its end without an error tells that all were answered.
 
 // Workers returns the relay of the instance to the workers.
-func (d *Dialer) Workers(h port.Hello) port.WorkerRelay { return &peer{d.client, h.Address} }
+func (d *Dialer) Workers(h port.Hello) port.WorkerRelay { return d.peer(h.Address) }
 
 // Looks implements port.LookRelay. A look may be sent twice: what it extends
 // and acknowledges is the same.
--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -44,7 +44,7 @@
 		}
 		if current != nil && !sameVM(current, o.options.Instance, o.options.Address) {
 			publish(Seat{Claim: current})
-			if !o.awaitChange(ctx, after) {
+			if !o.awaitChange(ctx, current, after) {
 				continue
 			}
 			revision = 0
@@ -69,7 +69,10 @@
 // awaitChange returns once the claim may have changed, and reports whether it
 // is known to have ended. The claim's condition still finds one made since, so
 // it need not be listed first.
-func (o *Owner) awaitChange(ctx context.Context, after int64) (ended bool) {
+func (o *Owner) awaitChange(ctx context.Context, current *Claim, after int64) (ended bool) {
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go o.endClaimsOfGone(watching, current)
 	for ctx.Err() == nil {
 		change, revision, err := watchClaim(ctx, o.store, after, claimWatchWait)
 		if err != nil {
@@ -102,7 +105,7 @@
 	// lives to list the jobs of a large fleet.
 	go cell.keepClaim()
 	// Calls that come meanwhile wait for the recovery.
-	publish(Seat{Claim: &Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token}, Local: cell})
+	publish(Seat{Claim: &Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token, Lease: r.lease}, Local: cell})
 	defer publish(Seat{})
 	if err := cell.recoverUntil(ctx); err != nil {
 		o.log.Warn("cell not recovered", zap.Error(err))
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -97,7 +97,7 @@
 }
 
 func (o *Owner) claimTxn(r *reign, former, sequenceRevision int64) (port.Txn, error) {
-	value, err := cbor.Marshal(Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token})
+	value, err := cbor.Marshal(Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token, Lease: r.lease})
 	if err != nil {
 		return port.Txn{}, err
 	}
--- a/internal/app/owner/keys.go
+++ b/internal/app/owner/keys.go
@@ -32,6 +32,8 @@
 	Epoch    int64             `cbor:"3,keyasint"`
 	// Token is unique to the process, so that a claim whose answer was lost is recognized.
 	Token string `cbor:"4,keyasint"`
+	// Lease is what the claim is bound to, zero in claims of earlier versions.
+	Lease int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // sequence is the value of the keys that the claims, and the transactions of one
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -6,6 +6,7 @@
 package owner
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"time"
@@ -86,6 +87,9 @@
 	Registry port.WorkerRegistry
 	// Peers are the other instances.
 	Peers PeerDirectory
+	// Probe returns a *port.ProcessGoneError where no process serves the address
+	// of an instance. It is nil where nothing proves that.
+	Probe func(ctx context.Context, address string) error
 	// VMs and Waves are nil where the platform asks for no maintenance.
 	VMs   port.VMFleet
 	Waves port.WaveSource
@@ -110,14 +114,18 @@
 	peers    PeerDirectory
 	vms      port.VMFleet
 	waves    port.WaveSource
-	log      *zap.Logger
-	metrics  *metrics.Registry
+	probe    func(ctx context.Context, address string) error
+	// suspected holds the address of an instance that calls to fail.
+	suspected chan string
+	log       *zap.Logger
+	metrics   *metrics.Registry
 }
 
 // New returns an owner.
 func New(options Options, ports Ports, log *zap.Logger, registry *metrics.Registry) *Owner {
 	return &Owner{options: options, store: ports.Store, workers: ports.Workers, registry: ports.Registry,
-		peers: ports.Peers, vms: ports.VMs, waves: ports.Waves, log: log, metrics: registry}
+		peers: ports.Peers, vms: ports.VMs, waves: ports.Waves, probe: ports.Probe,
+		suspected: make(chan string, 1), log: log, metrics: registry}
 }
 
 func newToken() string {
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -55,6 +55,8 @@
 	vms           port.VMFleet
 	waves         port.WaveSource
 	directWorkers int
+	claimTTL      time.Duration
+	probe         func(context.Context, string) error
 	// removed are workers that the registry does not list to instances that start now.
 	removed []domain.WorkerID
 }
@@ -68,7 +70,7 @@
 		c.ids = append(c.ids, domain.WorkerID(fmt.Sprintf("w%d", i)))
 	}
 	c.fleet = cellworker.New(runTime, c.ids...)
-	c.workers, c.peers, c.directWorkers = c.fleet, noPeers{}, workers
+	c.workers, c.peers, c.directWorkers, c.claimTTL = c.fleet, noPeers{}, workers, 300*time.Millisecond
 	return c
 }
 
@@ -78,6 +80,7 @@
 	done  chan struct{}
 	seats chan Seat
 	cell  *Cell
+	owner *Owner
 }
 
 func (c *cellTest) start(name string) *instance {
@@ -97,13 +100,13 @@
 	if registry == nil {
 		registry = fixed
 	}
-	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: 300 * time.Millisecond,
+	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: c.claimTTL,
 		DirectWorkers: c.directWorkers, HolderLeaseMS: 300, ClaimDelay: func() time.Duration { return 0 }, UnconfirmedTTL: 400 * time.Millisecond,
 		Machine: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
 			RetentionMS: 60_000, FarFactor: 2}},
-		Ports{Store: store, Workers: c.workers, Registry: registry, Peers: c.peers, VMs: c.vms, Waves: c.waves}, zap.NewNop(), metrics.New())
+		Ports{Store: store, Workers: c.workers, Registry: registry, Peers: c.peers, VMs: c.vms, Waves: c.waves, Probe: c.probe}, zap.NewNop(), metrics.New())
 	ctx, stop := context.WithCancel(context.Background())
-	i := &instance{stop: stop, done: make(chan struct{}), seats: make(chan Seat, 64)}
+	i := &instance{owner: o, stop: stop, done: make(chan struct{}), seats: make(chan Seat, 64)}
 	config := &port.CellConfig{Version: 1, Routes: []port.QueueRoute{{Queue: c.queue}}}
 	go func() {
 		defer close(i.done)
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -122,11 +122,12 @@
 			RetentionMS: s.Bounds.RetentionMS, FarFactor: s.Bounds.FarFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
 		},
 	}, i.ownerPorts(relay, dialer), log, i.metrics)
+	dialer.OnFailure = i.owner.Suspect
 	return i
 }
 
-func (i *Instance) ownerPorts(store port.LeaseStore, peers owner.PeerDirectory) owner.Ports {
-	p := owner.Ports{Store: store, Workers: i.adapters.Workers, Registry: i.adapters.Registry(store), Peers: peers}
+func (i *Instance) ownerPorts(store port.LeaseStore, peers *cellhttp.Dialer) owner.Ports {
+	p := owner.Ports{Store: store, Workers: i.adapters.Workers, Registry: i.adapters.Registry(store), Peers: peers, Probe: peers.Probe}
 	if len(i.settings.Platform.Duties) > 0 && i.settings.Platform.VMs != "" {
 		p.VMs, p.Waves = i.adapters.VMs, i.adapters.Waves(store)
 	}
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -148,6 +148,19 @@
 	return fmt.Sprintf("instance %s does not own the cell; ask the present owner", e.Instance)
 }
 
+// ProcessGoneError tells that the process of an instance has certainly ended.
+type ProcessGoneError struct {
+	Address string
+	Err     error
+}
+
+func (e *ProcessGoneError) Error() string {
+	return fmt.Sprintf("no process serves %s any more; its claim may be ended: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ProcessGoneError) Unwrap() error { return e.Err }
+
 // OwnerUnreachableError tells that the owner did not answer.
 type OwnerUnreachableError struct {
 	Address string
