Keep what belongs to one life of a worker from the next one

Found with a model of workers that are cut off and come back under another life (TestTasksAreAccountedFor), two causes of a second run: 1. The first look at a new life acknowledged ends by the numbers of the former one. A success of the new life that nobody had read was forgotten, and the task ran again (TestEndsOfAnotherLife). Now nothing is acknowledged where the last answer failed or is older than 1 s; where the owner alone looks at many workers, what can be acknowledged goes first (TestEndsAreAcknowledgedByALoneOwner). 2. Also: a step whose approved workers have no room says so, and the fake's verdicts no longer depend on a job's name alone.

--- a/internal/app/owner/looks.go
+++ b/internal/app/owner/looks.go
@@ -28,7 +28,12 @@
 	// extend no lease: an order that may have taken effect would keep the
 	// worker's tasks from ever lapsing.
 	reported bool
-	bornMS   int64
+	// reportedMS is when the worker answered last.
+	reportedMS int64
+	bornMS     int64
+	// acknowledging is the last end that the look under way acknowledges, and told
+	// the last one that the worker knows to be acknowledged.
+	acknowledging, told int64
 	// refused counts the looks in a row that prove that the worker is gone.
 	refused int
 	// hash chooses the group of the worker.
@@ -71,12 +76,21 @@
 	c.sendDirect(direct, now)
 }
 
-// sendDirect sends looks from here. Where not all may go out, those that have
-// waited longest come first.
+// sendDirect sends looks from here. Where not all may go out, those with
+// something to acknowledge come first, then those that have waited longest.
 func (c *Cell) sendDirect(due []*look, now int64) {
 	workers := len(c.looks)
 	if workers > c.groups.most {
-		slices.SortFunc(due, func(a, b *look) int { return cmp.Compare(a.sentMS, b.sentMS) })
+		// An acknowledgement that waits longer could not be sent any more.
+		urgent := func(l *look) int {
+			if c.acknowledged(l) > l.told {
+				return 0
+			}
+			return 1
+		}
+		slices.SortFunc(due, func(a, b *look) int {
+			return cmp.Or(cmp.Compare(urgent(a), urgent(b)), cmp.Compare(a.sentMS, b.sentMS))
+		})
 	}
 	for _, l := range due {
 		release, ok := c.groups.admitDirect(l, workers)
@@ -103,7 +117,8 @@
 
 // lookRequest returns the request of the next look, which is sent at once.
 func (c *Cell) lookRequest(l *look, wait time.Duration) port.LookRequest {
-	r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: c.acked[l.id]}
+	l.acknowledging = c.acknowledged(l)
+	r := port.LookRequest{Fence: c.reign.epoch, Acknowledged: l.acknowledging}
 	if l.reported {
 		limit, ok := c.machine.LeaseLimit(l.id)
 		if ok {
@@ -118,6 +133,21 @@
 	return r
 }
 
+// rebirthMS is the least time in which a worker's process ends and another one
+// answers under its ID.
+const rebirthMS = 1000
+
+// acknowledged returns the last end that the next look acknowledges. The
+// numbers are those of one life of the worker. Where it may have begun another
+// one since its last answer, nothing is acknowledged, so that it lists all ends
+// of the new life.
+func (c *Cell) acknowledged(l *look) int64 {
+	if !l.reported || steady.NowMS()-l.reportedMS >= rebirthMS {
+		return 0
+	}
+	return c.acked[l.id]
+}
+
 // look looks at a worker from here.
 func (c *Cell) look(id domain.WorkerID, address string, r port.LookRequest, release func()) {
 	sentMS := steady.NowMS()
@@ -159,9 +189,11 @@
 	l.retryMS = 0
 	l.refused = 0
 	l.reported = true
+	l.reportedMS = steady.NowMS()
+	l.told = max(l.told, l.acknowledging)
 	if l.bornMS != report.BornMS {
 		l.bornMS = report.BornMS
-		c.acked[id], c.processed[id] = 0, 0
+		c.acked[id], c.processed[id], l.told = 0, 0, 0
 	}
 	c.machine.Report(report)
 	if n := len(report.Ends); n > 0 && report.Ends[n-1].Number > c.acked[id] {
--- /dev/null
+++ b/internal/core/jobs/consistency.go
@@ -0,0 +1,64 @@
+package jobs
+
+import "slices"
+
+// Unaccounted returns tasks of open steps that neither run, nor wait in the
+// order of a step whose turn has come, nor have ended. There should be none:
+// such a task is never started again.
+func (m *Machine) Unaccounted() []TaskID {
+	ready := make(map[*step]bool, len(m.ready))
+	for _, s := range m.ready {
+		ready[s] = true
+	}
+	var lost []TaskID
+	for _, j := range m.jobs {
+		if j.state.Terminal() {
+			continue
+		}
+		for _, o := range j.occs {
+			for _, s := range o.steps {
+				if s.open > 0 && o.turnHasCome(s) {
+					lost = append(lost, m.unaccountedOf(s, ready[s] && s.ready)...)
+				}
+			}
+		}
+	}
+	slices.SortFunc(lost, compareTasks)
+	return lost
+}
+
+func (m *Machine) unaccountedOf(s *step, ready bool) []TaskID {
+	var lost []TaskID
+	waiting, open := 0, 0
+	for _, t := range s.tasks {
+		switch t.phase {
+		case taskDone:
+			continue
+		case taskWaiting:
+			waiting++
+			if !ready || len(t.runs) > 0 {
+				lost = append(lost, t.id())
+			}
+		case taskActive:
+			if !m.hasLiveRun(t) {
+				lost = append(lost, t.id())
+			}
+		}
+		open++
+	}
+	if (waiting != s.waiting || open != s.open) && len(lost) == 0 {
+		lost = append(lost, s.tasks[0].id())
+	}
+	return lost
+}
+
+// hasLiveRun reports whether each run of the task is known to its worker, whose
+// reports or lapse will end it.
+func (m *Machine) hasLiveRun(t *task) bool {
+	for _, r := range t.runs {
+		if m.workers[r.worker.id] != r.worker || r.worker.runs[t.id()] != r {
+			return false
+		}
+	}
+	return len(t.runs) > 0
+}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -36,6 +36,8 @@
 	refuse func(StartOrder) (StartOutcome, bool)
 	// sharing tells how leftover tasks disturb serving ones, nil where they don't.
 	sharing *sharing
+	// checkTasks has each pass look for tasks that are lost.
+	checkTasks bool
 	// lookMS is the time between looks at an idle worker.
 	lookMS int64
 	// servedMS is when the approval service has answered all requests of an instance,
@@ -58,6 +60,11 @@
 	lastEnd  int64
 	looking  bool
 	acked    int64
+	// cut tells that no call reaches the worker, born counts its lives, of which
+	// the machine knows knownBorn, and lapseMS is when its lease is over.
+	cut             bool
+	born, knownBorn int64
+	lapseMS int64
 }
 
 type fakeRun struct {
@@ -106,7 +113,7 @@
 	for i := range workers {
 		id := domain.WorkerID(fmt.Sprintf("w%03d", i))
 		f.ids = append(f.ids, id)
-		f.workers[id] = &fakeWorker{id: id, capacity: capacity, running: make(map[TaskID]fakeRun)}
+		f.workers[id] = &fakeWorker{id: id, capacity: capacity, running: make(map[TaskID]fakeRun), born: 1}
 		list = append(list, WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", Capacity: capacity, BornMS: 1,
 			Rack: domain.RackID(fmt.Sprintf("r%d", i/8)), Labels: []string{"a"}})
 	}
@@ -150,6 +157,11 @@
 
 func (f *fleet) settle() {
 	f.m.Schedule()
+	if f.checkTasks {
+		if lost := f.m.Unaccounted(); len(lost) > 0 {
+			f.violate("%v neither runs, nor waits, nor has ended", lost[0])
+		}
+	}
 	out := f.m.Drain()
 	for _, o := range out.Starts {
 		f.after(5, func() { f.start(o) })
@@ -180,7 +192,7 @@
 		f.m.Stored(b)
 		for _, id := range f.ids {
 			w := f.workers[id]
-			if n := f.m.Acknowledgeable(id); n > w.acked {
+			if n := f.m.Acknowledgeable(id); n > w.acked && w.knownBorn == w.born {
 				w.acked = n
 				f.look(w)
 			}
@@ -239,11 +251,18 @@
 	for i := range len(s) {
 		h = (h ^ uint32(s[i])) * 16777619
 	}
+	// The last characters change the upper bits little.
+	h = (h ^ h>>16) * 0x85ebca6b
+	h ^= h >> 13
 	return float64(h>>8) / float64(1<<24)
 }
 
 func (f *fleet) start(o StartOrder) {
 	w := f.workers[o.Worker]
+	if w.cut {
+		f.after(lostAnswerMS, func() { f.m.StartAnswered(o.Worker, o.Task, o.Run, StartUnanswered) })
+		return
+	}
 	if f.refuse != nil {
 		if outcome, refused := f.refuse(o); refused {
 			f.m.StartAnswered(o.Worker, o.Task, o.Run, outcome)
@@ -288,7 +307,8 @@
 	delete(w.running, id)
 	w.used = w.used.Sub(r.need)
 	f.runningRuns[id]--
-	if kind == EndSucceeded {
+	// What nobody was told may be lost with the worker's life.
+	if kind == EndSucceeded && !w.cut {
 		f.succeeded[id] = true
 	}
 	w.lastEnd++
@@ -298,10 +318,30 @@
 
 func (f *fleet) stop(o StopOrder) {
 	w := f.workers[o.Worker]
+	if w.cut {
+		return
+	}
 	f.m.StopAnswered(o.Worker, o.Task, o.Run, true)
 	f.after(100, func() { f.end(w, o.Task, o.Run, EndStopped) })
 }
 
+// lostAnswerMS is when a call to a worker that is cut off counts as unanswered.
+const lostAnswerMS = 700
+
+// lapse ends what runs on a worker whose lease is over.
+func (f *fleet) lapse(w *fakeWorker) {
+	if w.lapseMS == 0 || f.nowMS < w.lapseMS {
+		return
+	}
+	for id, r := range w.running {
+		delete(w.running, id)
+		w.used = w.used.Sub(r.need)
+		f.runningRuns[id]--
+		w.lastEnd++
+		w.ends = append(w.ends, EndReport{Number: w.lastEnd, Task: id, Run: r.run, Kind: EndLapsed})
+	}
+}
+
 // look reports the worker to the machine after a short way.
 func (f *fleet) look(w *fakeWorker) {
 	if w.looking {
@@ -309,9 +349,20 @@
 	}
 	w.looking = true
 	sent := f.nowMS
+	if w.cut {
+		f.after(lostAnswerMS, func() {
+			w.looking = false
+			f.m.LookFailed(w.id)
+			f.lapse(w)
+			f.look(w)
+		})
+		return
+	}
+	f.lapse(w)
+	w.lapseMS = f.nowMS + testConfig().LeaseMS
 	f.after(4, func() {
 		w.looking = false
-		r := WorkerReport{Worker: w.id, BornMS: 1, SentMS: sent, ReceivedMS: f.nowMS, ClockMS: f.nowMS + 5000}
+		r := WorkerReport{Worker: w.id, BornMS: w.born, SentMS: sent, ReceivedMS: f.nowMS, ClockMS: f.nowMS + 5000}
 		for id, run := range w.running {
 			row := RunReport{Task: id, Run: run.run, Percent: int(f.nowMS/50) % 100}
 			if f.sharing != nil {
@@ -324,9 +375,10 @@
 				r.Ends = append(r.Ends, e)
 			}
 		}
+		w.knownBorn = w.born
 		f.m.LeaseLimit(w.id)
 		f.m.Report(r)
-		if len(r.Ends) == 0 {
+		if len(r.Ends) == 0 || f.m.EndsHeld(w.id) {
 			f.after(f.lookMS, func() { f.look(w) })
 		}
 	})
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -325,15 +325,19 @@
 
 func anyRun(*run) bool { return true }
 
-// dropRuns ends the runs of a worker that have certainly ended, and counts them.
-func (m *Machine) dropRuns(w *worker, ended func(*run) bool) int {
+// sortedRuns returns the worker's runs in the order of their tasks.
+func (w *worker) sortedRuns() []*run {
 	runs := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
-		if ended(r) {
-			runs = append(runs, r)
-		}
+		runs = append(runs, r)
 	}
 	slices.SortFunc(runs, func(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) })
+	return runs
+}
+
+// dropRuns ends the runs of a worker that have certainly ended, and counts them.
+func (m *Machine) dropRuns(w *worker, ended func(*run) bool) int {
+	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !ended(r) })
 	if w.givenUp == nil {
 		w.givenUp = make(map[TaskID]int)
 	}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -115,7 +115,13 @@
 func (m *Machine) reborn(w *worker, bornMS int64) {
 	if w.bornMS != 0 {
 		m.out.note("worker_reborn", w.id, "")
-		m.dropRuns(w, anyRun)
+		m.dropRuns(w, func(r *run) bool { return r.confirmedMS > 0 })
+		// A start without an answer may reach the new life, whose clock begins anew,
+		// so that the limit of the order means nothing there. A stop makes it refuse
+		// itself.
+		for _, r := range w.sortedRuns() {
+			m.stopRun(r, "worker was reborn")
+		}
 	}
 	w.bornMS = bornMS
 	w.lastEnd, w.pending, w.givenUp, w.heldEnd = 0, nil, nil, 0
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -400,6 +400,9 @@
 	}
 	if s.job.queue.Approval != nil && claimed < s.waiting || len(suits) > 0 && claimed > 0 {
 		s.waitReason = waitApproval
+		if len(suits) == 0 && !s.asking {
+			s.waitReason = waitNoApproval
+		}
 		m.askApproval(s, suits)
 	}
 	if !s.job.durable {
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -36,6 +36,8 @@
 	fence   int64
 	cut     bool
 	crashed bool
+	// born is the Unix millisecond of the worker's life, as it says itself.
+	born    int64
 	until   int64
 	running map[jobs.TaskID]int
 	over    map[jobs.TaskID]int
@@ -50,7 +52,7 @@
 		running: make(map[jobs.TaskID]int), done: make(map[jobs.TaskID]bool),
 		lasting: make(map[domain.JobID]bool), paces: make(map[jobs.TaskID]int), measures: make(map[jobs.TaskID]int64)}
 	for _, id := range ids {
-		f.workers[id] = &worker{id: id, running: make(map[jobs.TaskID]int), over: make(map[jobs.TaskID]int), news: make(chan struct{})}
+		f.workers[id] = &worker{id: id, born: 1, running: make(map[jobs.TaskID]int), over: make(map[jobs.TaskID]int), news: make(chan struct{})}
 	}
 	return f
 }
@@ -91,6 +93,18 @@
 	w.news = make(chan struct{})
 }
 
+// Restart lets a worker begin another life under its ID. It knows nothing of
+// before, and its numbers of ends start anew.
+func (f *Fleet) Restart(id domain.WorkerID) {
+	f.Crash(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.crashed, w.fence, w.lastEnd, w.until = false, 0, 0, 0
+	w.born++
+	clear(w.over)
+}
+
 // Starts returns the number of runs that began.
 func (f *Fleet) Starts() int {
 	f.mu.Lock()
@@ -275,7 +289,7 @@
 		w.ends = w.ends[1:]
 	}
 	if len(w.ends) == 0 && r.Wait > 0 {
-		news := w.news
+		news, life := w.news, w.born
 		f.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -283,6 +297,9 @@
 		case <-time.After(r.Wait):
 		}
 		f.mu.Lock()
+		if w.born != life {
+			return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
+		}
 	}
 	if w.crashed {
 		return jobs.WorkerReport{}, &port.WorkerGoneError{Worker: id, Address: address, Err: errCut}
@@ -290,7 +307,7 @@
 	if w.cut {
 		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
 	}
-	report := jobs.WorkerReport{Worker: id, BornMS: 1, ClockMS: f.clock(), Ends: append([]jobs.EndReport(nil), w.ends...)}
+	report := jobs.WorkerReport{Worker: id, BornMS: w.born, ClockMS: f.clock(), Ends: append([]jobs.EndReport(nil), w.ends...)}
 	for task, run := range w.running {
 		report.Running = append(report.Running, jobs.RunReport{Task: task, Run: run, Percent: 100, Measure: f.measures[task]})
 	}
