--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -64,7 +64,7 @@
 	// the machine knows knownBorn, and lapseMS is when its lease is over.
 	cut             bool
 	born, knownBorn int64
-	lapseMS int64
+	lapseMS         int64
 }
 
 type fakeRun struct {
