Show an unstored completion only while no owner may follow without it

Traced in its log: the store was silent to the owner from 17.5 s, a job completed in its memory at 17.84 s and was shown so at 18.29 s, the draining worker that alone listed two of the ends left, and the next owner, which read neither the state nor the ends, ran both tasks again. Ruled out: an acknowledgement before the write; none was sent. Change: an unstored completion is shown while the store refuses every write, tried directly and through other instances, so that nobody else can claim, and only where each worker that lists an end of the job answers and is not leaving.

--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -170,9 +170,14 @@
 	confirmed := c.confirmed()
 	return ask(ctx, c, func(reply func(port.StateReply, error)) {
 		state, team, known := c.machine.Known(j.Job)
-		// A former owner does not know what its successor did, but that a job has
-		// completed stays true.
-		if !confirmed && (!known || state != jobs.Completed) {
+		// While the store refuses all writes there is no later owner either, and that
+		// a job has completed stays true.
+		if known && c.storeRefuses && c.machine.CompletedUnstored(j.Job) {
+			reply(port.StateReply{Known: team == j.Team, State: jobs.Completed}, nil)
+			return
+		}
+		// A former owner does not know the jobs that its successor accepted.
+		if !confirmed {
 			reply(port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance})
 			return
 		}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -363,22 +363,31 @@
 	return a.Index - b.Index
 }
 
-// showUnstoredMS is how long a completed job waits for the store before callers
-// are told nevertheless.
-const showUnstoredMS = 300
-
-// Known reports the state of a job that callers are told: the one that the
-// store holds. A job that has completed while the store does not answer is
-// shown so, since its workers list the ends of its tasks until these are
-// stored, to a later owner as well.
+// CompletedUnstored reports whether a job has completed, and its workers list
+// the ends of its tasks until these are stored, to a later owner as well. A
+// worker that leaves or is silent may be gone before, and a later owner would
+// run the tasks again.
+func (m *Machine) CompletedUnstored(id domain.JobID) bool {
+	j, ok := m.jobs[id]
+	if !ok || !j.durable || j.state != Completed {
+		return false
+	}
+	for _, w := range m.order {
+		for _, p := range w.pending {
+			if p.job == j && (w.draining || w.emptied || !w.registered || w.unanswered || !m.heard(w)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Known reports the state that the store holds for a job.
 func (m *Machine) Known(id domain.JobID) (State, domain.TeamID, bool) {
 	j, ok := m.jobs[id]
 	if !ok || !j.durable {
 		return 0, "", false
 	}
-	if j.state == Completed && m.nowMS-j.endedMS >= showUnstoredMS {
-		return Completed, j.team.ID, true
-	}
 	return j.shownState.Shown(j.everActive), j.team.ID, true
 }
 
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -27,12 +27,10 @@
 	// overRate marks jobs beyond the rate that the team's weight grants.
 	overRate bool
 	// written is set once a write has taken up the job, durable once the store holds it.
-	written   bool
-	durable   bool
-	state     State
-	endedUnix int64
-	// endedMS is the steady time of the end, zero where a former owner saw it.
-	endedMS    int64
+	written    bool
+	durable    bool
+	state      State
+	endedUnix  int64
 	occs       map[int]*occurrence
 	nextOcc    int
 	doneOccs   map[int]bool
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -219,7 +219,6 @@
 func (m *Machine) endJob(j *job, s State) {
 	j.state = s
 	j.endedUnix = m.unixMS
-	j.endedMS = m.nowMS
 	delete(m.recurring, j.id)
 	for _, o := range j.occs {
 		for _, st := range o.steps {
