--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -37,9 +37,6 @@
 			// It starts once the team runs nothing else, so nothing else is started.
 			s.waitReason = waitTooWide
 			blocked[j.team] = true
-		} else if j.team.kept.IsZero() {
-			// Small tasks of the team would take each part that becomes free.
-			j.team.kept = total
 		}
 		return false
 	}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -264,8 +264,6 @@
 	unseen domain.Resources
 	// demand is what the team's useful waiting steps need, by the priority of their queues.
 	demand map[int]demand
-	// kept is the part of the limit that a gang waits for in this pass.
-	kept domain.Resources
 	// tokens counts the jobs that the team may hand in at once within its weight.
 	tokens   float64
 	tokensMS int64
@@ -274,7 +272,7 @@
 
 // withinLimit reports whether the team may start a task of that size.
 func (t *team) withinLimit(need domain.Resources) bool {
-	after := t.used.Add(t.unseen).Add(t.kept).Add(need)
+	after := t.used.Add(t.unseen).Add(need)
 	return within(after.CPUMilli, t.Limit.CPUMilli) && within(after.MemoryMB, t.Limit.MemoryMB) &&
 		within(after.Accelerators, t.Limit.Accelerators)
 }
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -182,7 +182,6 @@
 func (m *Machine) countDemand() {
 	for _, t := range m.teams {
 		clear(t.demand)
-		t.kept = domain.Resources{}
 	}
 	for _, s := range m.ready {
 		if t := s.job.team; s.tier != tierHopeless {
