Refuse only what would not even be of use late

A late result is of use to its caller until three times its objective. Ruled out: a bound without a margin (late): 110 readings of the model's flood are accepted where the limit permits 105 in useful time; what runs counted as ahead, too: 109. Change: a job is refused where it would wait for more than nine tenths of the time in which its result is of use, and only where four fifths of the fleet or of its team's limit are in use. Model: 103 readings accepted.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -4,9 +4,9 @@
 
 // Figures of admission.
 const (
-	// backlogFactor times the time that a job has to spare is the wait at which it
-	// is refused. One that starts later is late, and makes those behind it late.
-	backlogFactor = 1.0
+	// usedShare is the part of the time in which work makes use of a limit or of
+	// the fleet; the rest passes between a task and the next one.
+	usedShare = 0.9
 	// minRetryMS and maxRetryMS bound the advice when to come back.
 	minRetryMS = 1000
 	maxRetryMS = 5000
@@ -15,7 +15,7 @@
 	loadAgeMS = 100
 	// busyShare of a service, or of a team's limit, has to be in use before a
 	// backlog is taken for more than a moment's wait.
-	busyShare = 0.5
+	busyShare = 0.8
 )
 
 // work is an amount of resources over time.
@@ -60,6 +60,8 @@
 	waiting        map[backlogKey]work
 }
 
+func newLoad() *load { return &load{waiting: make(map[backlogKey]work)} }
+
 type backlogKey struct {
 	team     *team
 	priority int
@@ -84,12 +86,12 @@
 // waitMS estimates how long a new job of the team waits until its turn comes.
 // Other teams take no more of the time than their limits permit, so that a
 // flood of one of them is no reason to refuse the others.
-func (l *load) waitMS(t *team, priority int, spareMS float64) float64 {
+func (l *load) waitMS(t *team, priority int, usefulMS float64) float64 {
 	var all work
 	wait := 0.0
 	for other, w := range l.ahead(priority) {
 		if other != t {
-			all = all.add(w.atMost(other.Limit, spareMS))
+			all = all.add(w.atMost(other.Limit, usefulMS))
 			continue
 		}
 		all = all.add(w)
@@ -115,7 +117,7 @@
 	}
 	l, ok := m.loads[service]
 	if !ok {
-		l = &load{waiting: make(map[backlogKey]work)}
+		l = newLoad()
 		m.loads[service] = l
 	}
 	return l
@@ -126,7 +128,7 @@
 	for _, w := range m.order {
 		l, ok := m.loads[w.service]
 		if !ok {
-			l = &load{waiting: make(map[backlogKey]work)}
+			l = newLoad()
 			m.loads[w.service] = l
 		}
 		if w.registered && w.contacted && !w.draining {
@@ -141,19 +143,19 @@
 	}
 }
 
-// overloaded reports whether the work that waits before a new job of the queue
-// would use up the time that the job has to spare, and when it is worth coming back.
+// overloaded reports whether a new job of the queue would have to wait so long
+// that not even a late result would be of use, and when it is worth coming back.
 func (m *Machine) overloaded(q *Queue, t *team, spec *Spec) (retryMS int64, refuse bool) {
 	l := m.loadOf(q.Service)
 	if l.capacity.IsZero() || spec.Recurring() {
 		return 0, false
 	}
-	spareMS := float64(ObjectiveMS(spec, q) - chainOf(spec, q))
-	waitMS := l.waitMS(t, q.Priority, spareMS)
-	if waitMS <= spareMS*backlogFactor {
+	usefulMS := float64(lateFactor*ObjectiveMS(spec, q) - chainOf(spec, q))
+	waitMS := l.waitMS(t, q.Priority, usefulMS)
+	if waitMS <= usefulMS*usedShare {
 		return 0, false
 	}
-	return min(maxRetryMS, max(minRetryMS, int64(waitMS-spareMS))), true
+	return min(maxRetryMS, max(minRetryMS, int64(waitMS-usefulMS))), true
 }
 
 // noteAdmitted counts the first steps of an accepted job as waiting.
