Tell how long steps waited and why; bound a gang by the limits that there are

Cause: what a job had waited for could be seen while it waited only. The test of it found a fault: a gang at its team's limit counted as wider than the limit where that bounds processors and not memory (0), and then all of the team waited until nothing of it ran. Change: waits are counted by reason each 250 ms, shown by `cell explain`, and summed in the counters wait_ms.REASON; the gang is compared with the components that the limit has. TestExplainTellsWhatAJobWaitedFor fails before on both.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -292,6 +293,9 @@
 	for _, ms := range out.FirstStartMS {
 		c.metrics.Timer("job.first_start").Update(time.Duration(ms) * time.Millisecond)
 	}
+	for reason, ms := range out.WaitedMS {
+		c.metrics.Counter("wait_ms." + strings.ReplaceAll(reason, " ", "_")).Inc(ms)
+	}
 	c.sendOrders(out, now)
 	for _, r := range out.Approvals {
 		c.askApproval(r)
--- a/internal/cli/cell.go
+++ b/internal/cli/cell.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -162,6 +164,7 @@
 	for _, s := range v.Steps {
 		row(w, s.Occurrence, s.Step, s.Tasks, s.Succeeded, s.Waiting, fmt.Sprintf("%d ms", s.ObjectiveMS), s.FailedRuns, stepReason(s))
 	}
+	waitRows(w, v)
 	fmt.Fprintln(w)
 	row(w, "STEP", "TASK", "RUN", "WORKER", "PHASE", "FOR", "PERCENT", "PACE", "WORKER HEARD", "WHY")
 	for _, s := range v.Steps {
@@ -172,6 +175,17 @@
 	}
 }
 
+// waitRows shows how long each step waited so far and why.
+func waitRows(w io.Writer, v jobs.JobView) {
+	fmt.Fprintln(w)
+	row(w, "STEP", "WAITED", "WHY")
+	for _, s := range v.Steps {
+		for _, reason := range slices.Sorted(maps.Keys(s.WaitedMS)) {
+			row(w, s.Step, fmt.Sprintf("%d ms", s.WaitedMS[reason]), reason)
+		}
+	}
+}
+
 func stepReason(s jobs.StepView) string {
 	switch {
 	case len(s.WaitsFor) > 0:
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"auburnpier/internal/domain"
@@ -27,9 +28,10 @@
 // noteAfterMS is how long a step waits before its reason is logged.
 const noteAfterMS = 1500
 
-// noteWaits logs why steps wait, once for each reason.
+// noteWaits counts how long steps wait and why, and logs each reason once.
 func (m *Machine) noteWaits() {
 	for _, s := range m.ready {
+		m.countWait(s)
 		if m.nowMS-s.readyMS < noteAfterMS || s.waitReason == s.waitNoted {
 			continue
 		}
@@ -40,6 +42,23 @@
 	}
 }
 
+// countWait adds the time since the last count to the step's present reason.
+func (m *Machine) countWait(s *step) {
+	ms := m.nowMS - max(s.readyMS, s.waitCountedMS)
+	s.waitCountedMS = m.nowMS
+	if s.waitReason == "" || ms <= 0 {
+		return
+	}
+	if s.waitedMS == nil {
+		s.waitedMS = make(map[string]int64)
+	}
+	s.waitedMS[s.waitReason] += ms
+	if m.out.WaitedMS == nil {
+		m.out.WaitedMS = make(map[string]int64)
+	}
+	m.out.WaitedMS[s.waitReason] += ms
+}
+
 // JobView shows a job to operators. Durations are milliseconds.
 type JobView struct {
 	Job            domain.JobID   `json:"job"`
@@ -64,6 +83,8 @@
 	// Reason tells why tasks wait though the step's turn has come, and ReadyMS for how long.
 	Reason  string `json:"reason,omitempty"`
 	ReadyMS int64  `json:"ready_ms,omitempty"`
+	// WaitedMS is how long the step waited so far, by reason, to a quarter of a second.
+	WaitedMS map[string]int64 `json:"waited_ms,omitempty"`
 	// ObjectiveMS is the time left until the objective; negative when it is missed.
 	ObjectiveMS int64     `json:"objective_in_ms"`
 	FailedRuns  int       `json:"failed_runs"`
@@ -109,7 +130,8 @@
 
 func (m *Machine) explainStep(s *step) StepView {
 	v := StepView{Occurrence: s.occ.number, Step: s.number, Tasks: len(s.tasks), Waiting: s.waiting,
-		Succeeded: len(s.tasks) - s.open, ObjectiveMS: s.occ.deadlineMS - m.nowMS, FailedRuns: len(s.gangFailedRuns)}
+		Succeeded: len(s.tasks) - s.open, ObjectiveMS: s.occ.deadlineMS - m.nowMS, FailedRuns: len(s.gangFailedRuns),
+		WaitedMS: maps.Clone(s.waitedMS)}
 	for _, earlier := range s.spec.After {
 		if s.occ.steps[earlier].open > 0 {
 			v.WaitsFor = append(v.WaitsFor, earlier)
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -33,7 +33,7 @@
 	total := s.spec.Need.Scale(int64(s.open))
 	if !j.team.withinLimit(total) && !(j.team.used.IsZero() && j.team.unseen.IsZero() && j.team.fitsAlone(total, m.cfg.LimitOvershoot)) {
 		s.waitReason = waitTeamLimit
-		if !total.Fits(j.team.Limit) {
+		if !j.team.fitsAlone(total, 0) {
 			// It starts once the team runs nothing else, so nothing else is started.
 			s.waitReason = waitTooWide
 			blocked[j.team] = true
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -97,9 +97,12 @@
 	tier       int64
 	// waitReason is why the last pass placed nothing more; waitNoted is the last one logged.
 	waitReason, waitNoted string
-	reservation           map[*worker]domain.Resources
-	reservedUntilMS       int64
-	preemptedMS           int64
+	// waitedMS is how long the step waited by reason, as of waitCountedMS.
+	waitedMS        map[string]int64
+	waitCountedMS   int64
+	reservation     map[*worker]domain.Resources
+	reservedUntilMS int64
+	preemptedMS     int64
 }
 
 // verdict is what the approval service said of a worker. It never changes.
--- a/internal/core/jobs/output.go
+++ b/internal/core/jobs/output.go
@@ -60,6 +60,8 @@
 	// FirstStartMS lists the times from acceptance to the first start of jobs
 	// without due times.
 	FirstStartMS []int64
+	// WaitedMS is how long steps waited since the last Drain, by reason.
+	WaitedMS map[string]int64
 }
 
 func (o *Output) note(kind string, w domain.WorkerID, detail string) {
