Probe the owner only after broken connections, and ask through one way

A call that was given up tells nothing of the owner's process, so it starts no probe any more, and probes that prove nothing are 250 ms apart: an owner that is slow would otherwise be dialled by every instance for every late call. Requests for approval take their grant where they check for it.

--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -32,8 +32,8 @@
 type Dialer struct {
 	client *http.Client
 	net    *net.Dialer
-	// OnFailure is told the address of each call that had no answer. It is set
-	// before the first call.
+	// OnFailure is told the address of each call whose connection broke or was
+	// refused. It is set before the first call.
 	OnFailure func(address string)
 }
 
@@ -94,12 +94,20 @@
 func (p *peer) send(req *http.Request) (*http.Response, error) {
 	resp, err := p.client.Do(req)
 	if err != nil {
-		p.onFailure(p.address)
+		if !timedOut(err) {
+			p.onFailure(p.address)
+		}
 		return nil, &port.OwnerUnreachableError{Address: p.address, NotSent: port.NotSent(err), Err: err}
 	}
 	return resp, nil
 }
 
+// timedOut reports whether the call was given up, which tells nothing of the other process.
+func timedOut(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.Canceled) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // call sends one call and decodes the answer.
 func call[T any](ctx context.Context, p *peer, path string, body any) (T, error) {
 	var result T
--- a/internal/app/owner/gone.go
+++ b/internal/app/owner/gone.go
@@ -19,6 +19,9 @@
 	probesOfGone = 2
 	probePause   = 40 * time.Millisecond
 	probeTime    = 300 * time.Millisecond
+	// probeAgain is the least time between two proofs, so that many broken calls
+	// are no load on the owner.
+	probeAgain = 250 * time.Millisecond
 	// goneJitter spreads the instances that notice at once: the first one ends the
 	// claim and the others see it.
 	goneJitter = 50 * time.Millisecond
@@ -42,7 +45,11 @@
 		case <-ctx.Done():
 			return
 		case address := <-o.suspected:
-			if address != c.Address || c.Lease == 0 || !o.processGone(ctx, address) {
+			if address != c.Address || c.Lease == 0 {
+				continue
+			}
+			if !o.processGone(ctx, address) {
+				ctxtime.Sleep(ctx, probeAgain)
 				continue
 			}
 		}
--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -70,7 +70,11 @@
 
 // askApproval requests approvals for the workers that suit the step best.
 func (m *Machine) askApproval(s *step, suits []*worker) {
-	if s.asking || m.nowMS < s.askAgainMS || len(suits) == 0 || !m.approverFree(s, s.job.queue.Approval.BaseMS) {
+	if s.asking || m.nowMS < s.askAgainMS || len(suits) == 0 {
+		return
+	}
+	if !m.approvers.Has(s.job.queue.Approval.BaseMS, m.nowMS) {
+		m.awaitApprover(s)
 		return
 	}
 	if !s.spec.Gang {
@@ -91,28 +95,33 @@
 		ids = append(ids, w.id)
 	}
 	expectedMS := q.Approval.BaseMS + q.Approval.PerWorkerMS*float64(len(ids))
-	if !m.approverFree(s, expectedMS) {
+	grant, ok := m.approvers.Take(expectedMS, m.nowMS)
+	if !ok {
+		m.awaitApprover(s)
 		return
 	}
-	grant, _ := m.approvers.Take(expectedMS, m.nowMS)
 	s.asking = true
 	m.out.Approvals = append(m.out.Approvals, ApprovalRequest{
-		Step: StepID{s.job.id, s.occ.number, s.number}, Queue: q.Name, Workers: ids, Grant: grant, WaitedMS: m.nowMS - s.wantsMS,
+		Step: StepID{s.job.id, s.occ.number, s.number}, Queue: q.Name, Workers: ids, Grant: grant, WaitedMS: s.approverWaitMS(m.nowMS),
 	})
 }
 
-// approverFree reports whether a request of the step could be sent now. Steps
-// want one in their order, so the most urgent of those that wait is the next.
-func (m *Machine) approverFree(s *step, expectedMS float64) bool {
+// awaitApprover has the step ask again once an instance may be free. Steps ask
+// in their order, so the most urgent of those that wait is the next.
+func (m *Machine) awaitApprover(s *step) {
 	if s.wantsMS == 0 {
 		s.wantsMS = m.nowMS
 	}
-	if m.approvers.Has(expectedMS, m.nowMS) {
-		return true
-	}
 	s.waitReason = waitApprover
 	m.approverAtMS, _ = m.approvers.NextMS(m.nowMS)
-	return false
+}
+
+// approverWaitMS is how long the step has waited for an instance.
+func (s *step) approverWaitMS(nowMS int64) int64 {
+	if s.wantsMS == 0 {
+		return 0
+	}
+	return nowMS - s.wantsMS
 }
 
 // SetApprovers replaces the instances through which the approval service is
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -90,7 +90,7 @@
 	verdicts []verdict
 	asked    bool
 	asking   bool
-	// wantsMS is since when the step wants to ask, zero where it does not.
+	// wantsMS is since when the step waits for an instance to ask through, zero where it does not.
 	wantsMS    int64
 	askAgainMS int64
 	orderKey   int64
