Leave a team's limit to urgent steps only where it is contested

Change: half of the limit goes to steps in any order, and lasting steps count for no room that is left.

--- a/internal/core/jobs/admit_test.go
+++ b/internal/core/jobs/admit_test.go
@@ -60,3 +60,26 @@
 		}
 	}
 }
+
+// Guards against a team of which nothing starts because its more urgent steps,
+// which wait for something else than its limit, or never end, are left room.
+func TestUrgentStepsThatCannotStart(t *testing.T) {
+	f := newLensFleet(t, 7)
+	f.m.Configure(lensQueues, []Team{{ID: "team", Limit: domain.Resources{CPUMilli: 200_000, MemoryMB: 800_000}}})
+	// Workers of this label do not exist any more.
+	for n := range 200 {
+		f.submit(domain.JobID(fmt.Sprintf("stuck-%d", n)), &lensQueues[0], "team", lensSpec("lookup"))
+	}
+	for id := range f.submitted {
+		f.m.findStep(StepID{Job: id}).spec.Label = "gone"
+	}
+	f.submit("reading", &lensQueues[1], "team", lensSpec("reading"))
+	f.submit("matching", &lensQueues[2], "team", lensSpec("matching"))
+	// The platform permits 3 s while half of the limit and of the fleet are free.
+	f.runUntil(f.nowMS + 3000)
+	for _, id := range []domain.JobID{"reading", "matching"} {
+		if !f.m.jobs[id].everActive {
+			t.Errorf("%s has not begun after 3 s with the limit free: %s", id, f.m.findStep(StepID{Job: id}).waitReason)
+		}
+	}
+}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -291,10 +291,17 @@
 // ones to leave them room: it then waits little for them, and they much for it.
 const shorterFactor = 2
 
+// contestedShare of a limit is what a team's steps may take in any order. Its
+// more urgent steps may wait for something else than the limit.
+const contestedShare = 0.5
+
 // leavesRoom reports whether the limit has room for the step's need beside what
 // the team's more urgent and shorter steps wait for. They may be later in the
 // order of the cell, where the team sends more than its weight grants.
 func (t *team) leavesRoom(s *step, need domain.Resources) bool {
+	if t.used.Add(need).DominantShare(t.Limit) <= contestedShare {
+		return true
+	}
 	for priority, d := range t.demand {
 		if priority < s.job.queue.Priority && d.sumMS*shorterFactor <= s.spec.EstimateMS*int64(d.tasks) {
 			need = need.Add(d.need)
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -57,8 +57,8 @@
 
 // tier orders a waiting step of a rank. Work that has time to spare yields to
 // short work of any kind until half of that time is used up. Gangs do not: they
-// need it to gather approvals and room. A team that sends
-// more than its weight grants makes no other late.
+// need it to gather approvals and room. A team that sends more than its weight
+// grants makes no other late.
 func (m *Machine) tier(s *step, rank int64) int64 {
 	switch {
 	case rank == rankHopeless:
@@ -184,7 +184,7 @@
 		clear(t.demand)
 	}
 	for _, s := range m.ready {
-		if t := s.job.team; s.tier != tierHopeless {
+		if t := s.job.team; s.tier != tierHopeless && !s.spec.Lasting {
 			d := t.demand[s.job.queue.Priority]
 			d.need = d.need.Add(s.spec.Need.Scale(int64(s.waiting)))
 			d.tasks += s.waiting
