--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -301,6 +301,7 @@
 		}
 		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.deadMS {
 			delete(m.workers, w.id)
+			w.loseEnds()
 			m.membersChanged = true
 			m.out.Forgotten = append(m.out.Forgotten, w.id)
 			continue
@@ -369,7 +370,7 @@
 // run the tasks again.
 func (m *Machine) CompletedUnstored(id domain.JobID) bool {
 	j, ok := m.jobs[id]
-	if !ok || !j.durable || j.state != Completed {
+	if !ok || !j.durable || j.state != Completed || j.endsLost {
 		return false
 	}
 	for _, w := range m.order {
@@ -382,6 +383,14 @@
 	return true
 }
 
+// loseEnds notes that the worker lists its ends no longer.
+func (w *worker) loseEnds() {
+	for _, p := range w.pending {
+		p.job.endsLost = p.job.endsLost || p.job.storedVersion < p.version
+	}
+	w.pending = nil
+}
+
 // Known reports the state that the store holds for a job.
 func (m *Machine) Known(id domain.JobID) (State, domain.TeamID, bool) {
 	j, ok := m.jobs[id]
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -40,6 +40,9 @@
 	dirty      bool
 	// version counts the changes, storedVersion is the last one in the store.
 	version, storedVersion int
+	// endsLost tells that a worker that listed an end of the job is gone before
+	// the end was stored.
+	endsLost bool
 	// writing tells that a write of the job is under way. The next one waits, so
 	// that writes of one job never overtake each other.
 	writing bool
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -124,7 +124,8 @@
 		}
 	}
 	w.bornMS = bornMS
-	w.lastEnd, w.pending, w.givenUp, w.heldEnd = 0, nil, nil, 0
+	w.loseEnds()
+	w.lastEnd, w.givenUp, w.heldEnd = 0, nil, 0
 	w.clockKnown = false
 	w.health = health{}
 }
--- a/internal/core/jobs/unstored_test.go
+++ b/internal/core/jobs/unstored_test.go
@@ -38,4 +38,9 @@
 		}
 		lose(false)
 	}
+	// Another life of the worker lists nothing of before.
+	f.m.Report(WorkerReport{Worker: holder.id, BornMS: holder.bornMS + 1, SentMS: f.nowMS, ReceivedMS: f.nowMS, ClockMS: 1})
+	if f.m.CompletedUnstored("job") {
+		t.Error("an end that no worker lists any more is relied on")
+	}
 }
