Say once what a claim is, what had no effect, and a service's load

A reading of the whole change. The claim was described in two places, both edited when it got its lease; whether a store call had no effect was asked by the owner's writes and by the relay of the store in four copies; a service's load was created in two places; and the watch for an owner that is gone ran without the guard that its twins have, so that a panic there would have ended the process. One claimOf, port.HadNoEffect, summedLoad, guard.Keep. No decision, bound or check changes.

--- a/internal/app/owner/campaign.go
+++ b/internal/app/owner/campaign.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"auburnpier/internal/ctxtime"
+	"auburnpier/internal/guard"
 	"auburnpier/internal/port"
 )
 
@@ -72,7 +73,7 @@
 func (o *Owner) awaitChange(ctx context.Context, current *Claim, after int64) (ended bool) {
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
-	go o.endClaimsOfGone(watching, current)
+	go guard.Keep(watching, o.log, o.metrics, "owner_gone", func() { o.endClaimsOfGone(watching, current) })
 	for ctx.Err() == nil {
 		change, revision, err := watchClaim(ctx, o.store, after, claimWatchWait)
 		if err != nil {
@@ -105,7 +106,8 @@
 	// lives to list the jobs of a large fleet.
 	go cell.keepClaim()
 	// Calls that come meanwhile wait for the recovery.
-	publish(Seat{Claim: &Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token, Lease: r.lease}, Local: cell})
+	claim := o.claimOf(r)
+	publish(Seat{Claim: &claim, Local: cell})
 	defer publish(Seat{})
 	if err := cell.recoverUntil(ctx); err != nil {
 		o.log.Warn("cell not recovered", zap.Error(err))
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -96,8 +96,13 @@
 	return r, nil
 }
 
+// claimOf describes the claim of this instance's reign.
+func (o *Owner) claimOf(r *reign) Claim {
+	return Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token, Lease: r.lease}
+}
+
 func (o *Owner) claimTxn(r *reign, former, sequenceRevision int64) (port.Txn, error) {
-	value, err := cbor.Marshal(Claim{Instance: o.options.Instance, Address: o.options.Address, Epoch: r.epoch, Token: r.token, Lease: r.lease})
+	value, err := cbor.Marshal(o.claimOf(r))
 	if err != nil {
 		return port.Txn{}, err
 	}
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -125,11 +125,6 @@
 // errWithoutEffect tells that no try of a transaction had an effect.
 var errWithoutEffect = errors.New("the transaction had no effect")
 
-func withoutEffect(err error) bool {
-	var unavailable *port.UnavailableError
-	return errors.As(err, &unavailable)
-}
-
 func entriesOf(b *jobs.Batch) ([]port.Put, []string, error) {
 	var puts []port.Put
 	var deletes []string
@@ -194,7 +189,7 @@
 		}
 		c.metrics.Counter("store.commit.repeated").Inc(1)
 		c.log.Warn("write repeated", zap.Int64("sequence", mine.Number), zap.Error(err))
-		if refused = refused && withoutEffect(err); refused && time.Since(first) >= storeDown {
+		if refused = refused && port.HadNoEffect(err); refused && time.Since(first) >= storeDown {
 			return errWithoutEffect
 		}
 		ctxtime.Sleep(c.ctx, writeRetry)
--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -93,9 +93,8 @@
 }
 
 func (s *Store) note(err error) {
-	var unavailable *port.UnavailableError
 	var unknown *port.OutcomeUnknownError
-	if errors.As(err, &unavailable) || errors.As(err, &unknown) {
+	if port.HadNoEffect(err) || errors.As(err, &unknown) {
 		now := steady.NowMS()
 		s.failedMS.Store(now)
 		// The failure is as good as a try: the next one comes after the usual time.
@@ -105,11 +104,6 @@
 	s.failedMS.Store(0)
 }
 
-func isUnavailable(err error) bool {
-	var unavailable *port.UnavailableError
-	return errors.As(err, &unavailable)
-}
-
 // run times a call.
 func (s *Store) run(ctx context.Context, op string, call func(port.LeaseStore) error) error {
 	begun := time.Now()
@@ -127,12 +121,11 @@
 
 // outcome names the result of a call for the metrics.
 func outcome(err error) string {
-	var unavailable *port.UnavailableError
 	var unknown *port.OutcomeUnknownError
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.As(err, &unavailable):
+	case port.HadNoEffect(err):
 		return "unavailable"
 	case errors.As(err, &unknown):
 		return "unknown"
@@ -148,7 +141,7 @@
 	}
 	if s.healthy() {
 		err = s.callDirect(ctx, call)
-		if !isUnavailable(err) || ctx.Err() != nil {
+		if !port.HadNoEffect(err) || ctx.Err() != nil {
 			return err
 		}
 	}
@@ -156,7 +149,7 @@
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 	for _, p := range peers[:min(len(peers), maxPeers)] {
 		relayErr := call(p)
-		if !isUnavailable(relayErr) {
+		if !port.HadNoEffect(relayErr) {
 			s.metrics.Counter("store.relayed").Inc(1)
 			return relayErr
 		}
--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -60,8 +60,6 @@
 	waiting        map[backlogKey]work
 }
 
-func newLoad() *load { return &load{waiting: make(map[backlogKey]work)} }
-
 type backlogKey struct {
 	team     *team
 	priority int
@@ -115,9 +113,14 @@
 	if m.loads == nil || m.nowMS-m.loadsMS >= loadAgeMS {
 		m.sumLoads()
 	}
+	return m.summedLoad(service)
+}
+
+// summedLoad returns the load of a service as of the last sum.
+func (m *Machine) summedLoad(service string) *load {
 	l, ok := m.loads[service]
 	if !ok {
-		l = newLoad()
+		l = &load{waiting: make(map[backlogKey]work)}
 		m.loads[service] = l
 	}
 	return l
@@ -126,11 +129,7 @@
 func (m *Machine) sumLoads() {
 	m.loads, m.loadsMS = make(map[string]*load), m.nowMS
 	for _, w := range m.order {
-		l, ok := m.loads[w.service]
-		if !ok {
-			l = newLoad()
-			m.loads[w.service] = l
-		}
+		l := m.summedLoad(w.service)
 		if w.registered && w.contacted && !w.draining {
 			l.capacity = l.capacity.Add(w.capacity)
 			l.used = l.used.Add(w.used)
--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -299,7 +299,6 @@
 	if s == nil {
 		return
 	}
-	asked := r.Workers
 	s.askAgainMS = m.nowMS + approvalAgainMS
 	s.asked = true
 	if s.open == 0 {
@@ -309,7 +308,7 @@
 		s.tickets = make(map[int]approval, len(good))
 	}
 	s.verdicts = append(s.verdicts, make([]verdict, max(0, m.slots-len(s.verdicts)))...)
-	for _, id := range asked {
+	for _, id := range r.Workers {
 		if w, ok := m.workers[id]; ok {
 			s.verdicts[w.slot] = verdictBad
 		}
@@ -324,7 +323,7 @@
 		s.tickets[w.slot] = approval{ticket: g.Ticket, bornMS: w.bornMS, expiresMS: m.nowMS + validMS - approvalTransitMS}
 	}
 	st := m.statsOf(s.job.queue)
-	st.rate += (float64(len(good))/float64(max(1, len(asked))) - st.rate) * approvalRateWeight
+	st.rate += (float64(len(good))/float64(max(1, len(r.Workers))) - st.rate) * approvalRateWeight
 }
 
 // approvalTransitMS covers the way of an answer.
--- a/internal/port/errors.go
+++ b/internal/port/errors.go
@@ -1,6 +1,9 @@
 package port
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // NotFoundError tells that the store has no such key.
 type NotFoundError struct{ Key string }
@@ -35,6 +38,12 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// HadNoEffect reports whether the error proves that a call of the store changed nothing.
+func HadNoEffect(err error) bool {
+	var unavailable *UnavailableError
+	return errors.As(err, &unavailable)
+}
+
 // OutcomeUnknownError tells that a write may or may not have taken effect.
 type OutcomeUnknownError struct {
 	Op  string
