Follow the operators' evacuations of availability zones

Change: the watch of the configuration now covers everything that operators write, so that one call proves the age of the configuration and of the evacuations, through the same relays and at no further calls. The owner learns them with the configuration, before its first start. Workers of an evacuated zone get no new work, their capacity does not count for admission, held room there is released, finite work finishes, long-running tasks move within their disruption budget where another zone has room. A job that only evacuated zones fit is refused at once; accepted work waits and is kept. No task is started while the evacuations are not confirmed for evacuate_ms less the start limit, so an order in flight has lapsed by the bound.

A configuration that cannot be decoded no longer stops the watch: it is logged, the former one is no longer confirmed, and a later one is taken up.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -40,9 +42,12 @@
 	current  atomic.Pointer[Config]
 	// confirmedMS is the monotonic send time of the latest call that confirmed the configuration.
 	confirmedMS atomic.Int64
+	// evacuated is used only by Run.
+	evacuated map[domain.ZoneID]bool
 }
 
-// NewConfigWatcher returns a watcher that calls onChange with each new configuration.
+// NewConfigWatcher returns a watcher that calls onChange with each new configuration and with each
+// change of the evacuated zones.
 func NewConfigWatcher(source port.ConfigSource, log *zap.Logger, onChange func(*port.CellConfig)) *ConfigWatcher {
 	return &ConfigWatcher{source: source, log: log, onChange: onChange}
 }
@@ -58,7 +63,8 @@
 	return nil
 }
 
-// AgeMS returns the time since the configuration was last confirmed to be the newest.
+// AgeMS returns the time since the configuration and the evacuated zones were last confirmed to be
+// the newest.
 func (w *ConfigWatcher) AgeMS() int64 { return steady.NowMS() - w.confirmedMS.Load() }
 
 // Run reads and watches the configuration until ctx ends.
@@ -68,9 +74,14 @@
 		config, revision, err := w.source.Read(ctx)
 		var missing *port.NotFoundError
 		if err != nil && !errors.As(err, &missing) {
+			w.log.Warn("failed to read the configuration", zap.Duration("retry_after", configRetryDelay), zap.Error(err))
 			ctxtime.Sleep(ctx, configRetryDelay)
 			continue
 		}
+		w.evacuated = make(map[domain.ZoneID]bool)
+		for _, zone := range config.EvacuatedZones {
+			w.evacuated[zone] = true
+		}
 		if err == nil {
 			w.apply(&config)
 			w.confirmedMS.Store(sentAtMS)
@@ -82,21 +93,29 @@
 // watch applies the changes after revision. It returns on a gap in the watch, after which the
 // configuration must be read again, and when ctx ends.
 func (w *ConfigWatcher) watch(ctx context.Context, revision int64) {
+	unreadable := false
 	for ctx.Err() == nil {
 		sentAtMS := steady.NowMS()
-		next, now, gap, err := w.source.WaitForChange(ctx, revision, configWatchWait)
+		change, err := w.source.WaitForChange(ctx, revision, configWatchWait)
 		if err != nil {
 			ctxtime.Sleep(ctx, configRetryDelay)
 			continue
 		}
-		if gap {
+		if change.Gap {
 			return
 		}
-		revision = now
-		if next != nil {
-			w.apply(next)
+		revision = change.Revision
+		w.applyChange(change)
+		switch {
+		case change.Unreadable != nil:
+			// Authenticating keys against the former configuration could accept a withdrawn one.
+			unreadable = true
+			w.log.Error("the newest configuration cannot be decoded; the former one stays in force and is no longer confirmed",
+				zap.Int64("revision", revision), zap.Error(change.Unreadable))
+		case change.Config != nil:
+			unreadable = false
 		}
-		if w.current.Load() != nil {
+		if w.current.Load() != nil && !unreadable {
 			// The response may have been delayed, so it confirms the configuration only as of
 			// the time the call was sent.
 			w.confirmedMS.Store(sentAtMS)
@@ -104,21 +123,46 @@
 	}
 }
 
-// apply puts a configuration in force unless the present one is as new or newer.
+// applyChange applies a newer configuration and changes of the evacuated zones.
+func (w *ConfigWatcher) applyChange(change port.ConfigChange) {
+	for zone, begun := range change.Evacuated {
+		if begun {
+			w.evacuated[zone] = true
+		} else {
+			delete(w.evacuated, zone)
+		}
+	}
+	if change.Config != nil {
+		w.apply(change.Config)
+	} else if c := w.CellConfig(); c != nil && len(change.Evacuated) > 0 {
+		w.apply(c)
+	}
+}
+
+// apply puts a configuration in force with the zones that are evacuated now. A configuration that is
+// older than the present one is ignored.
 func (w *ConfigWatcher) apply(c *port.CellConfig) {
 	old := w.current.Load()
 	if old != nil && c.Version <= old.Version {
+		// The evacuated zones may still have changed.
+		c = old.CellConfig
+	}
+	zones := slices.Sorted(maps.Keys(w.evacuated))
+	if old != nil && c == old.CellConfig && slices.Equal(zones, old.EvacuatedZones) {
 		return
 	}
-	next := &Config{CellConfig: c, teams: make(map[string]domain.TeamID)}
+	config := *c
+	config.EvacuatedZones = zones
+	next := &Config{CellConfig: &config, teams: make(map[string]domain.TeamID)}
 	for _, t := range c.Teams {
 		for _, key := range t.Keys {
 			next.teams[key] = t.ID
 		}
 	}
 	w.current.Store(next)
-	w.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("queues", len(c.Routes)), zap.Int("teams", len(c.Teams)))
-	w.onChange(c)
+	w.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("queues", len(c.Routes)), zap.Int("teams", len(c.Teams)),
+		zap.Any("evacuated_zones", zones))
+	w.onChange(&config)
 }
 
 // Route finds the queue of a call by the longest path prefix configured for the host. rest is the
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -257,6 +257,7 @@
 	if c.mayCallWorkers(now) && !c.resigning {
 		c.planMaintenance(now)
 		c.updateApprovers(now)
+		c.machine.PauseStarts(c.options.MaxConfigAge > 0 && c.options.ConfigAge() > c.options.MaxConfigAge)
 		start := time.Now()
 		c.machine.Schedule()
 		c.metrics.Timer("owner.decision").UpdateSince(start)
@@ -281,6 +282,7 @@
 		teams = append(teams, t.Team)
 	}
 	c.machine.Configure(queues, teams)
+	c.machine.EvacuateZones(config.EvacuatedZones)
 }
 
 // Configure applies a newer configuration.
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -29,6 +29,10 @@
 	ClaimDelay func() time.Duration
 	// UnconfirmedGrace is how long after the claim was last confirmed the owner still calls workers.
 	UnconfirmedGrace time.Duration
+	// ConfigAge returns the time since the configuration and its evacuated zones were confirmed to be
+	// the newest. No task is started beyond MaxConfigAge, unless that is zero.
+	ConfigAge    func() time.Duration
+	MaxConfigAge time.Duration
 	// HolderLeaseMS is the least time between orders of two different owners to one VM.
 	HolderLeaseMS int64
 	// MaxDirectWorkers is the number of workers up to which the owner polls all of them itself. Larger
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -21,11 +21,12 @@
 	reasonNeverFits           = "never_fits"
 	reasonLimitTooSmall       = "limit_too_small"
 	reasonIDOfAnotherTeam     = "id_of_another_team"
+	reasonZoneEvacuated       = "zone_evacuated"
 )
 
 var refusalReasons = map[jobs.Refusal]string{
 	jobs.RefusedNeverFits: reasonNeverFits, jobs.RefusedOverload: reasonObjectiveOutOfReach, jobs.RefusedTeamLimit: reasonLimitTooSmall,
-	jobs.RefusedIDTaken: reasonIDOfAnotherTeam,
+	jobs.RefusedIDTaken: reasonIDOfAnotherTeam, jobs.RefusedEvacuated: reasonZoneEvacuated,
 }
 
 // callResult is the loop's reply to a call.
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -71,6 +71,9 @@
 	// configuration authenticates keys. The rest covers a watch that receives
 	// nothing for a second and the transit time of the request.
 	maxConfigAgeShare = 0.68
+	// orderTransit is the part of Bounds.EvacuateMS left to the transit of orders and to differences
+	// of clock rates.
+	orderTransit = 250 * time.Millisecond
 	// balancerDelay is the time that the load balancer takes to remove an instance
 	// from rotation.
 	balancerDelay = 2300 * time.Millisecond
@@ -125,6 +128,7 @@
 	i.owner = owner.New(owner.Options{
 		Instance: s.Instance, Address: s.Listen.Peers, ClaimTTL: ttl, UnconfirmedGrace: unconfirmedGrace,
 		ClaimDelay: i.claimDelay, MaxDirectWorkers: maxDirectWorkers, HolderLeaseMS: s.Bounds.HolderLeaseMS,
+		ConfigAge: func() time.Duration { return time.Duration(i.config.AgeMS()) * time.Millisecond }, MaxConfigAge: maxStartConfigAge(s.Bounds),
 		Jobs: jobs.Config{
 			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedGrace).Milliseconds() * 21 / 20,
 			StartLimitMS: startTimeLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.MaxStopMS,
@@ -135,6 +139,16 @@
 	return i
 }
 
+// maxStartConfigAge returns the age of the last confirmed configuration beyond which no task is
+// started, or zero if the platform evacuates no zones. A start order has no effect after
+// startTimeLimit, so none takes effect later than EvacuateMS after a zone was evacuated.
+func maxStartConfigAge(b settings.CellBounds) time.Duration {
+	if b.EvacuateMS == 0 {
+		return 0
+	}
+	return time.Duration(b.EvacuateMS)*time.Millisecond - startTimeLimit - orderTransit
+}
+
 func (i *Instance) ownerPorts(store port.LeaseStore, peers *cellhttp.Dialer) owner.Ports {
 	p := owner.Ports{Store: store, Workers: i.adapters.Workers, Registry: i.adapters.Registry(store), Peers: peers, Probe: peers.Probe}
 	if len(i.settings.Platform.Duties) > 0 && i.settings.Platform.VMs != "" {
--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -130,7 +130,7 @@
 	m.loads, m.loadsMS = make(map[string]*load), m.nowMS
 	for _, w := range m.sortedWorkers {
 		l := m.cachedLoad(w.service)
-		if w.registered && w.contacted && !w.draining {
+		if w.registered && w.contacted && !w.draining && !m.zoneEvacuated(w) {
 			l.capacity = l.capacity.Add(w.capacity)
 			l.used = l.used.Add(w.used)
 		}
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -23,8 +23,18 @@
 	waitNoApproval = "approved workers have no room"
 	waitHeld       = "room is kept until tasks end"
 	waitRepair     = "gang members are placed again"
+	// waitEvacuated replaces waitCapacity while zones are evacuated.
+	waitEvacuated   = "no worker outside the evacuated zones has room"
+	waitUnconfirmed = "the operators' evacuations are not confirmed"
 )
 
+func (m *Machine) capacityReason() string {
+	if len(m.evacuatedZones) > 0 {
+		return waitEvacuated
+	}
+	return waitCapacity
+}
+
 // waitLogDelayMS is how long a step waits before the reason is logged.
 const waitLogDelayMS = 1500
 
@@ -163,7 +173,9 @@
 	// Suspects counts the workers that may run tasks of a former owner and have not reported.
 	Suspects int          `json:"suspect_workers"`
 	Workers  WorkerCounts `json:"workers"`
-	Teams    []TeamView   `json:"teams"`
+	// EvacuatedZones lists the zones whose workers get no new work at the operators' request.
+	EvacuatedZones []ZoneView `json:"evacuated_zones,omitempty"`
+	Teams          []TeamView `json:"teams"`
 }
 
 // TeamView shows the resources that a team uses, and its limit. A zero amount means no limit.
@@ -175,7 +187,7 @@
 
 // Overview returns counts of jobs, tasks and workers, and the resources in use by each team.
 func (m *Machine) Overview() Overview {
-	v := Overview{Suspects: len(m.suspects), Workers: m.CountWorkers()}
+	v := Overview{Suspects: len(m.suspects), Workers: m.CountWorkers(), EvacuatedZones: m.evacuatedZoneViews()}
 	for _, j := range m.jobs {
 		if j.state.Terminal() {
 			v.EndedJobs++
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -124,6 +124,9 @@
 		}
 		return
 	}
+	if m.zoneEvacuated(w) && m.leaveEvacuatedZone(r) {
+		return
+	}
 	if w.evacuating && m.evacuateRun(r) {
 		return
 	}
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -65,7 +65,11 @@
 	workers       map[domain.WorkerID]*worker
 	sortedWorkers []*worker
 	// slotCount is the number of worker slots assigned so far.
-	slotCount     int
+	slotCount int
+	// evacuatedZones are the zones whose workers get no new work at the operators' request.
+	evacuatedZones map[domain.ZoneID]bool
+	// startsPaused is set while the caller cannot confirm evacuatedZones.
+	startsPaused  bool
 	servicePasses map[string]*servicePass
 	lastPassMS    int64
 	jobs          map[domain.JobID]*job
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -111,6 +111,12 @@
 	if !m.needsPass || m.nowMS-m.lastPassMS < passIntervalMS && m.lastPassMS > 0 {
 		return
 	}
+	if m.startsPaused {
+		for _, s := range m.ready {
+			s.waitReason = waitUnconfirmed
+		}
+		return
+	}
 	m.needsPass = false
 	m.lastPassMS = m.nowMS
 	if len(m.ready) == 0 {
@@ -272,7 +278,7 @@
 		s.waitReason = waitTeamLimit
 		return
 	}
-	s.waitReason = waitCapacity
+	s.waitReason = m.capacityReason()
 	if !s.spec.Reserved().Fits(p.maxFree) {
 		return
 	}
@@ -329,7 +335,8 @@
 
 // usable reports whether the worker may get new work.
 func (m *Machine) usable(w *worker) bool {
-	return w.registered && w.contacted && w.inStoredMembers && w.clockKnown && w.unknownRuns == 0 && !w.draining && !w.evacuating && !w.hasTooManyWithheldEnds() &&
+	return w.registered && w.contacted && w.inStoredMembers && w.clockKnown && w.unknownRuns == 0 && !w.draining && !w.evacuating && !m.zoneEvacuated(w) &&
+		!w.hasTooManyWithheldEnds() &&
 		m.nowMS >= w.health.avoidUntilMS && m.reportedRecently(w)
 }
 
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"auburnpier/internal/domain"
 )
@@ -20,6 +21,8 @@
 	RefusedOverload
 	// RefusedTeamLimit means that a task or gang is larger than the team's limit.
 	RefusedTeamLimit
+	// RefusedEvacuated means that every worker that fits a task is in an evacuated zone.
+	RefusedEvacuated
 	// RefusedIDTaken means that the ID belongs to another team's job.
 	RefusedIDTaken
 )
@@ -49,8 +52,8 @@
 		return SubmitResult{Durable: j.durable}
 	}
 	t := m.teamOf(teamID)
-	if detail, fits := m.fitsSomeWorker(queue, spec); !fits {
-		return SubmitResult{Refusal: RefusedNeverFits, RetryAfterMS: neverFitsRetryMS, Detail: detail}
+	if refusal, detail := m.refuseUnplaceable(queue, spec); refusal != NotRefused {
+		return SubmitResult{Refusal: refusal, RetryAfterMS: neverFitsRetryMS, Detail: detail}
 	}
 	if !t.fitsTeamLimit(spec, m.cfg.LimitOvershoot) {
 		return SubmitResult{Refusal: RefusedTeamLimit, RetryAfterMS: neverFitsRetryMS}
@@ -147,29 +150,34 @@
 	return longest
 }
 
-// fitsSomeWorker reports whether each task fits an empty worker of the service, and otherwise
-// describes the first that does not. It returns true while no worker of the service is known.
-func (m *Machine) fitsSomeWorker(q *Queue, spec *Spec) (string, bool) {
-	known := false
+// refuseUnplaceable refuses a job with a task that fits no empty worker of the service, or only
+// workers of evacuated zones, and describes the task. It refuses nothing while no worker of the
+// service is known.
+func (m *Machine) refuseUnplaceable(q *Queue, spec *Spec) (Refusal, string) {
+	known := slices.ContainsFunc(m.sortedWorkers, func(w *worker) bool { return w.service == q.Service })
 	for i := range spec.Steps {
-		need := spec.Steps[i].Reserved()
-		fits := false
-		for _, w := range m.sortedWorkers {
-			if w.service != q.Service {
-				continue
-			}
-			known = true
-			if need.Fits(w.capacity) && w.hasLabel(spec.Steps[i].Label) {
-				fits = true
-				break
-			}
+		s := &spec.Steps[i]
+		refusal := m.refuseStep(q, s)
+		if known && refusal != NotRefused {
+			return refusal, fmt.Sprintf("no worker fits step %d: %d milli-cores, %d MB, %d accelerators, label %q",
+				i, s.Reserved().CPUMilli, s.Reserved().MemoryMB, s.Reserved().Accelerators, s.Label)
 		}
-		if known && !fits {
-			return fmt.Sprintf("no worker fits step %d: %d milli-cores, %d MB, %d accelerators, label %q",
-				i, need.CPUMilli, need.MemoryMB, need.Accelerators, spec.Steps[i].Label), false
+	}
+	return NotRefused, ""
+}
+
+func (m *Machine) refuseStep(q *Queue, s *StepSpec) Refusal {
+	need, refusal := s.Reserved(), RefusedNeverFits
+	for _, w := range m.sortedWorkers {
+		switch {
+		case w.service != q.Service || !need.Fits(w.capacity) || !w.hasLabel(s.Label):
+		case m.zoneEvacuated(w):
+			refusal = RefusedEvacuated
+		default:
+			return NotRefused
 		}
 	}
-	return "", true
+	return refusal
 }
 
 // fitsTeamLimit reports whether the limit permits each task, and each gang as a whole.
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -150,6 +150,9 @@
 	Teams   []TeamKeys
 	// MaxBodyBytes bounds the body of a client request.
 	MaxBodyBytes int64
+	// EvacuatedZones are the zones whose workers get no new work, in any order. Operators evacuate
+	// zones apart from the versions of the configuration.
+	EvacuatedZones []domain.ZoneID
 }
 
 // QueueRoute maps requests for a host and path prefix to a queue.
@@ -167,13 +170,28 @@
 	Keys []string
 }
 
-// ConfigSource reads the configuration and waits for new versions.
+// ConfigSource reads the configuration and the evacuated zones, and waits for changes.
 type ConfigSource interface {
 	// Read returns the configuration and the store revision at which it was
-	// read, or a *NotFoundError if none has been stored yet.
+	// read. If no configuration has been stored yet it returns the evacuated zones with a
+	// *NotFoundError.
 	Read(ctx context.Context) (CellConfig, int64, error)
-	// WaitForChange returns the newer configuration, or nil if there was none
-	// within wait. It sets gap if the store has compacted changes after the
-	// revision, so that the configuration must be read again.
-	WaitForChange(ctx context.Context, after int64, wait time.Duration) (next *CellConfig, revision int64, gap bool, err error)
+	// WaitForChange waits up to wait for changes after the revision.
+	WaitForChange(ctx context.Context, after int64, wait time.Duration) (ConfigChange, error)
+}
+
+// ConfigChange is what operators have changed up to a store revision.
+type ConfigChange struct {
+	// Config is the newest configuration without its evacuated zones, or nil if there is no newer
+	// one that can be decoded.
+	Config *CellConfig
+	// Unreadable is why the newest configuration cannot be decoded, or nil. An older one in Config may
+	// be applied but not taken for the newest.
+	Unreadable error
+	// Evacuated holds the zones whose evacuation has begun (true) or ended (false).
+	Evacuated map[domain.ZoneID]bool
+	Revision  int64
+	// Gap reports whether the store has compacted changes after the revision, so that the caller must
+	// read the configuration again.
+	Gap bool
 }
--- a/internal/settings/cell.go
+++ b/internal/settings/cell.go
@@ -44,6 +44,9 @@
 type CellBounds struct {
 	// RevokeMS is the time after which a revoked key must no longer be accepted.
 	RevokeMS int64 `json:"revoke_ms"`
+	// EvacuateMS is the time after which no task may start in an evacuated zone. Zero means that zones
+	// are not evacuated.
+	EvacuateMS int64 `json:"evacuate_ms"`
 	// MaxLeaseMS is the longest lease that a worker grants.
 	MaxLeaseMS int64 `json:"max_lease_ms"`
 	// GraceMS is the time between a stop request and the kill.
@@ -110,6 +113,9 @@
 	}
 	v.between("bounds.holder_lease_ms", s.Bounds.HolderLeaseMS, 0, 600_000)
 	v.between("bounds.revoke_ms", s.Bounds.RevokeMS, 2_000, 600_000)
+	if s.Bounds.EvacuateMS != 0 {
+		v.between("bounds.evacuate_ms", s.Bounds.EvacuateMS, 3_000, 600_000)
+	}
 	v.between("bounds.max_lease_ms", s.Bounds.MaxLeaseMS, 2_000, 600_000)
 	v.between("bounds.grace_ms", s.Bounds.GraceMS, 1_000, 600_000)
 	v.between("bounds.gang_wait_ms", s.Bounds.GangWaitMS, 500, 600_000)
