Keep last attempts off workers whose last run failed

Cause: a task that failed was started again at once on the worker that had failed it: the approval is at hand and the room has just become free, so the fit is the tightest. With two attempts the job failed within 0.1 to 0.4 s. A worker was avoided only once failures outweighed the successes of the last seconds: nine successes hid nine failures.

Change: a worker is doubted after a failed run until a run succeeds there, or while a quarter of its recent runs fail. Last attempts are not placed on doubted workers; other tasks go there only if nothing else has room. Two failures without a success in between suffice to avoid a worker.

Ruled out: reading the health check (each look is priced, and it lies); refusing the same worker only (the next one is often bad as well).

--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -32,6 +32,8 @@
 	succeeded     map[TaskID]bool
 	runningRuns   map[TaskID]int
 	violations    []string
+	// failRun decides which runs fail, and how long after their start. It is nil if none does.
+	failRun func(StartOrder) (afterMS int64, fails bool)
 	// refuse lets a test determine the outcome of a start order in place of the worker.
 	refuse func(StartOrder) (StartOutcome, bool)
 	// interference models how best-effort tasks disturb serving tasks. It is nil if they do not.
@@ -298,6 +300,12 @@
 	if t.step.spec.LongRunning {
 		return
 	}
+	if f.failRun != nil {
+		if afterMS, fails := f.failRun(o); fails {
+			f.after(afterMS, func() { f.end(w, o.Task, o.Run, EndFailed) })
+			return
+		}
+	}
 	f.after(f.taskMS(o), func() { f.end(w, o.Task, o.Run, EndSucceeded) })
 }
 
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -117,7 +117,7 @@
 	var slots []gangSlot
 	total := 0
 	for _, w := range m.usableFor(s) {
-		if rack != "" && w.rack != rack || !w.hasLabel(s.spec.Label) || !approved(s, w) {
+		if rack != "" && w.rack != rack || !w.hasLabel(s.spec.Label) || !approved(s, w) || !m.trusts(s, w) {
 			continue
 		}
 		free := freeOn(s, w)
@@ -299,7 +299,7 @@
 func (m *Machine) candidateWorkers(s *step, ok func(*step, *worker) bool) []*worker {
 	var list []*worker
 	for _, w := range m.usableFor(s) {
-		if w.hasLabel(s.spec.Label) && ok(s, w) && s.spec.Reserved().Fits(w.capacity) {
+		if w.hasLabel(s.spec.Label) && ok(s, w) && m.trusts(s, w) && s.spec.Reserved().Fits(w.capacity) {
 			list = append(list, w)
 		}
 	}
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -1,5 +1,7 @@
 package jobs
 
+import "slices"
+
 // health tracks the outcomes of runs on a worker.
 type health struct {
 	// avoidUntilMS is when the worker may get new work again.
@@ -7,6 +9,10 @@
 	failures     float64
 	successes    float64
 	lastDecayMS  int64
+	// failuresInRow is the weight of the failures since the last success.
+	failuresInRow float64
+	lastFailureMS int64
+	lastSuccessMS int64
 	// strikes is the number of successive avoidances. Each doubles the next one's duration.
 	strikes int
 }
@@ -15,11 +21,18 @@
 const (
 	// healthHalfLifeMS is the half-life of the weight of past run results.
 	healthHalfLifeMS = 4000
-	// minFailuresToAvoid is the weight of recent failures from which a worker is avoided, provided
-	// that they outweigh the successes.
+	// minFailuresToAvoid is the weight of failures from which a worker is avoided, provided that they
+	// outweigh the recent successes or that none succeeded in between.
 	minFailuresToAvoid = 1.6
-	avoidBaseMS        = 2500
-	avoidMaxMS         = 12_000
+	// doubtMS is how long a failure makes a worker doubted unless a run succeeds there.
+	doubtMS = 8000
+	// doubtedFailureShare is the share of failures among recent runs from which a worker is doubted even
+	// after a success: it may fail some of what it starts.
+	doubtedFailureShare = 0.25
+	// provenMS is how long a success proves a worker for last attempts.
+	provenMS    = 3000
+	avoidBaseMS = 2500
+	avoidMaxMS  = 12_000
 	// slownessWeight is the weight of the newest run in the smoothed slowness.
 	slownessWeight = 0.25
 )
@@ -43,6 +56,48 @@
 	h.strikes = min(h.strikes+1, 3)
 	h.avoidFor(nowMS, min(avoidMaxMS, int64(avoidBaseMS)<<(h.strikes-1)))
 	h.failures = 0
+	h.failuresInRow = 0
+}
+
+// doubted reports whether the worker may fail what it starts: its last run failed, or many recent
+// ones did.
+func (h *health) doubted(nowMS int64) bool {
+	if h.lastFailureMS == 0 || nowMS-h.lastFailureMS >= doubtMS {
+		return false
+	}
+	return h.lastFailureMS > h.lastSuccessMS ||
+		h.failures >= minFailuresToAvoid && h.failures >= doubtedFailureShare*(h.failures+h.successes)
+}
+
+// hasLastAttempt reports whether one more failed run of a waiting task, or of the gang, fails the job.
+func (s *step) hasLastAttempt() bool {
+	last := s.job.queue.MaxAttempts - 1
+	if last < 0 || s.spec.LongRunning {
+		return false
+	}
+	if s.spec.Gang {
+		return len(s.gangFailedRuns) >= last
+	}
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == taskWaiting && len(t.failedRuns) >= last })
+}
+
+// trusts reports whether the step may be placed on the worker. A last attempt is not spent on a
+// doubted one.
+func (m *Machine) trusts(s *step, w *worker) bool {
+	return !s.lastAttempt || !w.health.doubted(m.nowMS)
+}
+
+// healthCost is the part of the placement cost that keeps tasks away from doubted workers, and last
+// attempts on workers where runs have succeeded recently.
+func (m *Machine) healthCost(s *step, w *worker) float64 {
+	c := 0.0
+	if w.health.doubted(m.nowMS) {
+		c += doubtCost
+	}
+	if s.lastAttempt {
+		c += unprovenCost * min(1, float64(m.nowMS-w.health.lastSuccessMS)/provenMS)
+	}
+	return c
 }
 
 // recordRunResult updates the health of the run's worker.
@@ -52,6 +107,8 @@
 	h.decay(m.nowMS)
 	if kind == EndSucceeded {
 		h.successes++
+		h.failuresInRow = 0
+		h.lastSuccessMS = m.nowMS
 		if h.successes > 3 {
 			h.strikes = 0
 		}
@@ -64,7 +121,9 @@
 		weight = 0.3
 	}
 	h.failures += weight
-	if h.failures >= minFailuresToAvoid && h.failures > h.successes {
+	h.failuresInRow += weight
+	h.lastFailureMS = m.nowMS
+	if h.failuresInRow >= minFailuresToAvoid || h.failures >= minFailuresToAvoid && h.failures > h.successes {
 		h.addStrike(m.nowMS)
 		m.out.recordWorker("worker_avoided", w.id, "too many failed runs")
 	}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -100,6 +100,8 @@
 	nextApprovalMS      int64
 	rank                int64
 	tier                int64
+	// lastAttempt is set while one more failure would fail the job.
+	lastAttempt bool
 	// waitReason is why the last pass left tasks unplaced. loggedWaitReason is the last reason
 	// logged.
 	waitReason, loggedWaitReason string
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -123,6 +123,7 @@
 		return
 	}
 	for _, s := range m.ready {
+		s.lastAttempt = s.hasLastAttempt()
 		s.rank = m.rank(s)
 		s.tier = m.tier(s, s.rank)
 	}
@@ -350,7 +351,7 @@
 	bestCost := 0.0
 	for _, w := range m.usableFor(s) {
 		free := m.freeFor(s, w)
-		if !need.Fits(free) || !w.hasLabel(s.spec.Label) || !m.approved(s, w) ||
+		if !need.Fits(free) || !w.hasLabel(s.spec.Label) || !m.approved(s, w) || !m.trusts(s, w) ||
 			s.spec.MaxPerWorker > 0 && s.tasksPerWorker[w.id] >= s.spec.MaxPerWorker {
 			continue
 		}
@@ -367,13 +368,16 @@
 	slownessCost = 1.0
 	offRackCost  = 1.0
 	fitCost      = 2.0
+	// doubtCost outweighs the other parts, so that a doubted worker gets work only if no other has room.
+	doubtCost    = 10.0
+	unprovenCost = 1.0
 )
 
 // cost returns the placement cost of a task on a worker on which left would remain free. It is
 // lower for fast workers, for workers near the data, and for a tight fit, which keeps large blocks
 // of free capacity for gangs. Long-running and best-effort tasks are spread out instead.
 func (m *Machine) cost(s *step, w *worker, left domain.Resources) float64 {
-	c := slownessCost * w.slowness
+	c := slownessCost*w.slowness + m.healthCost(s, w)
 	if s.spec.DataRack != "" && s.spec.DataRack != w.rack {
 		c += offRackCost * (m.cfg.OffRackFactor - 1)
 	}
@@ -393,7 +397,7 @@
 	var candidates []*worker
 	reserved := 0
 	for _, w := range m.usableFor(s) {
-		if !need.Fits(m.freeFor(s, w)) || !w.hasLabel(s.spec.Label) || !s.mayBeApproved(w) {
+		if !need.Fits(m.freeFor(s, w)) || !w.hasLabel(s.spec.Label) || !s.mayBeApproved(w) || !m.trusts(s, w) {
 			continue
 		}
 		n := m.countFitting(s, w, need)
