Leave drained workers out of the stored list of workers

Cause: a successor starts nothing of a recovered job until every worker of the stored list has reported or its longest lease is over. Drained workers stayed in the list until they were unlisted and idle; one that terminated while there was no owner no longer refuses connections, so nothing proves its end.

Change: a worker that gets no work, runs nothing and lists no run end that is not stored is left out of the list, at most each 0.5 s. It is stored again before its first start. Late jobs are logged with what their steps waited for.

Ruled out: a shorter lease for the case that the former process is known to have ended (a worker may hold a lease of the owner before it); dropping workers that only refuse connections (flapping ones would cost a write of 21 KB at each change).

--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"auburnpier/internal/domain"
 )
@@ -56,7 +57,7 @@
 func (m *Machine) countWait(s *step) {
 	ms := m.nowMS - max(s.readyMS, s.waitsCountedMS)
 	s.waitsCountedMS = m.nowMS
-	if s.waitReason == "" || ms <= 0 {
+	if s.waitReason == "" || ms <= 0 || s.waiting == 0 {
 		return
 	}
 	if s.waitMSByReason == nil {
@@ -69,6 +70,35 @@
 	m.out.WaitedMS[s.waitReason] += ms
 }
 
+// recordLateness logs an occurrence that has completed after its objective: by how much, and how long
+// each step waited for what.
+func (m *Machine) recordLateness(o *occurrence) {
+	lateMS := m.nowMS - o.deadlineMS
+	if lateMS <= 0 {
+		return
+	}
+	j := o.job
+	var detail strings.Builder
+	fmt.Fprintf(&detail, "late by %d ms (objective %d ms, critical path %d ms)", lateMS, j.objectiveMS(), j.criticalPathMS)
+	for _, s := range o.steps {
+		m.countWait(s)
+		fmt.Fprintf(&detail, "; step %d, last run %d, ready since %d ms, waited", s.number, s.lastRun(), m.nowMS-s.readyMS)
+		for _, reason := range slices.Sorted(maps.Keys(s.waitMSByReason)) {
+			fmt.Fprintf(&detail, " %d ms: %s,", s.waitMSByReason[reason], reason)
+		}
+	}
+	m.out.recordJob("job_late", j, detail.String())
+}
+
+// lastRun returns the highest run number of the step's tasks.
+func (s *step) lastRun() int {
+	last := 0
+	for _, t := range s.tasks {
+		last = max(last, t.lastRun)
+	}
+	return last
+}
+
 // JobView describes a job to operators. Durations are milliseconds.
 type JobView struct {
 	Job            domain.JobID   `json:"job"`
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -82,6 +82,8 @@
 	suspects map[domain.WorkerID]int64
 	// membersChanged is set while the stored list of workers is out of date.
 	membersChanged bool
+	// trimmedMS is when a write of the list that only leaves workers out was last requested.
+	trimmedMS int64
 	// membersWriteInFlight is set while a write of that list is in progress.
 	membersWriteInFlight bool
 	jobsToDelete         []domain.JobID
@@ -274,7 +276,7 @@
 		return
 	}
 	// It gets work again once a poll is answered.
-	w.contacted, w.pollFailed = false, true
+	w.contacted, w.pollFailed, w.terminated = false, true, true
 	ended := func(r *run) bool { return r.confirmedMS > 0 }
 	if m.endLostRuns(w, ended) > 0 {
 		m.out.recordWorker("worker_gone", w.id, "")
@@ -298,7 +300,7 @@
 			m.needsPass = true
 		}
 	}
-	kept := m.sortedWorkers[:0]
+	kept, trim := m.sortedWorkers[:0], false
 	for _, w := range m.sortedWorkers {
 		// An owner that is short of CPU time may poll a worker too late. The worker still lists
 		// how its runs ended, so runs are abandoned only if a poll has failed.
@@ -314,9 +316,33 @@
 			m.out.RemovedWorkers = append(m.out.RemovedWorkers, w.id)
 			continue
 		}
+		switch idle := m.cannotHaveTasks(w); {
+		case idle && !w.leftOut && m.nowMS-m.trimmedMS >= memberTrimIntervalMS:
+			trim = true
+		case !idle && w.leftOut:
+			w.leftOut = false
+			m.membersChanged = true
+		}
 		kept = append(kept, w)
 	}
 	m.sortedWorkers = kept
+	if trim {
+		m.trimmedMS = m.nowMS
+		m.membersChanged = true
+	}
+}
+
+// memberTrimIntervalMS is the least time between two writes of the list of workers that only leave
+// workers out.
+const memberTrimIntervalMS = 500
+
+// cannotHaveTasks reports whether a later owner need not hear of the worker: it has no tasks and no
+// run ends whose effects are not stored, and gets no work. Such a worker often terminates soon, and
+// could not prove then that none of the tasks of a former owner runs on it.
+func (m *Machine) cannotHaveTasks(w *worker) bool {
+	_, suspect := m.suspects[w.id]
+	return (w.draining || !w.registered) && !suspect && (w.contacted || w.terminated) &&
+		len(w.runs) == 0 && w.unknownRuns == 0 && len(w.pendingEnds) == 0 && w.withheldEnd == 0
 }
 
 // recordAbandonedRuns marks the worker's runs as abandoned in the stored state, for later
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -242,9 +242,11 @@
 	// resource usage may be unknown, so the worker gets no new work until they have ended.
 	unknownRuns int
 	// inStoredMembers is set once the stored list of workers that may have tasks includes this
-	// one.
-	inStoredMembers bool
-	lastReportMS    int64
+	// one. leftOut is set while the list leaves it out because it cannot have any.
+	inStoredMembers, leftOut bool
+	// terminated is set while the worker's process is known to have terminated.
+	terminated   bool
+	lastReportMS int64
 	// clockOffset added to the monotonic clock gives a lower bound of the worker's clock.
 	clockOffset int64
 	clockKnown  bool
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -115,7 +115,7 @@
 	b := &Batch{}
 	if m.membersChanged && !m.membersWriteInFlight {
 		m.membersChanged, m.membersWriteInFlight = false, true
-		b.Members = m.members()
+		b.Members = m.takeMembers()
 		mostEntries--
 	}
 	n := min(len(m.jobsToDelete), maxDeletionsPerBatch)
@@ -161,10 +161,14 @@
 // HasChanges reports whether TakeBatch has something to write.
 func (m *Machine) HasChanges() bool { return m.PendingEntries(1) > 0 }
 
-// members lists the workers that may have tasks, including those of a former owner.
-func (m *Machine) members() []Member {
+// takeMembers lists the workers that may have tasks, including those of a former owner, to be stored.
+func (m *Machine) takeMembers() []Member {
 	list := make([]Member, 0, len(m.sortedWorkers)+len(m.suspects))
 	for _, w := range m.sortedWorkers {
+		if w.leftOut = m.cannotHaveTasks(w); w.leftOut {
+			w.inStoredMembers = false
+			continue
+		}
 		list = append(list, Member{ID: w.id, Address: w.address, Zone: w.zone, Capacity: w.capacity})
 	}
 	for id := range m.suspects {
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -389,3 +389,84 @@
 		t.Errorf("%d starts once the address is stored, want 1", len(starts))
 	}
 }
+
+// Guards against drained workers that terminate while there is no owner and then keep every recovered
+// job waiting until their lease would have expired, and against a worker that is left out of the
+// stored list although a later owner has to hear of it.
+func TestDrainedWorkersLeaveStoredMembers(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}}
+	draining := WorkerInfo{ID: "w", Service: "svc", Capacity: workerSize, StartedMS: 1, Draining: true, DrainTimeLeftMS: 2500}
+	for name, c := range map[string]struct {
+		before func(t *testing.T, m *Machine)
+		listed bool
+	}{
+		"idle and drained":           {func(_ *testing.T, m *Machine) { m.UpdateWorkers([]WorkerInfo{draining}) }, false},
+		"idle, no longer registered": {func(_ *testing.T, m *Machine) { m.UpdateWorkers(nil) }, false},
+		"idle and in use":            {func(*testing.T, *Machine) {}, true},
+		"drained, not reported yet": {func(_ *testing.T, m *Machine) {
+			m.workers["w"].contacted = false
+			m.UpdateWorkers([]WorkerInfo{draining})
+		}, true},
+		"drained, still runs a task": {func(t *testing.T, m *Machine) {
+			m.Submit("j", q, "team", &spec)
+			storeAll(t, m)
+			report(m, nil, RunReport{Task: TaskID{Job: "j"}, Run: 1})
+			m.UpdateWorkers([]WorkerInfo{draining})
+		}, true},
+		"drained, effect of an end not stored": {func(t *testing.T, m *Machine) {
+			m.Submit("j", q, "team", &spec)
+			storeAll(t, m)
+			report(m, nil, RunReport{Task: TaskID{Job: "j"}, Run: 1})
+			report(m, []EndReport{{Number: 1, Task: TaskID{Job: "j"}, Run: 1, Kind: EndSucceeded}})
+			m.UpdateWorkers([]WorkerInfo{draining})
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(testConfig(), 0, 0)
+			registerWorker(m)
+			report(m, nil)
+			storeAll(t, m)
+			c.before(t, m)
+			m.Advance(m.nowMS+2*memberTrimIntervalMS, 0)
+			m.membersChanged = true
+			b, err := m.TakeBatch(testBatchEntries)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if listed := len(b.Members) == 1; listed != c.listed {
+				t.Errorf("the stored list is %v, want the worker listed: %v", b.Members, c.listed)
+			}
+		})
+	}
+}
+
+// Guards against a start on a worker that is registered for work again after it was left out of the
+// stored list: a later owner would not look for the task there.
+func TestReturningWorkerIsStoredBeforeItsFirstStart(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	registerWorker(m)
+	report(m, nil)
+	storeAll(t, m)
+	m.UpdateWorkers(nil)
+	m.Advance(2*memberTrimIntervalMS, 0)
+	storeAll(t, m)
+	m.UpdateWorkers([]WorkerInfo{{ID: "w", Service: "svc", Capacity: workerSize, StartedMS: 1}})
+	report(m, nil)
+	m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+	w := m.workers["w"]
+	w.leaseExpiryMS = m.nowMS + 10_000
+	for range 4 {
+		stored := w.inStoredMembers
+		m.Advance(m.nowMS+100, 0)
+		m.Schedule()
+		if starts := len(m.TakeOutput().Starts); starts > 0 && !stored {
+			t.Fatal("a task was started before the worker was stored")
+		}
+		storeAll(t, m)
+	}
+	if len(w.runs) != 1 {
+		t.Error("the worker got no work after its return")
+	}
+}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -69,8 +69,7 @@
 	if w.startedMS != r.StartedMS {
 		m.workerRestarted(w, r.StartedMS)
 	}
-	w.contacted = true
-	w.pollFailed = false
+	w.contacted, w.pollFailed, w.terminated = true, false, false
 	delete(m.suspects, w.id)
 	w.lastReportMS = m.nowMS
 	// The response took time to arrive, so this gives a lower bound of the worker's clock.
@@ -398,6 +397,7 @@
 		m.markReady(o)
 		return
 	}
+	m.recordLateness(o)
 	if !j.spec.Recurring() {
 		m.endJob(j, Completed)
 		return
