Ask the next owner for the outcome of a submission

Ways weighed: the entry reads the job's record in the store under the new claim (a read for each call, and nothing where the job was not stored); the new owner answers for its predecessor (the caller's connection is at the entry); the entry submits again under the same ID to the next owner. Kept the last: the store fences the former owner, so the next one knows whether the job is stored and accepts it if not. A refusal is passed on only if it comes from another instance than the one that has not answered. A submission without an owner waits for 0.9 of the job's slack instead of a quarter of its objective: refused earlier, it would come back a second later and be late for certain.

--- a/internal/app/entry/directory.go
+++ b/internal/app/entry/directory.go
@@ -22,6 +22,8 @@
 	mu        sync.Mutex
 	ownership owner.Ownership
 	client    port.OwnerService
+	// changes counts the changes of the ownership.
+	changes int64
 	// changed is closed and replaced when the ownership changes.
 	changed chan struct{}
 	// instances is the owner's latest list of instances, and listVersion the version of that list.
@@ -66,6 +68,7 @@
 		return
 	}
 	d.ownership = s
+	d.changes++
 	switch {
 	case s.Local != nil:
 		d.client = s.Local
@@ -93,21 +96,75 @@
 	return d.client, d.changed
 }
 
-// waitForOwner waits for an owner other than previous. It returns nil when ctx ends or the wait expires.
-func (d *Directory) waitForOwner(ctx context.Context, previous port.OwnerService, wait time.Duration) port.OwnerService {
+// pauseGrace is how late a timer fires at most unless the process was paused.
+const pauseGrace = 20 * time.Millisecond
+
+// ownerTerm is one term of an owner, as far as this instance knows.
+type ownerTerm struct {
+	port.OwnerService
+	// number increases with each change of the ownership.
+	number  int64
+	address string
+}
+
+// term returns the present term, or nil if no owner is known, and a channel that is closed at the
+// next change.
+func (d *Directory) term() (*ownerTerm, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.client == nil {
+		return nil, d.changed
+	}
+	t := &ownerTerm{OwnerService: d.client, number: d.changes}
+	if d.ownership.Claim != nil {
+		t.address = d.ownership.Claim.Address
+	}
+	return t, d.changed
+}
+
+// waitForOwner waits for an owner whose term is later than the given one, or for any owner if that is
+// nil. It returns nil when ctx ends or the wait expires.
+func (d *Directory) waitForOwner(ctx context.Context, after *ownerTerm, wait time.Duration) *ownerTerm {
+	deadline := time.Now().Add(wait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		client, changed := d.Owner()
-		if client != nil && client != previous {
-			return client
+	for expired := false; ; {
+		t, changed := d.term()
+		if t != nil && (after == nil || t.number > after.number) {
+			return t
+		}
+		if expired || ctx.Err() != nil {
+			return nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil
+			// After a pause of the process the next owner may be about to be published.
+			if expired = time.Since(deadline) < pauseGrace; !expired {
+				deadline = time.Now()
+				timer.Reset(pauseGrace / 2)
+			}
 		case <-ctx.Done():
-			return nil
 		}
 	}
 }
+
+// whileOwner returns a context that ends when a later term begins.
+func (d *Directory) whileOwner(ctx context.Context, t *ownerTerm) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			current, changed := d.term()
+			if current != nil && current.number > t.number {
+				cancel()
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -26,12 +26,15 @@
 }
 
 const (
-	// submitWaitShare is the fraction of a job's objective for which its submission waits for an
-	// owner, within the bounds below. A rejected caller retries only after a second or more,
-	// whereas a handover usually takes less.
-	submitWaitShare = 0.25
+	// submitWaitShare is the fraction of a job's slack for which its submission waits for an owner,
+	// within the bounds below. A rejected caller retries only after a second or more, and the job is
+	// then late if that is its slack, whereas a handover takes about as long as the claim's TTL.
+	submitWaitShare = 0.9
 	minSubmitWait   = 100 * time.Millisecond
-	maxSubmitWait   = time.Second
+	maxSubmitWait   = 1500 * time.Millisecond
+	// unknownOutcomeWait bounds the wait for an owner that knows the outcome of a submission. It
+	// covers the claim's TTL and the recovery of the cell.
+	unknownOutcomeWait = 2 * time.Second
 	// queryWait bounds the wait for an owner of calls that are read-only or idempotent.
 	queryWait = 1200 * time.Millisecond
 	// callTimeout bounds a call to the owner if the caller sets no deadline.
@@ -208,36 +211,61 @@
 	ctx, cancel := withDeadline(ctx, deadline)
 	defer cancel()
 	call := port.SubmitRequest{Job: id, Queue: c.Route.Queue, Team: c.Team, Spec: spec}
-	var previous port.OwnerService
+	var previous *ownerTerm
+	// unknownAt is the address of an owner that has not answered and may have accepted the job.
+	unknownAt, unknown := "", false
 	waitUntil := time.Now().Add(submitWait(&c.Route.Queue, &spec))
 	for range maxSubmitAttempts {
-		client := s.directory.waitForOwner(ctx, previous, max(0, time.Until(waitUntil)))
-		if client == nil {
-			return s.reject(NoOwner, retryAfter, "no instance owns the cell now, come back")
-		}
-		reply, err := client.Submit(ctx, call)
-		if hadNoEffect(err) {
-			previous = client
-			continue
+		term := s.directory.waitForOwner(ctx, previous, max(0, time.Until(waitUntil)))
+		if term == nil {
+			break
 		}
-		if err != nil {
-			s.log.Warn("the owner did not answer a submission, its outcome is unknown", zap.String("job", string(id)), zap.Error(err))
-			return s.reject(OutcomeUnknown, 0, "the job may have been accepted, send it again under the same ID")
+		reply, err := s.submitTo(ctx, term, call)
+		switch {
+		case hadNoEffect(err):
+			previous = term
+		case err != nil || reply.OutcomeUnknown:
+			// The ID makes repeats harmless. The same owner may answer one; a later owner knows whether
+			// the job is stored, and no former owner can store it any more.
+			s.metrics.Counter("job.asked_again").Inc(1)
+			s.log.Info("the owner did not answer a submission, asking again", zap.String("job", string(id)), zap.Error(err))
+			unknownAt, unknown = term.address, true
+			waitUntil = time.Now().Add(unknownOutcomeWait)
+			ctxtime.Sleep(ctx, queryRetryDelay)
+		case unknown && !reply.Accepted && term.address == unknownAt:
+			// The first call may still be on its way to the instance that refuses the second.
+			return s.rejectUnknown()
+		default:
+			return s.submitResult(reply)
 		}
-		return s.submitResult(reply)
 	}
-	return s.reject(NoOwner, retryAfter, "the owner of the cell changes, come back")
+	if unknown {
+		return s.rejectUnknown()
+	}
+	return s.reject(NoOwner, retryAfter, "no instance owns the cell now, come back")
+}
+
+// submitTo submits a job to an owner. It gives up when a later owner is known, which can tell the
+// outcome sooner than an owner that is lost.
+func (s *Service) submitTo(ctx context.Context, t *ownerTerm, r port.SubmitRequest) (port.SubmitReply, error) {
+	ctx, cancel := s.directory.whileOwner(ctx, t)
+	defer cancel()
+	return t.Submit(ctx, r)
+}
+
+func (s *Service) rejectUnknown() *Rejection {
+	return s.reject(OutcomeUnknown, 0, "the job may have been accepted, send it again under the same ID")
 }
 
-// submitWait returns how long a submission of the job waits for an owner.
+// submitWait returns how long a submission of the job waits for an owner: most of the time that the
+// job can wait and still meet its objective.
 func submitWait(q *jobs.Queue, spec *jobs.Spec) time.Duration {
-	share := time.Duration(submitWaitShare*float64(jobs.ObjectiveMS(spec, q))) * time.Millisecond
+	share := time.Duration(submitWaitShare*float64(jobs.SlackMS(spec, q))) * time.Millisecond
 	return min(maxSubmitWait, max(minSubmitWait, share))
 }
 
-// maxSubmitAttempts is the maximum number of owners that a submission is sent to. Only a call that
-// certainly had no effect is sent to a second one.
-const maxSubmitAttempts = 2
+// maxSubmitAttempts is the maximum number of calls to owners for one submission.
+const maxSubmitAttempts = 5
 
 // hadNoEffect reports whether the failed call certainly had no effect.
 func hadNoEffect(err error) bool {
@@ -247,11 +275,8 @@
 }
 
 func (s *Service) submitResult(r port.SubmitReply) *Rejection {
-	switch {
-	case r.Accepted:
+	if r.Accepted {
 		return nil
-	case r.OutcomeUnknown:
-		return s.reject(OutcomeUnknown, 0, "the job may have been accepted, send it again under the same ID")
 	}
 	return &Rejection{Kind: JobRefused, RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, Remedy: r.Reason}
 }
@@ -260,7 +285,7 @@
 func (s *Service) Cancel(ctx context.Context, c Call, id domain.JobID, deadline time.Duration) *Rejection {
 	ctx, cancel := withDeadline(ctx, deadline)
 	defer cancel()
-	var previous port.OwnerService
+	var previous *ownerTerm
 	for ctx.Err() == nil {
 		client := s.directory.waitForOwner(ctx, previous, queryWait)
 		if client == nil {
@@ -285,7 +310,7 @@
 
 // prepareRetry returns the owner that a retry must skip: client, if the call certainly had no effect
 // there. Otherwise it sleeps and returns nil, because the same owner may answer the next call.
-func (s *Service) prepareRetry(ctx context.Context, client port.OwnerService, err error) port.OwnerService {
+func (s *Service) prepareRetry(ctx context.Context, client *ownerTerm, err error) *ownerTerm {
 	if hadNoEffect(err) {
 		return client
 	}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -123,6 +123,13 @@
 // specification to complete.
 func ObjectiveMS(spec *Spec, q *Queue) int64 { return objectiveMS(q, criticalPathMS(spec, q)) }
 
+// SlackMS returns how long a job of that specification can wait and still complete within the
+// objective of the queue.
+func SlackMS(spec *Spec, q *Queue) int64 {
+	path := criticalPathMS(spec, q)
+	return objectiveMS(q, path) - path
+}
+
 func objectiveMS(q *Queue, criticalPathMS int64) int64 {
 	return int64(q.Stretch*float64(criticalPathMS)) + q.ObjectiveMS
 }
