Keep short tasks off capacity that gangs hold

Cause: a gang holds capacity while its approvals are asked for, 0.5 s at least, but the hold bound only steps later in the order. Short tasks come first and took parts of it; a gang of 20 tasks on 10 to 20 workers then stopped other work and asked again.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -155,7 +155,7 @@
 	list := make([]candidate, len(candidates))
 	for i, w := range candidates {
 		free := m.freeFor(s, w)
-		list[i] = candidate{w: w, fits: need.Fits(free), approved: s.verdict(w) == verdictApproved,
+		list[i] = candidate{w: w, fits: need.Fits(free) && !m.breaksHold(s, w, need), approved: s.verdict(w) == verdictApproved,
 			freeLevel: free.CPUMilli * freeLevels / max(1, w.capacity.CPUMilli),
 			hash:      (seed ^ uint32(w.slot)) * fnvPrime * fnvPrime}
 	}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -34,6 +34,8 @@
 	violations    []string
 	// failRun decides which runs fail, and how long after their start. It is nil if none does.
 	failRun func(StartOrder) (afterMS int64, fails bool)
+	// onDecision is called with each decision of the machine. It may be nil.
+	onDecision func(Decision)
 	// refuse lets a test determine the outcome of a start order in place of the worker.
 	refuse func(StartOrder) (StartOutcome, bool)
 	// interference models how best-effort tasks disturb serving tasks. It is nil if they do not.
@@ -166,6 +168,11 @@
 		}
 	}
 	out := f.m.TakeOutput()
+	if f.onDecision != nil {
+		for _, d := range out.Decisions {
+			f.onDecision(d)
+		}
+	}
 	for _, o := range out.Starts {
 		f.after(5, func() { f.start(o) })
 	}
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -132,7 +132,11 @@
 			continue
 		}
 		total += n
-		slots = append(slots, gangSlot{w, n, m.cost(s, w, free.Sub(need.Scale(int64(n))))})
+		cost := m.cost(s, w, free.Sub(need.Scale(int64(n))))
+		if m.breaksHold(s, w, need) {
+			cost += brokenHoldCost
+		}
+		slots = append(slots, gangSlot{w, n, cost})
 	}
 	if total < s.open {
 		return nil
@@ -296,6 +300,23 @@
 	}
 }
 
+// sumHolds sums up what gangs hold on each worker.
+func (m *Machine) sumHolds() {
+	for _, s := range m.ready {
+		if m.nowMS >= s.holdUntilMS {
+			continue
+		}
+		for w, r := range s.hold {
+			w.heldForGangs = w.heldForGangs.Add(r)
+		}
+	}
+}
+
+// breaksHold reports whether a task of a step without a hold would use capacity that a gang holds.
+func (m *Machine) breaksHold(s *step, w *worker, need domain.Resources) bool {
+	return s.hold == nil && !w.heldForGangs.IsZero() && !need.Fits(w.free().Sub(w.heldForGangs))
+}
+
 func (m *Machine) candidateWorkers(s *step, ok func(*step, *worker) bool) []*worker {
 	var list []*worker
 	for _, w := range m.usableFor(s) {
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -256,7 +256,9 @@
 	leaseExpiryMS int64
 	used          domain.Resources
 	heldInPass    domain.Resources
-	runs          map[TaskID]*run
+	// heldForGangs is what all gangs held here when the pass began.
+	heldForGangs domain.Resources
+	runs         map[TaskID]*run
 	// lastEndNumber is the last run end processed. pendingEnds lists those whose effects are
 	// not stored yet.
 	lastEndNumber int64
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -130,8 +130,9 @@
 	slices.SortStableFunc(m.ready, compareSteps)
 	m.servicePasses = make(map[string]*servicePass)
 	for _, w := range m.sortedWorkers {
-		w.heldInPass = domain.Resources{}
+		w.heldInPass, w.heldForGangs = domain.Resources{}, domain.Resources{}
 	}
+	m.sumHolds()
 	m.boundUnreported()
 	m.sumDemand()
 	blocked := make(map[*team]bool)
@@ -356,6 +357,9 @@
 			continue
 		}
 		c := m.cost(s, w, free.Sub(need))
+		if m.breaksHold(s, w, need) {
+			c += brokenHoldCost
+		}
 		if best == nil || c < bestCost {
 			best, bestCost = w, c
 		}
@@ -371,6 +375,9 @@
 	// doubtCost outweighs the other parts, so that a doubted worker gets work only if no other has room.
 	doubtCost    = 10.0
 	unprovenCost = 1.0
+	// brokenHoldCost keeps tasks off capacity that a gang holds while its approvals are under way. A gang
+	// needs all of it at once, and asks and preempts again for a single part that is taken.
+	brokenHoldCost = 5.0
 )
 
 // cost returns the placement cost of a task on a worker on which left would remain free. It is
