--- a/internal/app/journal/snapshot.go
+++ b/internal/app/journal/snapshot.go
@@ -26,15 +26,15 @@
 	for i := range m.Chunks {
 		chunk := state[i*MaxChunkBytes : min((i+1)*MaxChunkBytes, len(state))]
 		if err := l.writeChunk(ctx, chunkKey(l.partition, m.Generation, i), chunk); err != nil {
-			return err
+			return l.recordDeposition(err)
 		}
 	}
 	return l.recordDeposition(l.writeManifest(ctx, m))
 }
 
-// writeChunk writes a chunk under the keys that the current snapshot does not use. A former owner may
-// still write to the same keys, so on a conflict writeChunk reads the revision and writes again: only
-// the manifest is fenced by the epoch.
+// writeChunk writes a chunk under the keys that the current snapshot does not use. On a conflict
+// another owner has written the same key. A later owner has written its epoch into the manifest
+// before its first chunk; if there is none, the chunk is written again at the revision found.
 func (l *Log) writeChunk(ctx context.Context, key string, chunk []byte) error {
 	for {
 		revision, err := l.store.CompareAndSwap(ctx, key, l.chunkRevisions[key], chunk)
@@ -55,9 +55,31 @@
 		default:
 			l.chunkRevisions[key] = current.Revision
 		}
+		// The manifest is read after the revision: a later owner that writes the chunk in between
+		// makes the next write fail.
+		if _, _, err := l.readManifest(ctx); err != nil {
+			return err
+		}
 	}
 }
 
+// readManifest returns the stored manifest and its revision, or a *DeposedError if a later owner has
+// written it.
+func (l *Log) readManifest(ctx context.Context) (manifest, int64, error) {
+	var m manifest
+	current, err := l.store.Get(ctx, manifestKey(l.partition))
+	if err != nil {
+		return m, 0, err
+	}
+	if err := cbor.Unmarshal(current.Value, &m); err != nil {
+		return m, 0, &CorruptError{Partition: l.partition, Detail: "manifest: " + err.Error()}
+	}
+	if m.Epoch > l.epoch {
+		return m, 0, &DeposedError{Partition: l.partition, Epoch: l.epoch, By: Group{Epoch: m.Epoch}}
+	}
+	return m, current.Revision, nil
+}
+
 func (l *Log) writeManifest(ctx context.Context, m manifest) error {
 	value, err := cbor.Marshal(m)
 	if err != nil {
@@ -74,23 +96,14 @@
 		if !needsReadBack(err) {
 			return err
 		}
-		current, err := l.store.Get(ctx, key)
+		found, revision, err := l.readManifest(ctx)
 		if err != nil {
 			return err
 		}
-		var found manifest
-		if err := cbor.Unmarshal(current.Value, &found); err != nil {
-			return &CorruptError{Partition: l.partition, Detail: "manifest: " + err.Error()}
-		}
-		switch {
-		case found == m:
+		l.manifestRevision = revision
+		if found == m {
 			l.manifest = m
-			l.manifestRevision = current.Revision
 			return nil
-		case found.Epoch > l.epoch:
-			return &DeposedError{Partition: l.partition, Epoch: l.epoch, By: Group{Epoch: found.Epoch}}
-		default:
-			l.manifestRevision = current.Revision
 		}
 	}
 }
