Name workers for gangs by the observed approval rate

Cause: the approval rate counted requests for workers that were known to be approved, so it rose towards one; gangs named 34 workers of 350 where a quarter is approved, needed several requests of 0.6 to 1.1 s each, and looked for more workers while the request for the ones in the plan had to wait.

Change: only workers without a verdict count. A gang stops other work for a plan, and asks for it, before it looks for more workers; such a request does not wait for the interval between two discoveries. What a gang names by right is a quarter of the fixed duration divided by the rate.

--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -29,8 +29,11 @@
 	// namingTimeShare is the fraction of a request's fixed duration that may always be spent on
 	// naming workers. Another request for the same step would cost the fixed part again.
 	namingTimeShare = 0.25
-	// gangNamingTimeShare is the same for gangs, which need many workers at once.
-	gangNamingTimeShare = 0.5
+	// gangNamingTimeShare divided by the observed approval rate is the same for gangs, at most
+	// maxGangNamingTimeShare. They need many approved workers at once, and more requests delay them by
+	// seconds; naming more where many are approved only takes capacity from other steps.
+	gangNamingTimeShare    = 0.25
+	maxGangNamingTimeShare = 1.0
 	// MaxApprovalWorkers limits the workers named in one request.
 	MaxApprovalWorkers = 100
 	// startTransitMS is the time that a start order takes to reach the worker, where its approval
@@ -38,8 +41,9 @@
 	startTransitMS = 120
 	// approvalRetryDelayMS is the delay after a request that was refused or not answered.
 	approvalRetryDelayMS = 100
-	// minApprovalIntervalMS is the minimum time between requests for the same step.
-	minApprovalIntervalMS = 120
+	// minDiscoveryIntervalMS is the least time between a response and the next request that only looks
+	// for more workers of the same step.
+	minDiscoveryIntervalMS = 120
 )
 
 func (m *Machine) statsOf(q *Queue) *approvalStats {
@@ -72,7 +76,7 @@
 
 // requestBestApprovals requests approvals for the most suitable of the candidates.
 func (m *Machine) requestBestApprovals(s *step, candidates []*worker) {
-	if s.approvalPending || m.nowMS < s.nextApprovalMS || len(candidates) == 0 {
+	if s.approvalPending || m.nowMS < max(s.nextApprovalMS, s.nextDiscoveryMS) || len(candidates) == 0 {
 		return
 	}
 	if !m.approvers.CanSend(s.job.queue.Approval.BaseMS, m.nowMS) {
@@ -241,20 +245,20 @@
 			break
 		}
 	}
-	least := max(int(math.Ceil(2/rate)), lowCostCount(s))
+	least := max(int(math.Ceil(2/rate)), lowCostCount(s, rate))
 	return min(MaxApprovalWorkers, max(workers+extraCandidates, least))
 }
 
 // lowCostCount returns how many workers can be named in a small fraction of the request's
 // fixed duration.
-func lowCostCount(s *step) int {
+func lowCostCount(s *step, rate float64) int {
 	policy := s.job.queue.Approval
 	if policy.PerWorkerMS <= 0 {
 		return MaxApprovalWorkers
 	}
 	share := namingTimeShare
 	if s.spec.Gang {
-		share = gangNamingTimeShare
+		share = min(maxGangNamingTimeShare, gangNamingTimeShare/rate)
 	}
 	return int(policy.BaseMS * share / policy.PerWorkerMS)
 }
@@ -302,7 +306,7 @@
 	if s == nil {
 		return
 	}
-	s.nextApprovalMS = m.nowMS + minApprovalIntervalMS
+	s.nextDiscoveryMS = m.nowMS + minDiscoveryIntervalMS
 	s.approvalAnswered = true
 	if s.open == 0 {
 		return
@@ -311,8 +315,13 @@
 		s.tickets = make(map[int]approval, len(approved))
 	}
 	s.verdicts = append(s.verdicts, make([]verdict, max(0, m.slotCount-len(s.verdicts)))...)
+	undecided, newlyApproved := 0, 0
+	known := make(map[domain.WorkerID]bool, len(r.Workers))
 	for _, id := range r.Workers {
 		if w, ok := m.workers[id]; ok {
+			if known[id] = s.verdicts[w.slot] != verdictUnknown; !known[id] {
+				undecided++
+			}
 			s.verdicts[w.slot] = verdictDenied
 		}
 	}
@@ -322,11 +331,17 @@
 			continue
 		}
 		s.verdicts[w.slot] = verdictApproved
+		if !known[w.id] {
+			newlyApproved++
+		}
 		// The ticket's validity began before the response arrived.
 		s.tickets[w.slot] = approval{ticket: g.Ticket, workerStartedMS: w.startedMS, expiresMS: m.nowMS + validMS - approvalTransitMS}
 	}
-	st := m.statsOf(s.job.queue)
-	st.rate += (float64(len(approved))/float64(max(1, len(r.Workers))) - st.rate) * approvalRateWeight
+	// Requests for workers that are known to be approved say nothing about the others.
+	if undecided > 0 {
+		st := m.statsOf(s.job.queue)
+		st.rate += (float64(newlyApproved)/float64(undecided) - st.rate) * approvalRateWeight
+	}
 }
 
 // approvalTransitMS bounds the transit time of a response.
--- a/internal/core/jobs/approval_test.go
+++ b/internal/core/jobs/approval_test.go
@@ -169,3 +169,30 @@
 		t.Errorf("%d of %d accepted lookups of the flood completed in useful time, want 95 %%", served, accepted)
 	}
 }
+
+// Guards against an approval rate that rises with each request for workers that are known to be
+// approved: too few workers are then named, and a gang needs many requests before it can start.
+func TestApprovalRateCountsUndecidedWorkers(t *testing.T) {
+	f := newFleet(t, 40, domain.Resources{CPUMilli: 4000, MemoryMB: 4000})
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000, Approval: &ApprovalPolicy{BaseMS: 400, PerWorkerMS: 1, ValidMS: 1500}}
+	f.submit("j", q, "team", Spec{Steps: []StepSpec{{Tasks: 4, Need: domain.Resources{CPUMilli: 1000, MemoryMB: 100}, EstimateMS: 1000}}})
+	id := StepID{"j", 0, 0}
+	answer := func(workers []domain.WorkerID, approved int) {
+		var list []Approval
+		for _, w := range workers[:approved] {
+			list = append(list, Approval{w, "t"})
+		}
+		f.m.ApprovalAnswered(ApprovalRequest{Step: id, Queue: "q", Workers: workers}, list, 1500)
+	}
+	answer(f.ids[:20], 5)
+	after := f.m.statsOf(q).rate
+	if after >= initialApprovalRate {
+		t.Errorf("the rate is %.2f after 5 of 20 workers were approved, want less than the initial %.2f", after, initialApprovalRate)
+	}
+	for range 10 {
+		answer(f.ids[:5], 5)
+	}
+	if got := f.m.statsOf(q).rate; got != after {
+		t.Errorf("the rate is %.2f after requests for workers that are known to be approved, want %.2f", got, after)
+	}
+}
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -260,25 +260,28 @@
 			m.requestApprovals(s, distinctWorkers(plan))
 			return
 		}
-		if !s.approvalAnswered || m.countUndecided(s) > 0 {
-			m.requestBestApprovals(s, m.candidateWorkers(s, notDenied))
-			if !s.approvalAnswered {
-				return
-			}
-		}
 	}
-	s.waitReason = waitNoApproval
-	if m.nowMS-s.lastPreemptionMS >= minPreemptionIntervalMS {
+	// A request in flight would delay the one for the workers that are made free.
+	if !s.approvalPending && m.nowMS-s.lastPreemptionMS >= minPreemptionIntervalMS {
 		if plan := m.planGang(s, approvedOrExempt, m.freeByPreemption); plan != nil && s.job.durable {
 			m.preempt(s, plan)
 			s.lastPreemptionMS = m.nowMS
 			m.holdFor(s, plan)
+			m.applyHold(s)
 			if s.job.queue.Approval != nil {
 				// The approvals arrive about when the preempted runs have ended.
 				m.requestApprovals(s, distinctWorkers(plan))
 			}
+			return
 		}
 	}
+	if s.job.queue.Approval != nil && (!s.approvalAnswered || m.countUndecided(s) > 0) {
+		m.requestBestApprovals(s, m.candidateWorkers(s, notDenied))
+		if !s.approvalAnswered {
+			return
+		}
+	}
+	s.waitReason = waitNoApproval
 	if s.hold == nil || m.nowMS >= s.holdUntilMS {
 		m.releaseHold(s)
 		if m.countHolds() < max(minHolds, len(m.usableFor(s))/workersPerHold) {
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -98,6 +98,7 @@
 	// approval request, or zero.
 	approverWaitSinceMS int64
 	nextApprovalMS      int64
+	nextDiscoveryMS     int64
 	rank                int64
 	tier                int64
 	// lastAttempt is set while one more failure would fail the job.
