--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +58,9 @@
 	directWorkers int
 	claimTTL      time.Duration
 	probe         func(context.Context, string) error
+	// evacuated are the zones that operators have evacuated. configAge is the age of that knowledge.
+	evacuated []domain.ZoneID
+	configAge atomic.Int64
 	// removed are workers that the registry does not list to instances started from now on.
 	removed []domain.WorkerID
 }
@@ -89,7 +93,7 @@
 		if slices.Contains(c.removed, id) {
 			continue
 		}
-		fixed = append(fixed, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", StartedMS: 1,
+		fixed = append(fixed, jobs.WorkerInfo{ID: id, Address: "10.0.0.1:1", Service: "svc", Zone: "z", StartedMS: 1,
 			Capacity: domain.Resources{CPUMilli: 4000, MemoryMB: 4000}})
 	}
 	var store port.LeaseStore = c.store
@@ -102,12 +106,13 @@
 	}
 	o := New(Options{Instance: domain.InstanceID(name), Address: name, ClaimTTL: c.claimTTL,
 		MaxDirectWorkers: c.directWorkers, HolderLeaseMS: 300, ClaimDelay: func() time.Duration { return 0 }, UnconfirmedGrace: 400 * time.Millisecond,
+		ConfigAge: func() time.Duration { return time.Duration(c.configAge.Load()) }, MaxConfigAge: time.Second,
 		Jobs: jobs.Config{LeaseMS: 2000, FormerLeaseMS: 2600, StartLimitMS: 400, GangWaitMS: 1000, StopMS: 100,
 			RetentionMS: 60_000, OffRackFactor: 2}},
 		Ports{Store: store, Workers: c.workers, Registry: registry, Peers: c.peers, VMs: c.vms, Waves: c.waves, Probe: c.probe}, zap.NewNop(), metrics.New())
 	ctx, stop := context.WithCancel(context.Background())
 	i := &instance{owner: o, stop: stop, done: make(chan struct{}), changes: make(chan Ownership, 64)}
-	config := &port.CellConfig{Version: 1, Routes: []port.QueueRoute{{Queue: c.queue}}}
+	config := &port.CellConfig{Version: 1, EvacuatedZones: c.evacuated, Routes: []port.QueueRoute{{Queue: c.queue}}}
 	go func() {
 		defer close(i.done)
 		o.Campaign(ctx, func() *port.CellConfig { return config }, func(ownership Ownership) { i.changes <- ownership })
--- a/internal/cli/cell.go
+++ b/internal/cli/cell.go
@@ -102,6 +102,9 @@
 	row(w, "TASKS", fmt.Sprintf("%d run, %d wait", o.RunningTasks, o.WaitingTasks))
 	row(w, "WORKERS", fmt.Sprintf("%d known, %d heard of lately, %d draining, %d not heard of since the takeover",
 		o.Workers.Known, o.Workers.Responsive, o.Workers.Draining, o.Suspects))
+	for _, z := range o.EvacuatedZones {
+		row(w, "EVACUATED ZONE", fmt.Sprintf("%s: %d workers get no new work, %d tasks still run there", z.Zone, z.Workers, z.RunningTasks))
+	}
 	row(w, "REGISTRY READ BY", registryReader(o.Owner, o.RegistryRelay))
 	fmt.Fprintln(w)
 	row(w, "OTHER INSTANCE", "ZONE", "HEARD")
--- a/internal/settings/cell_test.go
+++ b/internal/settings/cell_test.go
@@ -23,6 +23,7 @@
 	}
 	for change, path := range map[string]string{
 		`"revoke_ms": 5000=>"revoke_ms": 5`:             "bounds.revoke_ms",
+		`"revoke_ms": 5000=>"evacuate_ms": 1000`:        "bounds.evacuate_ms",
 		`"far_factor": 1.5=>"far_factor": 0`:            "bounds.far_factor",
 		`"limit_overshoot": 0.1=>"limit_overshoot": -1`: "bounds.limit_overshoot",
 		`"cpu_share": 0.4=>"cpu_share": 0`:              "limits.cpu_share",
