Tell why a watch of the configuration failed

Cause: the watcher dropped the error of a failed watch; only the counter of store calls in the summary showed that it failed. Nothing told a response cut off in the middle from one that never began, so the hypotheses of the incident could not be told apart.

Change: a failed watch is logged with its duration, the bytes received of those announced, and the age of the configuration, and counted by cause; config_version is a gauge. No decision changes.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -16,6 +16,7 @@
 
 	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 	"auburnpier/internal/steady"
 )
@@ -42,6 +43,7 @@
 type ConfigWatcher struct {
 	source   port.ConfigSource
 	log      *zap.Logger
+	metrics  *metrics.Registry
 	onChange func(*port.CellConfig)
 	current  atomic.Pointer[Config]
 	// confirmedMS is the monotonic send time of the latest call that confirmed the configuration.
@@ -52,8 +54,8 @@
 
 // NewConfigWatcher returns a watcher that calls onChange with each new configuration and with each
 // change of the evacuated zones.
-func NewConfigWatcher(source port.ConfigSource, log *zap.Logger, onChange func(*port.CellConfig)) *ConfigWatcher {
-	return &ConfigWatcher{source: source, log: log, onChange: onChange}
+func NewConfigWatcher(source port.ConfigSource, log *zap.Logger, m *metrics.Registry, onChange func(*port.CellConfig)) *ConfigWatcher {
+	return &ConfigWatcher{source: source, log: log, metrics: m, onChange: onChange}
 }
 
 // Current returns the configuration, or nil before the first one was read.
@@ -103,6 +105,7 @@
 		sentAtMS := steady.NowMS()
 		change, err := w.waitForChange(ctx, revision, wait)
 		if err != nil {
+			w.reportFailure(ctx, sentAtMS, err)
 			// The next call returns at once, since the configuration has not been confirmed for long.
 			wait = 0
 			ctxtime.Sleep(ctx, configRetryDelay)
@@ -131,6 +134,22 @@
 	}
 }
 
+// reportFailure logs and counts a failed watch. A response that was cut off is counted apart from one
+// that never began: the first is a matter of its size or of the connection, the second of the store.
+func (w *ConfigWatcher) reportFailure(ctx context.Context, sentAtMS int64, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	result := "unanswered"
+	var incomplete *port.IncompleteResponseError
+	if errors.As(err, &incomplete) {
+		result = "incomplete"
+	}
+	w.metrics.Counter("config.watch." + result).Inc(1)
+	w.log.Warn("configuration watch failed", zap.String("result", result), zap.Int64("took_ms", steady.NowMS()-sentAtMS),
+		zap.Int64("config_age_ms", w.AgeMS()), zap.Error(err))
+}
+
 func (w *ConfigWatcher) waitForChange(ctx context.Context, revision int64, wait time.Duration) (port.ConfigChange, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+configWatchMargin)
 	defer cancel()
--- a/internal/app/entry/config_test.go
+++ b/internal/app/entry/config_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
 )
 
@@ -34,7 +35,7 @@
 // instance then rejects keys, and the owner starts nothing, although the store answers.
 func TestLostWatchResponseIsMadeUpFor(t *testing.T) {
 	s := &unansweredSource{answers: func(call int64) bool { return call != 2 }}
-	w := NewConfigWatcher(s, zap.NewNop(), func(*port.CellConfig) {})
+	w := NewConfigWatcher(s, zap.NewNop(), metrics.New(), func(*port.CellConfig) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go w.Run(ctx)
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -119,7 +119,7 @@
 		return stores
 	}, i.metrics)
 	i.store = relay
-	i.config = entry.NewConfigWatcher(a.Config(relay), log, i.configChanged)
+	i.config = entry.NewConfigWatcher(a.Config(relay), log, i.metrics, i.configChanged)
 	maxConfigAge := time.Duration(float64(s.Bounds.RevokeMS)*maxConfigAgeShare) * time.Millisecond
 	self := port.InstanceInfo{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000), Zone: s.Zone}
 	i.service = entry.NewService(entry.Options{Self: self, MaxConfigAge: maxConfigAge}, i.config, i.directory, relay, log, i.metrics)
--- a/internal/celld/metrics.go
+++ b/internal/celld/metrics.go
@@ -36,6 +36,9 @@
 	i.metrics.Gauge("cell.owner").Update(isOwner)
 	i.metrics.Gauge("cell.epoch").Update(epoch)
 	i.metrics.Gauge("config.age_ms").Update(i.config.AgeMS())
+	if c := i.config.CellConfig(); c != nil {
+		i.metrics.Gauge("config.version").Update(int64(c.Version))
+	}
 	i.metrics.Gauge("store.age_ms").Update(i.store.LastResponseAgeMS())
 	i.metrics.Gauge("log.dropped").Update(i.logs.Dropped())
 	i.metrics.Gauge("log.sampled_out").Update(i.logs.SampledOut())
--- a/internal/port/errors.go
+++ b/internal/port/errors.go
@@ -39,6 +39,21 @@
 // Unwrap returns the underlying error.
 func (e *UnavailableError) Unwrap() error { return e.Err }
 
+// IncompleteResponseError reports that a response broke off before its end.
+type IncompleteResponseError struct {
+	// Received is the number of bytes of the body that arrived, and Expected the number announced, or
+	// -1 if the sender announced none.
+	Received, Expected int64
+	Err                error
+}
+
+func (e *IncompleteResponseError) Error() string {
+	return fmt.Sprintf("response broke off after %d of %d bytes, send the call again: %v", e.Received, e.Expected, e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *IncompleteResponseError) Unwrap() error { return e.Err }
+
 // HadNoEffect reports whether the error proves that a store call had no effect.
 func HadNoEffect(err error) bool {
 	var unavailable *UnavailableError
