Bound transfers from the store by their progress

Cause: each call of the store was bounded by its total time, 1.6 s for a watch of the configuration and 0.6 s for the one after a failed one. The response carries the whole configuration; over a link of 10 Mbit/s 0.84 MB take 0.7 s, two versions twice that. What had arrived was dropped and requested again, so the instance never had it, and its link and the store's stayed full.

Ruled out: processor time (0 to 1 % of a core), a store that does not answer.

Change: the bound covers the time until the response begins, and each pause of its transfer. A lost response is noticed as soon as before.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -25,9 +25,10 @@
 	// configWatchWait is the long-poll duration of a configuration watch. Each response, also an
 	// empty one, confirms that no newer configuration had been accepted when the call was sent.
 	configWatchWait = time.Second
-	// configWatchMargin is how long the response to a watch may take beyond its wait. A slow store
-	// answers within 400 ms. One lost response leaves the configuration unconfirmed for no more than
-	// twice the wait and this margin.
+	// configWatchMargin is how late after its wait the response to a watch may begin, and how long its
+	// transfer may pause. A slow store answers within 400 ms. One lost response leaves the
+	// configuration unconfirmed for no more than twice the wait and this margin. The transfer as a
+	// whole is not bounded: a configuration of 1 MB takes more than a second on a narrow link.
 	configWatchMargin = 600 * time.Millisecond
 	// configRetryDelay is the delay after a failed read or watch.
 	configRetryDelay = 150 * time.Millisecond
@@ -151,7 +152,7 @@
 }
 
 func (w *ConfigWatcher) waitForChange(ctx context.Context, revision int64, wait time.Duration) (port.ConfigChange, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+configWatchMargin)
+	ctx, cancel := ctxtime.WithStallTimeout(ctx, wait+configWatchMargin, configWatchMargin)
 	defer cancel()
 	return w.source.WaitForChange(ctx, revision, wait)
 }
--- a/internal/app/storerelay/relay.go
+++ b/internal/app/storerelay/relay.go
@@ -67,7 +67,7 @@
 func (s *Store) callDirect(ctx context.Context, call func(port.LeaseStore) error) error {
 	start := time.Now()
 	err := call(s.direct)
-	unresponsive := errors.Is(ctx.Err(), context.DeadlineExceeded) && time.Since(start) >= directTimeout
+	unresponsive := errors.Is(context.Cause(ctx), context.DeadlineExceeded) && time.Since(start) >= directTimeout
 	if ctx.Err() == nil || unresponsive {
 		s.recordResult(err)
 	}
--- a/internal/ctxtime/ctxtime.go
+++ b/internal/ctxtime/ctxtime.go
@@ -1,4 +1,4 @@
-// Package ctxtime provides a sleep that a context can interrupt.
+// Package ctxtime provides a sleep that a context can interrupt, and contexts that end when a transfer stalls.
 package ctxtime
 
 import (
