Answer no call from a configuration that is not confirmed

Cause: the age of the configuration was looked at only for keys that it knows. Open queues, unknown queues and unknown keys were answered at any age.

Ruled out: a bound of its own for open queues. While the store is away a submission is refused in any case, and 404 or 401 is a final answer that a caller does not repeat; 503 with a retry delay is true.

--- a/internal/app/entry/rejection.go
+++ b/internal/app/entry/rejection.go
@@ -11,7 +11,7 @@
 	NotReady RejectionKind = iota
 	UnknownQueue
 	UnknownKey
-	// StaleConfig means that the configuration is too old to authenticate a key against.
+	// StaleConfig means that the configuration has not been confirmed for too long to decide about the call.
 	StaleConfig
 	// Invalid means that the call is malformed or its job specification is not valid.
 	Invalid
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -21,7 +21,7 @@
 type Options struct {
 	// Self describes this instance to the owner.
 	Self port.InstanceInfo
-	// MaxConfigAge is the maximum age of the configuration at which it still authenticates keys.
+	// MaxConfigAge is the age from which on the configuration no longer decides about calls.
 	MaxConfigAge time.Duration
 }
 
@@ -146,6 +146,10 @@
 	if config == nil {
 		return Call{}, s.reject(NotReady, retryAfter, "no configuration yet")
 	}
+	// A later configuration may have removed the queue or added it, or withdrawn the key or granted it.
+	if s.config.AgeMS() >= s.options.MaxConfigAge.Milliseconds() {
+		return Call{}, s.reject(StaleConfig, retryAfter, "the configuration cannot be confirmed now, come back")
+	}
 	route, rest := find(config)
 	if route == nil {
 		return Call{}, s.reject(UnknownQueue, 0, unknown)
@@ -154,9 +158,6 @@
 	if !known && !route.Open {
 		return Call{}, s.reject(UnknownKey, 0, "present a key of a team that was granted and not withdrawn")
 	}
-	if !route.Open && s.config.AgeMS() >= s.options.MaxConfigAge.Milliseconds() {
-		return Call{}, s.reject(StaleConfig, retryAfter, "the key cannot be proven now, come back")
-	}
 	return Call{Route: route, Team: team, Rest: rest}, nil
 }
 
