Read the newest configuration after a slow transfer

Cause: a watch returns each version since its revision. An instance that takes 1.1 s to transfer 1 MB, with a change each 0.3 s, receives 1, then 3, then 5 versions a watch, and falls further behind as long as the changes last.

Change: after a transfer of more than 0.3 s the newest configuration is read, until a read brings nothing newer. The price is one more transfer after each large change over a narrow link.

--- a/internal/app/entry/config.go
+++ b/internal/app/entry/config.go
@@ -30,6 +30,10 @@
 	// configuration unconfirmed for no more than twice the wait and this margin. The transfer as a
 	// whole is not bounded: a configuration of 1 MB takes more than a second on a narrow link.
 	configWatchMargin = 600 * time.Millisecond
+	// slowTransfer is the transfer time of a configuration after which the newest one is read next. A
+	// watch returns every version since its revision, so an instance that transfers a version for
+	// longer than operators take to write the next one would fall further behind with each watch.
+	slowTransfer = 300 * time.Millisecond
 	// configRetryDelay is the delay after a failed read or watch.
 	configRetryDelay = 150 * time.Millisecond
 )
@@ -90,15 +94,18 @@
 			w.evacuated[zone] = true
 		}
 		if err == nil {
-			w.apply(&config)
+			newer := w.apply(&config)
 			w.confirmedMS.Store(sentAtMS)
+			if newer && steady.NowMS()-sentAtMS > slowTransfer.Milliseconds() {
+				continue
+			}
 		}
 		w.watch(ctx, revision)
 	}
 }
 
-// watch applies the changes after revision. It returns on a gap in the watch, after which the
-// configuration must be read again, and when ctx ends.
+// watch applies the changes after revision. It returns on a gap in the watch and after a slow transfer
+// of a configuration, after which the newest one must be read, and when ctx ends.
 func (w *ConfigWatcher) watch(ctx context.Context, revision int64) {
 	unreadable := false
 	wait := configWatchWait
@@ -132,6 +139,9 @@
 			// the time the call was sent.
 			w.confirmedMS.Store(sentAtMS)
 		}
+		if change.Config != nil && change.Transfer > slowTransfer {
+			return
+		}
 	}
 }
 
@@ -173,17 +183,18 @@
 	}
 }
 
-// apply puts a configuration in force with the zones that are evacuated now. A configuration that is
-// older than the present one is ignored.
-func (w *ConfigWatcher) apply(c *port.CellConfig) {
+// apply puts a configuration in force with the zones that are evacuated now, and reports whether it is
+// newer than the present one. An older one is ignored.
+func (w *ConfigWatcher) apply(c *port.CellConfig) (newer bool) {
 	old := w.current.Load()
-	if old != nil && c.Version <= old.Version {
+	newer = old == nil || c.Version > old.Version
+	if !newer {
 		// The evacuated zones may still have changed.
 		c = old.CellConfig
 	}
 	zones := slices.Sorted(maps.Keys(w.evacuated))
-	if old != nil && c == old.CellConfig && slices.Equal(zones, old.EvacuatedZones) {
-		return
+	if !newer && slices.Equal(zones, old.EvacuatedZones) {
+		return false
 	}
 	config := *c
 	config.EvacuatedZones = zones
@@ -197,6 +208,7 @@
 	w.log.Info("configuration in force", zap.Uint64("version", c.Version), zap.Int("queues", len(c.Routes)), zap.Int("teams", len(c.Teams)),
 		zap.Any("evacuated_zones", zones))
 	w.onChange(&config)
+	return newer
 }
 
 // Route finds the queue of a call by the longest path prefix configured for the host. rest is the
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -191,6 +191,8 @@
 	// Evacuated holds the zones whose evacuation has begun (true) or ended (false).
 	Evacuated map[domain.ZoneID]bool
 	Revision  int64
+	// Transfer is how long the response took to arrive once it had begun.
+	Transfer time.Duration
 	// Gap reports whether the store has compacted changes after the revision, so that the caller must
 	// read the configuration again.
 	Gap bool
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -29,6 +29,8 @@
 	Events []Event
 	// Revision is the store revision up to which Events is complete.
 	Revision int64
+	// Transfer is how long the response took to arrive once it had begun.
+	Transfer time.Duration
 	// Gap reports whether changes after the requested revision have been compacted.
 	// The caller then lists the prefix and watches again from the revision of the list.
 	Gap bool
