--- a/internal/adapter/cellhttp/client.go
+++ b/internal/adapter/cellhttp/client.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
@@ -125,7 +126,7 @@
 		return result, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	raw, err := io.ReadAll(io.LimitReader(ctxtime.Reader(ctx, resp.Body), maxBodyBytes))
 	if err != nil {
 		return result, &port.OwnerUnreachableError{Address: p.address, Err: err}
 	}
--- a/internal/adapter/cellhttp/store.go
+++ b/internal/adapter/cellhttp/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"auburnpier/internal/ctxtime"
 	"auburnpier/internal/port"
 )
 
@@ -103,11 +104,12 @@
 // relayStore is a port.LeaseStore that relays its calls through another instance.
 type relayStore struct{ peer *peer }
 
-// relayTimeout bounds a relayed call, in addition to its wait.
+// relayTimeout bounds the time until the response to a relayed call begins, in addition to the call's
+// wait, and then each pause of its transfer.
 const relayTimeout = 1500 * time.Millisecond
 
 func (s *relayStore) call(ctx context.Context, c storeCall) (storeReply, error) {
-	callCtx, cancel := context.WithTimeout(ctx, relayTimeout+c.Wait)
+	callCtx, cancel := ctxtime.WithStallTimeout(ctx, relayTimeout+c.Wait, relayTimeout)
 	defer cancel()
 	r, err := call[storeReply](callCtx, s.peer, pathStore, c)
 	if err != nil {
