--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -278,7 +278,7 @@
 	// It gets work again once a poll is answered.
 	w.contacted, w.pollFailed, w.terminated = false, true, true
 	ended := func(r *run) bool { return r.confirmedMS > 0 }
-	if m.endLostRuns(w, ended) > 0 {
+	if m.endLostRuns(w, EndWorkerTerminated, ended) > 0 {
 		m.out.recordWorker("worker_gone", w.id, "")
 	}
 	if len(w.runs) == 0 {
@@ -307,7 +307,11 @@
 		if m.nowMS >= w.leaseExpiryMS && len(w.runs) > 0 && w.pollFailed {
 			m.out.recordWorker("worker_lapsed", w.id, "")
 			m.recordAbandonedRuns(w)
-			m.endLostRuns(w, anyRun)
+			kind := EndLeaseExpired
+			if w.terminated {
+				kind = EndWorkerTerminated
+			}
+			m.endLostRuns(w, kind, anyRun)
 		}
 		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.leaseExpiryMS {
 			delete(m.workers, w.id)
@@ -372,14 +376,14 @@
 
 // endLostRuns ends those of the worker's runs for which ended returns true, and returns their
 // number.
-func (m *Machine) endLostRuns(w *worker, ended func(*run) bool) int {
+func (m *Machine) endLostRuns(w *worker, kind EndKind, ended func(*run) bool) int {
 	runs := slices.DeleteFunc(w.sortedRuns(), func(r *run) bool { return !ended(r) })
 	if w.abandonedRuns == nil {
 		w.abandonedRuns = make(map[TaskID]int)
 	}
 	for _, r := range runs {
 		w.abandonedRuns[r.task.id()] = r.number
-		m.endRun(r, EndLeaseExpired, "")
+		m.endRun(r, kind, "")
 	}
 	return len(runs)
 }
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -114,7 +114,7 @@
 func (m *Machine) workerRestarted(w *worker, startedMS int64) {
 	if w.startedMS != 0 {
 		m.out.recordWorker("worker_reborn", w.id, "")
-		m.endLostRuns(w, func(r *run) bool { return r.confirmedMS > 0 })
+		m.endLostRuns(w, EndWorkerTerminated, func(r *run) bool { return r.confirmedMS > 0 })
 		// An unanswered start order may reach the new incarnation. Its clock has restarted, so the
 		// order's time limit does not protect against that. A stop order makes the worker refuse
 		// the start.
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -208,9 +208,12 @@
 	EndGangMemberEnded
 	// EndGangIncomplete means that a gang member timed out waiting for the others.
 	EndGangIncomplete
+	// EndWorkerTerminated means that the worker's process terminated. It is concluded by the owner; no
+	// worker reports it.
+	EndWorkerTerminated
 )
 
-var endKindNames = []string{"unknown", "succeeded", "failed", "stopped", "lapsed", "broken", "alone"}
+var endKindNames = []string{"unknown", "succeeded", "failed", "stopped", "lapsed", "broken", "alone", "worker_terminated"}
 
 // String returns the name of the kind.
 func (k EndKind) String() string {
