--- /dev/null
+++ b/internal/core/jobs/crash_test.go
@@ -0,0 +1,62 @@
+package jobs
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"auburnpier/internal/domain"
+)
+
+// maxStartsAfterThirdCrash is the number of starts that a task may have after three workers crashed under it.
+const maxStartsAfterThirdCrash = 2
+
+// Guards against a task that is started without end although it terminates each worker that starts it, and against jobs that fail because their tasks shared a worker with it.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for name, step := range map[string]StepSpec{
+		"single tasks": {Tasks: 4},
+		"gang":         {Tasks: 4, Gang: true},
+		"long-running": {Tasks: 2, LongRunning: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 40, domain.Resources{CPUMilli: 8000, MemoryMB: 8000})
+			f.taskMS = func(StartOrder) int64 { return 1500 }
+			step.Need, step.EstimateMS = domain.Resources{CPUMilli: 1000, MemoryMB: 500}, 1500
+			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 3, ObjectiveMS: 3000}
+			deadly := func(id TaskID) bool { return strings.HasPrefix(string(id.Job), "deadly") && id.Index == 1 }
+			starts, crashes := make(map[TaskID]int), make(map[TaskID]int)
+			f.crashes = func(o StartOrder) bool {
+				if !deadly(o.Task) {
+					return false
+				}
+				if crashes[o.Task]++; crashes[o.Task] > 3 {
+					starts[o.Task]++
+				}
+				return true
+			}
+			for i := range 60 {
+				if i%10 == 5 {
+					f.submit(domain.JobID(fmt.Sprintf("deadly%03d", i)), q, "team", Spec{Steps: []StepSpec{step}})
+				}
+				f.submit(domain.JobID(fmt.Sprintf("sound%03d", i)), q, "team", Spec{Steps: []StepSpec{{Tasks: 6, Need: step.Need, EstimateMS: 1500}}})
+				f.runUntil(f.nowMS + 100)
+			}
+			f.runUntil(f.nowMS + 40_000)
+			for id, n := range starts {
+				if n > maxStartsAfterThirdCrash {
+					t.Errorf("%v was started %d times after three workers had crashed under it, want at most %d", id, n, maxStartsAfterThirdCrash)
+				}
+			}
+			for id, j := range f.m.jobs {
+				want := Completed
+				if strings.HasPrefix(string(id), "deadly") {
+					want = Failed
+				}
+				if j.state != want {
+					t.Errorf("job %s is %v, want %v", id, j.state, want)
+				}
+			}
+			f.check()
+		})
+	}
+}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -34,6 +34,8 @@
 	violations    []string
 	// failRun decides which runs fail, and how long after their start. It is nil if none does.
 	failRun func(StartOrder) (afterMS int64, fails bool)
+	// crashes decides which starts terminate their worker's process. It is nil if none does.
+	crashes func(StartOrder) bool
 	// onDecision is called with each decision of the machine. It may be nil.
 	onDecision func(Decision)
 	// refuse lets a test determine the outcome of a start order in place of the worker.
@@ -281,9 +283,47 @@
 		}
 	}
 	f.run(w, o)
+	if f.crashes != nil && f.crashes(o) {
+		f.crash(w)
+		f.after(callBreakMS, func() { f.m.StartAnswered(o.Worker, o.Task, o.Run, StartUnanswered) })
+		return
+	}
 	f.m.StartAnswered(o.Worker, o.Task, o.Run, StartAccepted)
 }
 
+// callBreakMS is the time after which calls to a terminated process fail, and crashDownMS the time
+// until the worker is back.
+const (
+	callBreakMS = 20
+	crashDownMS = 3000
+)
+
+// crash terminates the worker's process. Its unacknowledged ends are lost and the gangs that it ran break.
+// Another incarnation answers later.
+func (f *fleet) crash(w *fakeWorker) {
+	for _, e := range w.ends {
+		if e.Number > w.acknowledged {
+			delete(f.succeeded, e.Task)
+		}
+	}
+	for id, r := range w.running {
+		f.runningRuns[id]--
+		if t := f.m.findTask(id); t != nil && t.step.spec.Gang {
+			for _, member := range t.step.tasks {
+				for _, other := range f.workers {
+					if other != w {
+						f.end(other, member.id(), r.run, EndGangMemberEnded)
+					}
+				}
+			}
+		}
+	}
+	w.running, w.used, w.ends, w.lastEnd, w.acknowledged = make(map[TaskID]fakeRun), domain.Resources{}, nil, 0, 0
+	w.disconnected = true
+	f.after(5*callBreakMS, func() { f.m.WorkerTerminated(w.id) })
+	f.after(crashDownMS, func() { w.disconnected, w.startedMS = false, w.startedMS+1 })
+}
+
 func (f *fleet) run(w *fakeWorker, o StartOrder) {
 	if _, there := w.running[o.Task]; there {
 		return
