Give up a task under which three workers have crashed

Cause: only ends that a worker lists as failed counted as attempts. A run that was lost with its worker's process counted as nothing.

Ruled out: a count lost with the owner, most breaks came before the owner was killed; expired leases, the runs ended because the address refused connections.

Change: when a worker's process has terminated, by refused connections or another incarnation, this counts for the tasks that ran there or had been ordered to. After two the task runs on a worker that takes no other step and has survived its last start, so that the next crash is certainly its own; after three its job fails. The count is stored with the job, and from the second crash on the task waits until it is. Draining workers and long-running tasks that have run for 10 s are not counted.

Two ways were weighed. Giving up after two crashes without isolation fails jobs whose tasks shared two workers with such a task. Isolation after the first crash keeps the tasks of each ordinary crash apart.

--- a/internal/core/jobs/crash_test.go
+++ b/internal/core/jobs/crash_test.go
@@ -60,3 +60,34 @@
 		})
 	}
 }
+
+// Guards against an owner that starts the count of crashes again when it takes over, and against counting the end of a worker that was told to leave.
+func TestCrashesAreCountedAcrossOwners(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
+	m := New(testConfig(), 0, 0)
+	m.Submit("j", q, "team", &spec)
+	number := 0
+	crash := func(m *Machine, draining bool) {
+		number++
+		id := domain.WorkerID(fmt.Sprintf("w%d", number))
+		m.UpdateWorkers([]WorkerInfo{{ID: id, Address: "10.0.0.1:1", Service: "svc", Capacity: workerSize, StartedMS: 1, Draining: draining}})
+		m.Report(WorkerReport{Worker: id, StartedMS: 1, Running: []RunReport{{Task: TaskID{Job: "j"}, Run: number}}})
+		m.WorkerTerminated(id)
+		m.WorkerTerminated(id)
+	}
+	crash(m, false)
+	crash(m, true)
+	m = nextOwner(t, m)
+	crash(m, false)
+	if state := m.jobs["j"].state; state != Queued {
+		t.Fatalf("the job is %v after two workers crashed and one left, want queued", state)
+	}
+	if task := m.findTask(TaskID{Job: "j"}); m.startable(task) {
+		t.Error("the task may start before its second crash is stored")
+	}
+	crash(m, false)
+	if state := m.jobs["j"].state; state != Failed {
+		t.Errorf("the job is %v after three workers crashed, want failed", state)
+	}
+}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -284,18 +284,23 @@
 	}
 	f.run(w, o)
 	if f.crashes != nil && f.crashes(o) {
-		f.crash(w)
-		f.after(callBreakMS, func() { f.m.StartAnswered(o.Worker, o.Task, o.Run, StartUnanswered) })
+		f.after(crashAfterMS, func() {
+			if w.running[o.Task].run == o.Run {
+				f.crash(w)
+			}
+		})
+		f.after(crashAfterMS+callBreakMS, func() { f.m.StartAnswered(o.Worker, o.Task, o.Run, StartUnanswered) })
 		return
 	}
 	f.m.StartAnswered(o.Worker, o.Task, o.Run, StartAccepted)
 }
 
-// callBreakMS is the time after which calls to a terminated process fail, and crashDownMS the time
-// until the worker is back.
+// crashAfterMS is the time from a start to the crash that it causes, callBreakMS the time after which calls
+// to a terminated process fail, and crashDownMS the time until the worker is back.
 const (
-	callBreakMS = 20
-	crashDownMS = 3000
+	crashAfterMS = 30
+	callBreakMS  = 20
+	crashDownMS  = 3000
 )
 
 // crash terminates the worker's process. Its unacknowledged ends are lost and the gangs that it ran break.
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -82,9 +82,9 @@
 }
 
 // trusts reports whether the step may be placed on the worker. A last attempt is not spent on a
-// doubted one.
+// doubted one, and steps that workers terminated under run apart.
 func (m *Machine) trusts(s *step, w *worker) bool {
-	return !s.lastAttempt || !w.health.doubted(m.nowMS)
+	return (!s.lastAttempt || !w.health.doubted(m.nowMS)) && m.keepsIsolation(s, w)
 }
 
 // healthCost is the part of the placement cost that keeps tasks away from doubted workers, and last
@@ -168,6 +168,7 @@
 }
 
 func (m *Machine) checkRun(w *worker, r *run) {
+	m.checkIsolation(w, r)
 	if r.phase == runStopping {
 		if w.contacted && m.nowMS-r.stopSentMS >= m.stopResendMS() {
 			m.stopRun(r, r.reason)
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -250,7 +250,7 @@
 }
 
 func (m *Machine) addWorker(id domain.WorkerID) *worker {
-	w := &worker{id: id, runs: make(map[TaskID]*run), slowness: 1, lastReportMS: m.nowMS,
+	w := &worker{id: id, runs: make(map[TaskID]*run), slowness: 1, lastReportMS: m.nowMS, aliveSinceMS: m.nowMS,
 		leaseExpiryMS: m.nowMS + m.cfg.FormerLeaseMS, slot: m.slotCount}
 	m.workers[id] = w
 	m.slotCount++
@@ -277,6 +277,7 @@
 	}
 	// It gets work again once a poll is answered.
 	w.contacted, w.pollFailed, w.terminated = false, true, true
+	m.recordCrash(w)
 	ended := func(r *run) bool { return r.confirmedMS > 0 }
 	if m.endLostRuns(w, EndWorkerTerminated, ended) > 0 {
 		m.out.recordWorker("worker_gone", w.id, "")
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -86,7 +86,9 @@
 	// gangMemberEnded is set once a member of the current run has ended.
 	gangMemberEnded bool
 	gangPlacedMS    int64
-	tasksPerWorker  map[domain.WorkerID]int
+	// isolatedTasks is the number of tasks that run apart because workers terminated under them.
+	isolatedTasks  int
+	tasksPerWorker map[domain.WorkerID]int
 
 	// verdicts is indexed by worker slot and may be shorter than the number of slots. tickets
 	// holds the approvals, by slot, of the few workers that were approved.
@@ -154,7 +156,9 @@
 	// failedRuns lists the runs that failed. A worker lists an end until it is acknowledged, so
 	// a later owner may see the same failure again and must not count it twice.
 	failedRuns []int
-	lastRun    int
+	// crashedRuns lists the runs under which the worker's process terminated. setCrashes changes it.
+	crashedRuns []int
+	lastRun     int
 	// startedRun is the last run that this owner started or adopted.
 	startedRun int
 	// abandonedRun is the last run that was abandoned because its worker did not respond, and
@@ -191,6 +195,8 @@
 	reserved domain.Resources
 	need     domain.Resources
 	phase    runPhase
+	// isolated is set while the worker takes no other step because of the run.
+	isolated bool
 	placedMS int64
 	// confirmedMS is when the worker first confirmed the run.
 	confirmedMS int64
@@ -269,7 +275,13 @@
 	abandonedRuns map[TaskID]int
 	withheldEnd   int64
 	health        health
-	throttling    throttling
+	// aliveSinceMS is since when the worker's process is known to be up, and lastPlacedMS when a run was
+	// last placed on it.
+	aliveSinceMS, lastPlacedMS int64
+	// isolatedStep is the step whose isolated runs the worker is reserved for, or nil.
+	isolatedStep *step
+	isolatedRuns int
+	throttling   throttling
 	// slowness is the smoothed ratio of measured to expected run time.
 	slowness float64
 }
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -42,6 +42,9 @@
 	LastRun        int           `cbor:"6,keyasint,omitempty"`
 	// AbandonedRuns holds the last abandoned run of each task, by task index.
 	AbandonedRuns map[int]int `cbor:"7,keyasint,omitempty"`
+	// CrashedRuns lists, by task index, the runs under which the worker's process terminated. Versions
+	// that do not know it count from zero.
+	CrashedRuns map[int][]int `cbor:"8,keyasint,omitempty"`
 }
 
 // StoredJob is a job's pair of encoded values for the store. Job is nil if only the state changed.
@@ -292,6 +295,13 @@
 			r.FailedRuns[i] = t.failedRuns
 			changed = true
 		}
+		if len(t.crashedRuns) > 0 {
+			if r.CrashedRuns == nil {
+				r.CrashedRuns = make(map[int][]int)
+			}
+			r.CrashedRuns[i] = t.crashedRuns
+			changed = true
+		}
 	}
 	return r, changed
 }
@@ -367,6 +377,7 @@
 	for i, t := range s.tasks {
 		t.lastRun = r.LastRun
 		t.failedRuns = r.FailedRuns[i]
+		t.setCrashes(r.CrashedRuns[i])
 		t.formerAbandonedRun = r.AbandonedRuns[i]
 		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
 			m.finishTask(t)
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -114,6 +114,7 @@
 func (m *Machine) workerRestarted(w *worker, startedMS int64) {
 	if w.startedMS != 0 {
 		m.out.recordWorker("worker_reborn", w.id, "")
+		m.recordCrash(w)
 		m.endLostRuns(w, EndWorkerTerminated, func(r *run) bool { return r.confirmedMS > 0 })
 		// An unanswered start order may reach the new incarnation. Its clock has restarted, so the
 		// order's time limit does not protect against that. A stop order makes the worker refuse
@@ -314,6 +315,7 @@
 func (m *Machine) release(r *run) {
 	t, w := r.task, r.worker
 	delete(w.runs, t.id())
+	w.endIsolation(r)
 	w.used = w.used.Sub(r.reserved)
 	s := t.step
 	s.tasksPerWorker[w.id]--
@@ -379,6 +381,7 @@
 	if t.phase == taskWaiting {
 		s.waiting--
 	}
+	t.setCrashes(nil)
 	t.phase = taskDone
 	s.open--
 	if s.open == 0 {
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -315,7 +315,7 @@
 }
 
 // startable reports whether a waiting task may be started: any restart delay is over, and the
-// abandonment of its previous run is stored.
+// abandonment of its previous run, or the worker that terminated under it, is stored.
 func (m *Machine) startable(t *task) bool {
 	return m.nowMS >= t.notBeforeMS && t.abandonedVersion <= t.step.job.storedVersion
 }
@@ -475,6 +475,8 @@
 	t.lastRun = max(t.lastRun, number)
 	t.startedRun = max(t.startedRun, number)
 	t.runs = append(t.runs, r)
+	w.lastPlacedMS = m.nowMS
+	w.isolate(r)
 	if t.phase == taskWaiting {
 		t.phase = taskActive
 		s.waiting--
