--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -470,3 +470,36 @@
 		t.Error("the worker got no work after its return")
 	}
 }
+
+// Guards against a rollback after which stored jobs cannot be read because a later version has added fields.
+func TestRecordsOfLaterVersionsAreReadable(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+	spec := Spec{Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
+	m := New(testConfig(), 0, 0)
+	m.Submit("j", q, "team", &spec)
+	registerWorker(m)
+	report(m, []EndReport{{Number: 1, Task: TaskID{Job: "j"}, Run: 1, Kind: EndFailed}})
+	b, err := m.TakeBatch(testBatchEntries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	withLaterField := func(value []byte) []byte {
+		var fields map[int]any
+		if err := cbor.Unmarshal(value, &fields); err != nil {
+			t.Fatal(err)
+		}
+		fields[1000] = map[int][]string{7: {"later"}}
+		value, err := cbor.Marshal(fields)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	next := New(testConfig(), 0, 0)
+	if err := next.RecoverJob("j", withLaterField(b.Jobs[0].Job), withLaterField(b.Jobs[0].State)); err != nil {
+		t.Fatal(err)
+	}
+	if got := next.findTask(TaskID{Job: "j"}).failedRuns; len(got) != 1 {
+		t.Errorf("failed runs after the recovery are %v, want one", got)
+	}
+}
