Count waiting work when a team's limit is judged busy

Cause: the backlog of a team counted only while its running tasks used 0.8 of its limit. Gangs that started together end together, and until the next ones have their approvals the limit is unused for a moment, in which everything is accepted.

Ruled out by trials: the rest of running tasks (107), what exceeds half of their work (112), waiting work that is late (108).

Change: a limit is busy if running and waiting work together use 0.8 of it. An idle fleet is judged as before.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -22,14 +22,18 @@
 type work struct {
 	// cpu is in milli-cores x milliseconds, memory in MB x milliseconds.
 	cpu, memory float64
+	// width is what all of it would use at once.
+	width domain.Resources
 }
 
 func workOf(need domain.Resources, tasks int, ms int64) work {
 	x := float64(tasks) * float64(ms)
-	return work{cpu: float64(need.CPUMilli) * x, memory: float64(need.MemoryMB) * x}
+	return work{cpu: float64(need.CPUMilli) * x, memory: float64(need.MemoryMB) * x, width: need.Scale(int64(tasks))}
 }
 
-func (w work) add(o work) work { return work{cpu: w.cpu + o.cpu, memory: w.memory + o.memory} }
+func (w work) add(o work) work {
+	return work{cpu: w.cpu + o.cpu, memory: w.memory + o.memory, width: w.width.Add(o.width)}
+}
 
 // boundedBy caps the work at what a limit permits in the time. A zero component means no limit.
 func (w work) boundedBy(limit domain.Resources, ms float64) work {
@@ -93,7 +97,8 @@
 			continue
 		}
 		all = all.add(w)
-		if isBusy(t.used, t.Limit) {
+		// Between one gang and the next a full limit is unused for a moment.
+		if isBusy(t.used.Add(w.width), t.Limit) {
 			wait = w.durationOn(t.Limit)
 		}
 	}
