Let a crashed worker of the model begin its next incarnation at once

The model acknowledged ends of the next incarnation by the numbers of the former one, so that a test could lose tasks that the scheduler had not lost. The test of crashing tasks also checks that no task is unaccounted for and no worker stays reserved.

--- a/internal/core/jobs/crash_test.go
+++ b/internal/core/jobs/crash_test.go
@@ -20,6 +20,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 40, domain.Resources{CPUMilli: 8000, MemoryMB: 8000})
+			f.checkUnaccounted = true
 			f.taskMS = func(StartOrder) int64 { return 1500 }
 			step.Need, step.EstimateMS = domain.Resources{CPUMilli: 1000, MemoryMB: 500}, 1500
 			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 3, ObjectiveMS: 3000}
@@ -56,6 +57,11 @@
 					t.Errorf("job %s is %v, want %v", id, j.state, want)
 				}
 			}
+			for id, w := range f.m.workers {
+				if w.isolatedStep != nil {
+					t.Errorf("worker %s is still reserved for an isolated step after all runs have ended", id)
+				}
+			}
 			f.check()
 		})
 	}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -325,8 +325,9 @@
 	}
 	w.running, w.used, w.ends, w.lastEnd, w.acknowledged = make(map[TaskID]fakeRun), domain.Resources{}, nil, 0, 0
 	w.disconnected = true
+	w.startedMS++
 	f.after(5*callBreakMS, func() { f.m.WorkerTerminated(w.id) })
-	f.after(crashDownMS, func() { w.disconnected, w.startedMS = false, w.startedMS+1 })
+	f.after(crashDownMS, func() { w.disconnected = false })
 }
 
 func (f *fleet) run(w *fakeWorker, o StartOrder) {
