Count no crash for an order that was not delivered

Cause: a worker that crashes is known to be gone only after two refused polls. Orders sent to it meanwhile were refused too, and counted as runs under which it had crashed. Evidence: task 5 of job crashed one worker's company in run 1; runs 2 and 3 were orders to workers that had terminated 50 ms before and refused each sending; the log ends with 3 of 3 and job_given_up.

Change: an order that the address refused is told apart from one without an answer, also through other instances, and counts for nothing. An order whose connection broke off counts, also if that is learnt after the crash.

TestOrdersToTerminatedWorkersAreNotCounted fails before.

--- a/internal/app/owner/orders.go
+++ b/internal/app/owner/orders.go
@@ -181,6 +181,8 @@
 			c.responseTimes.observe(time.Since(call.sentAt))
 		} else if call.timedOut {
 			return
+		} else if a.NotDelivered {
+			outcome = jobs.StartNotDelivered
 		}
 		c.startAnswered(*o.Start, outcome, err)
 	case o.Stop != nil:
--- a/internal/app/workerrelay/orders.go
+++ b/internal/app/workerrelay/orders.go
@@ -61,6 +61,7 @@
 		var fenced *port.FencedError
 		result.Fenced = errors.As(err, &fenced)
 		result.Failure = err.Error()
+		result.NotDelivered = port.NotSent(err)
 		outcome = "failed"
 	}
 	r.metrics.Counter("relay.order." + outcome).Inc(1)
--- a/internal/core/jobs/crash.go
+++ b/internal/core/jobs/crash.go
@@ -23,7 +23,8 @@
 )
 
 // recordCrash counts the termination of a worker's process against the tasks that may have caused it: the
-// isolated ones, or else all that ran there or had been ordered to start.
+// isolated ones, or else all that ran there or whose start order may have been delivered. Runs that are
+// counted already are left out.
 func (m *Machine) recordCrash(w *worker) {
 	w.aliveSinceMS = m.nowMS
 	if w.draining || w.evacuating {
@@ -35,6 +36,10 @@
 		if j.state.Terminal() || t.phase == taskDone || isolated != nil && t.step != isolated || slices.Contains(t.crashedRuns, r.number) {
 			continue
 		}
+		// An order that the address refused came after the crash.
+		if r.confirmedMS == 0 && !r.startUnanswered {
+			continue
+		}
 		if t.step.spec.LongRunning && r.confirmedMS > 0 && m.nowMS-r.placedMS >= isolationMS {
 			continue
 		}
--- a/internal/core/jobs/crash_test.go
+++ b/internal/core/jobs/crash_test.go
@@ -71,7 +71,7 @@
 func TestCrashesAreCountedAcrossOwners(t *testing.T) {
 	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
 	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}}
-	m := New(testConfig(), 0, 0)
+	m := New(testConfig(), 1000, 1000)
 	m.Submit("j", q, "team", &spec)
 	number := 0
 	crash := func(m *Machine, draining bool) {
@@ -97,3 +97,51 @@
 		t.Errorf("the job is %v after three workers crashed, want failed", state)
 	}
 }
+
+// Guards against jobs that fail because start orders for their tasks went to workers that had crashed before.
+func TestOrdersToTerminatedWorkersAreNotCounted(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers []StartOutcome
+		// late is set if the answers arrive after the crash is known.
+		late bool
+		want int
+	}{
+		"no answer yet":               {nil, false, 0},
+		"refused":                     {[]StartOutcome{StartNotDelivered, StartNotDelivered}, false, 0},
+		"refused, learnt late":        {[]StartOutcome{StartNotDelivered}, true, 0},
+		"broken off":                  {[]StartOutcome{StartUnanswered}, false, 1},
+		"broken off, learnt late":     {[]StartOutcome{StartUnanswered}, true, 1},
+		"broken off, then refused":    {[]StartOutcome{StartUnanswered, StartNotDelivered}, false, 1},
+		"accepted, then refused late": {[]StartOutcome{StartAccepted, StartNotDelivered}, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(testConfig(), 0, 0)
+			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
+			m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 100}}})
+			registerWorker(m)
+			storeAll(t, m)
+			report(m, nil)
+			m.Advance(100, 100)
+			m.Schedule()
+			out := m.TakeOutput()
+			if len(out.Starts) != 1 {
+				t.Fatalf("%d start orders, want 1", len(out.Starts))
+			}
+			answer := func() {
+				for _, outcome := range c.answers {
+					m.StartAnswered("w", out.Starts[0].Task, out.Starts[0].Run, outcome)
+				}
+			}
+			if !c.late {
+				answer()
+			}
+			m.WorkerTerminated("w")
+			if c.late {
+				answer()
+			}
+			if got := len(m.findTask(TaskID{Job: "j"}).crashedRuns); got != c.want {
+				t.Errorf("%d crashes count for the task, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -69,7 +69,8 @@
 	// disconnected is set while no call reaches the worker. startedMS identifies its incarnation,
 	// reportedStartMS the last incarnation reported to the machine. leaseExpiryMS is when its lease
 	// expires.
-	disconnected               bool
+	// terminated is set while no process listens at the worker's address.
+	disconnected, terminated   bool
 	startedMS, reportedStartMS int64
 	leaseExpiryMS              int64
 }
@@ -272,6 +273,10 @@
 
 func (f *fleet) start(o StartOrder) {
 	w := f.workers[o.Worker]
+	if w.terminated {
+		f.after(1, func() { f.m.StartAnswered(o.Worker, o.Task, o.Run, StartNotDelivered) })
+		return
+	}
 	if w.disconnected {
 		f.after(callTimeoutMS, func() { f.m.StartAnswered(o.Worker, o.Task, o.Run, StartUnanswered) })
 		return
@@ -324,10 +329,10 @@
 		}
 	}
 	w.running, w.used, w.ends, w.lastEnd, w.acknowledged = make(map[TaskID]fakeRun), domain.Resources{}, nil, 0, 0
-	w.disconnected = true
+	w.disconnected, w.terminated = true, true
 	w.startedMS++
 	f.after(5*callBreakMS, func() { f.m.WorkerTerminated(w.id) })
-	f.after(crashDownMS, func() { w.disconnected = false })
+	f.after(crashDownMS, func() { w.disconnected, w.terminated = false, false })
 }
 
 func (f *fleet) run(w *fakeWorker, o StartOrder) {
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -495,6 +495,12 @@
 		return
 	case StartUnanswered:
 		r.startUnanswered = true
+		if w.terminated {
+			m.recordCrash(w)
+		}
+		m.repeatStart(r)
+		return
+	case StartNotDelivered:
 		m.repeatStart(r)
 		return
 	case StartNoRoom:
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -242,13 +242,21 @@
 	StartInvalid
 	// StartUnanswered means that no answer arrived: the order may take effect until its limit.
 	StartUnanswered
+	// StartNotDelivered means that the worker's address refused the connection. It is concluded by the
+	// owner; no other instance reports it.
+	StartNotDelivered
 )
 
 var startOutcomeNames = [...]string{"accepted", "fenced", "superseded", "too_late", "no_room", "not_approved",
-	"unhealthy", "wrong_incarnation", "invalid", "unanswered"}
+	"unhealthy", "wrong_incarnation", "invalid", "unanswered", "not_delivered"}
 
 // String returns the name of the outcome.
-func (o StartOutcome) String() string { return startOutcomeNames[o.OrUnanswered()] }
+func (o StartOutcome) String() string {
+	if o > StartNotDelivered {
+		o = StartUnanswered
+	}
+	return startOutcomeNames[o]
+}
 
 // OrUnanswered returns the outcome, or StartUnanswered if it is a value that this version does
 // not know. Outcomes may come from another instance.
--- a/internal/port/relay.go
+++ b/internal/port/relay.go
@@ -79,6 +79,9 @@
 	Fenced bool `cbor:"3,keyasint,omitempty"`
 	// Failure is why the order was refused or got no response.
 	Failure string `cbor:"4,keyasint,omitempty"`
+	// NotDelivered reports whether the worker's address refused the connection, so that the order
+	// certainly had no effect.
+	NotDelivered bool `cbor:"5,keyasint,omitempty"`
 }
 
 // OrderRelay sends orders to workers from another instance. It calls deliver
