Say exactly when an order counts as not delivered

Read again: the comments named a refused connection, while a connection that could not be opened in time counts as well; a wrapper with one caller goes. No behaviour changes. Tests of crashes, orders and recovery pass.

--- a/internal/core/jobs/crash.go
+++ b/internal/core/jobs/crash.go
@@ -36,14 +36,14 @@
 		if j.state.Terminal() || t.phase == taskDone || isolated != nil && t.step != isolated || slices.Contains(t.crashedRuns, r.number) {
 			continue
 		}
-		// An order that the address refused came after the crash.
+		// An order for which no connection could be opened came after the crash.
 		if r.confirmedMS == 0 && !r.startUnanswered {
 			continue
 		}
 		if t.step.spec.LongRunning && r.confirmedMS > 0 && m.nowMS-r.placedMS >= isolationMS {
 			continue
 		}
-		t.addCrash(r.number)
+		t.setCrashes(append(t.crashedRuns, r.number))
 		m.markChanged(j)
 		m.out.recordRun("worker_crashed_under_task", r, fmt.Sprintf("%d of %d", len(t.crashedRuns), maxCrashes))
 		switch n := len(t.crashedRuns); {
@@ -59,10 +59,6 @@
 
 func (t *task) isolated() bool { return len(t.crashedRuns) >= isolatedCrashes }
 
-func (t *task) addCrash(number int) {
-	t.setCrashes(append(t.crashedRuns, number))
-}
-
 // setCrashes replaces the runs of the task under which a worker terminated.
 func (t *task) setCrashes(runs []int) {
 	before := t.isolated()
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -242,7 +242,7 @@
 	StartInvalid
 	// StartUnanswered means that no answer arrived: the order may take effect until its limit.
 	StartUnanswered
-	// StartNotDelivered means that the worker's address refused the connection. It is concluded by the
+	// StartNotDelivered means that no connection to the worker could be opened. It is concluded by the
 	// owner; no other instance reports it.
 	StartNotDelivered
 )
--- a/internal/port/relay.go
+++ b/internal/port/relay.go
@@ -79,7 +79,7 @@
 	Fenced bool `cbor:"3,keyasint,omitempty"`
 	// Failure is why the order was refused or got no response.
 	Failure string `cbor:"4,keyasint,omitempty"`
-	// NotDelivered reports whether the worker's address refused the connection, so that the order
+	// NotDelivered reports whether no connection to the worker could be opened, so that the order
 	// certainly had no effect.
 	NotDelivered bool `cbor:"5,keyasint,omitempty"`
 }
