--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -138,15 +138,24 @@
 	return code
 }
 
-// playSameRack loses one minion of each rack for good. Then a gang is accepted whose members take one
-// minion each, as many as a whole rack has. It may run on two racks, where it takes far_x as long.
+// playSameRack has two of three racks each run one long task, and loses one minion of the third rack for
+// good. Then a gang is accepted whose members take one minion each, as many as a whole rack has. It may run
+// on two racks, where it takes far_x as long.
 func playSameRack(d *deployment) int {
 	const id, members, finishS = "00000000000004aa", 8, 14
-	if d.trouble {
-		for n := 0; n < len(d.minions); n += members {
-			d.minions[n].crash()
+	for n := 1; n <= 2; n++ {
+		long := fmt.Sprintf("00000000000004%02x", n)
+		step := map[string]any{"count": 1, "cpu": 8000, "mem_mb": 1024, "estimate_ms": 100_000, "affinity": fmt.Sprintf("r%d-1", n)}
+		if status, _ := d.call(d.daemons[0], "POST", prefix+long, key1, map[string]any{"spec": "100000", "steps": []any{step}}); status/100 != 2 {
+			return cannotRun
+		}
+		if m := d.awaitRun(long, 5*time.Second); m == nil || m.rack != fmt.Sprintf("r%d-1", n) {
+			return cannotRun
 		}
 	}
+	if d.trouble {
+		d.minions[0].crash()
+	}
 	time.Sleep(8 * time.Second)
 	d.gangs.add(id+".0.0", members)
 	body := map[string]any{"spec": "1000", "steps": []any{map[string]any{"count": members, "cpu": 12000, "mem_mb": 1024, "estimate_ms": 1000,
@@ -160,7 +169,7 @@
 			return held
 		}
 	}
-	// A job of another kind shows that the minions and the instances serve.
+	// A plain job shows that the minions and the instances serve.
 	const other = "00000000000004bb"
 	if status, _ := d.call(d.daemons[0], "POST", prefix+other, key1, job(300, "")); status/100 != 2 || !d.awaitState(other, key1, "completed", 10*time.Second) {
 		return cannotRun
@@ -168,7 +177,7 @@
 	if d.record.jobBegun(id) {
 		return cannotRun
 	}
-	d.record.add("LOST: no member of the gang has started in %d s; %d minions are idle, and 16 are twice its need", finishS+10, len(d.minions)-3)
+	d.record.add("LOST: no member of the gang has started in %d s; 21 minions are idle, and 16 are twice its need", finishS+10)
 	return broken
 }
 
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -66,12 +66,15 @@
 	racks   map[string]bool
 	there   map[string]bool
 	full    time.Time
+	// over is set once a member has ended in another way than with all others.
+	over bool
 }
 
-// farX and gangMS are bounds of the site.
+// farX, gangMS and holdMaxMS are bounds of the site.
 const (
-	farX   = 3
-	gangMS = 3000
+	farX      = 3
+	gangMS    = 3000
+	holdMaxMS = 10_000
 )
 
 func (g *gangs) add(step string, members int) {
@@ -102,6 +105,13 @@
 	return r
 }
 
+// end lets the other members of a gang's run end as broken.
+func (g *gangs) end(r *gangRun) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.over = true
+}
+
 // result returns how a member's run ends now, or "" while it goes on.
 func (g *gangs) result(r *running) string {
 	g.mu.Lock()
@@ -111,6 +121,8 @@
 		work *= farX
 	}
 	switch {
+	case r.gang.over:
+		return "broken"
 	case r.gang.full.IsZero() && time.Since(r.began) > gangMS*time.Millisecond:
 		return "alone"
 	case !r.gang.full.IsZero() && time.Since(r.gang.full) >= work:
@@ -139,7 +151,11 @@
 	mux.HandleFunc("POST /run-start", m.serve(m.runStart))
 	mux.HandleFunc("POST /run-stop", m.serve(m.runStop))
 	mux.HandleFunc("POST /hold", m.hold)
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { reply(w, 200, struct{}{}) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, r *http.Request) {
+		if !m.hang(r) {
+			reply(w, 200, struct{}{})
+		}
+	})
 	m.server = &http.Server{Handler: mux}
 	go func() { _ = m.server.Serve(l) }()
 	go m.beat()
@@ -242,6 +258,9 @@
 }
 
 func (m *minion) end(task string, run int, how string) {
+	if r := m.running[task]; r != nil && r.gang != nil && how != "done" {
+		m.gangs.end(r.gang)
+	}
 	delete(m.running, task)
 	m.over[task] = max(m.over[task], run)
 	m.lastEnd++
@@ -303,22 +322,26 @@
 	if r, ok := m.running[o.Task]; ok && r.run == o.Run {
 		return 200, ""
 	}
-	switch {
-	case m.over[o.Task] >= o.Run:
-		return 409, "old"
-	case m.clock() > o.UntilMS:
+	if m.clock() > o.UntilMS {
 		return 409, "late"
 	}
+	// The lease is also taken from a start that is refused as old.
+	m.extend(o.UntilMS)
+	if m.over[o.Task] >= o.Run {
+		return 409, "old"
+	}
 	workMS, err := strconv.Atoi(strings.TrimSpace(o.Spec))
 	if err != nil {
 		return 400, ""
 	}
-	m.until = max(m.until, o.UntilMS)
 	m.running[o.Task] = &running{o.Run, time.Now(), time.Duration(workMS) * time.Millisecond, m.gangs.join(o.Task, o.Run, m.rack)}
 	m.record.begin(o.Task, fmt.Sprintf("minion %s: %s run %d starts", m.id, o.Task, o.Run))
 	return 200, ""
 }
 
+// extend moves the end of the lease, which never shortens.
+func (m *minion) extend(untilMS int64) { m.until = max(m.until, min(untilMS, m.clock()+holdMaxMS)) }
+
 func (m *minion) runStop(o order) (int, string) {
 	if r, ok := m.running[o.Task]; ok && r.run == o.Run {
 		m.end(o.Task, o.Run, "stopped")
@@ -341,6 +364,10 @@
 	if m.hang(r) {
 		return
 	}
+	if target := r.Header.Get("Target-Instance"); target != "" && target != m.id {
+		reply(w, 421, struct{}{})
+		return
+	}
 	m.mu.Lock()
 	if h.Fence < m.fence {
 		m.mu.Unlock()
@@ -348,7 +375,7 @@
 		return
 	}
 	m.fence = h.Fence
-	m.until = max(m.until, min(h.UntilMS, m.clock()+10_000))
+	m.extend(h.UntilMS)
 	for len(m.ends) > 0 && m.ends[0].number <= h.LastSeen {
 		m.ends = m.ends[1:]
 	}
