--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -86,8 +86,8 @@
 }
 
 type daemon struct {
-	name, front, ready string
-	cmd                *exec.Cmd
+	name, front, ready, log string
+	cmd                     *exec.Cmd
 }
 
 type deployment struct {
@@ -100,20 +100,33 @@
 	trouble bool
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+// freeAddresses returns n addresses with free ports. The host is a loopback address that only this daemon
+// has, so that neither another play nor a connection's own port takes one before the daemon listens.
+func freeAddresses(daemon, n int) ([]string, error) {
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, 1+daemon)
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		// All stay open until the last one is chosen, so that they differ.
+		defer l.Close()
+		list = append(list, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return list, nil
 }
 
 func (d *deployment) startDaemon(program, dir, storeAddress, name, zone string) error {
-	x := &daemon{name: name, front: freeAddress(), ready: freeAddress()}
+	free, err := freeAddresses(len(d.daemons), 4)
+	if err != nil {
+		return err
+	}
+	x := &daemon{name: name, front: free[0], ready: free[1], log: filepath.Join(dir, name+".log")}
 	settings := map[string]any{
 		"instance": name, "region": "dalmatia", "zone": zone,
-		"listen":   map[string]string{"callers": x.front, "ready": x.ready, "peers": freeAddress(), "metrics": freeAddress()},
+		"listen":   map[string]string{"callers": x.front, "ready": x.ready, "peers": free[2], "metrics": free[3]},
 		"platform": map[string]any{"store": storeAddress, "approvals": "127.0.0.1:9", "vms": "", "duties": []string{}},
 		"bounds": map[string]any{"revoke_ms": 5000, "max_lease_ms": 10000, "grace_ms": 6000, "gang_wait_ms": 3000, "stop_ms": 400,
 			"retention_ms": 120000, "far_factor": 3, "limit_overshoot": 0.1, "min_lease_ms": 1000, "holder_lease_ms": 3000},
@@ -128,7 +141,7 @@
 	if err := os.WriteFile(file, raw, 0o600); err != nil {
 		return err
 	}
-	logFile, err := os.Create(filepath.Join(dir, name+".log"))
+	logFile, err := os.Create(x.log)
 	if err != nil {
 		return err
 	}
@@ -303,6 +316,10 @@
 	}
 	if !d.awaitReady(20 * time.Second) {
 		rec.add("the instances are not ready")
+		for _, x := range d.daemons {
+			raw, _ := os.ReadFile(x.log)
+			rec.add("last lines of %s: %s", x.name, raw[max(0, len(raw)-600):])
+		}
 		return code
 	}
 	// An instance is in touch contact_ms after its start.
