Do not take a refused connection for the end of a worker

Cause: the adapter reported a refused connection as proof that the worker's process had terminated, and after two refused polls the owner started its tasks elsewhere.

What proves the end sooner than the lease: the platform's list of VMs names the worker of each VM.

Change: only another incarnation at the worker's address (421) is proof on the connection. Workers that do not answer and may have tasks are looked up in the list of VMs; two complete lists in a row without the worker, sent after it stopped answering, end its runs. A list that fails, or names no worker of the cell, proves nothing. Results of polls through instances of earlier versions still carry their verdict about refused connections; it is no longer read.

TestCrashedAndUnresponsiveWorkers keeps its bound for a crashed worker, now by the list, and has four new cases of workers that refuse connections. The stand-in's crashed workers refuse connections instead of handing out proofs.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -53,6 +53,7 @@
 	approversVersion int64
 	pollGroups       pollGroups
 	assignedMS       int64
+	vmCheck          vmCheck
 	// maintenance is nil if the platform requests no maintenance.
 	maintenance *maintenance
 	// registryPausedUntil is the time before which an instance is not used to read the registry.
@@ -256,6 +257,7 @@
 	// successor.
 	if c.mayCallWorkers(now) && !c.resigning {
 		c.planMaintenance(now)
+		c.checkVMs(now)
 		c.updateApprovers(now)
 		c.machine.PauseStarts(c.options.MaxConfigAge > 0 && c.options.ConfigAge() > c.options.MaxConfigAge)
 		start := time.Now()
--- a/internal/app/owner/options.go
+++ b/internal/app/owner/options.go
@@ -93,7 +93,7 @@
 	// Probe returns a *port.ProcessTerminatedError if no process serves the address of an instance. It is
 	// nil if nothing can prove that.
 	Probe func(ctx context.Context, address string) error
-	// VMs and Waves are nil if the platform requests no maintenance.
+	// VMs is nil if the platform does not list its VMs, and Waves if it requests no maintenance.
 	VMs   port.VMFleet
 	Waves port.WaveSource
 }
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -74,7 +74,7 @@
 		c.ids = append(c.ids, domain.WorkerID(fmt.Sprintf("w%d", i)))
 	}
 	c.fleet = cellworker.New(runTime, c.ids...)
-	c.workers, c.peers, c.directWorkers, c.claimTTL = c.fleet, noPeers{}, workers, 300*time.Millisecond
+	c.workers, c.peers, c.vms, c.directWorkers, c.claimTTL = c.fleet, noPeers{}, c.fleet, workers, 300*time.Millisecond
 	return c
 }
 
--- a/internal/app/owner/pollgroups.go
+++ b/internal/app/owner/pollgroups.go
@@ -271,7 +271,7 @@
 // relayedError converts the failure that the relay reported.
 func relayedError(r port.RelayedPollResult, address string) error {
 	err := errors.New(r.Failure)
-	if r.Terminated {
+	if r.Replaced {
 		return &port.WorkerTerminatedError{Worker: r.Worker, Address: address, Err: err}
 	}
 	return err
--- a/internal/app/owner/polls.go
+++ b/internal/app/owner/polls.go
@@ -34,8 +34,8 @@
 	// sentAck is the run-end number acknowledged by the poll in flight; confirmedAck is the highest
 	// one that the worker is known to have received.
 	sentAck, confirmedAck int64
-	// refusals counts consecutive polls that prove that the worker's process has terminated.
-	refusals int
+	// misdirected counts consecutive polls that another incarnation answered.
+	misdirected int
 	// hash selects the worker's group.
 	hash uint32
 	// directUntilMS is the time until which the worker is polled directly.
@@ -187,7 +187,7 @@
 		c.log.Info("worker answers again", zap.String("worker", string(id)))
 	}
 	p.retryPauseMS = 0
-	p.refusals = 0
+	p.misdirected = 0
 	p.answered = true
 	p.answeredMS = steady.NowMS()
 	p.confirmedAck = max(p.confirmedAck, p.sentAck)
@@ -206,25 +206,30 @@
 	}
 }
 
-// requiredRefusedPolls is how many consecutive polls must find a worker's process terminated before
-// its runs are started elsewhere, so that this never depends on a single answer.
-const requiredRefusedPolls = 2
+// requiredMisdirectedPolls is how many consecutive polls another incarnation must answer before the
+// worker's runs are started elsewhere, so that this never depends on a single answer.
+const requiredMisdirectedPolls = 2
 
-// checkTerminated abandons the runs of a worker right away if its process has provably terminated,
-// instead of when its lease has expired. An unresponsive worker keeps its runs until then.
+// checkTerminated abandons the runs of a worker right away if another incarnation serves its address,
+// instead of when its lease has expired. checkVMs covers a worker that nothing has replaced there.
 func (c *Cell) checkTerminated(p *pollState, err error) {
 	var terminated *port.WorkerTerminatedError
 	if !errors.As(err, &terminated) {
-		p.refusals = 0
+		p.misdirected = 0
 		return
 	}
-	if p.refusals++; p.refusals == requiredRefusedPolls {
-		c.log.Info("worker is gone", zap.String("worker", string(p.id)), zap.Error(err))
-		c.metrics.Counter("worker.gone").Inc(1)
-		c.machine.WorkerTerminated(p.id)
+	if p.misdirected++; p.misdirected == requiredMisdirectedPolls {
+		c.workerTerminated(p.id, err.Error())
 	}
 }
 
+// workerTerminated abandons the runs of a worker whose process has provably terminated.
+func (c *Cell) workerTerminated(id domain.WorkerID, proof string) {
+	c.log.Info("worker is gone", zap.String("worker", string(id)), zap.String("proof", proof))
+	c.metrics.Counter("worker.gone").Inc(1)
+	c.machine.WorkerTerminated(id)
+}
+
 // logDecisions writes one log line per decision.
 func (c *Cell) logDecisions(decisions []jobs.Decision) {
 	for _, d := range decisions {
--- a/internal/app/owner/workerfailure_test.go
+++ b/internal/app/owner/workerfailure_test.go
@@ -1,11 +1,15 @@
 package owner
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/core/waves"
 	"auburnpier/internal/domain"
+	"auburnpier/internal/standin/cellworker"
 )
 
 // awaitStarts waits until n runs have started and returns how long that took.
@@ -21,13 +25,25 @@
 	return time.Since(start)
 }
 
-// Guards against tasks of a crashed worker that wait for its lease to expire although its process
-// has provably terminated, and against an unresponsive worker whose tasks are started again while
-// they may still be running.
+// faultyVMs replaces the list of VMs.
+type faultyVMs struct {
+	*cellworker.Fleet
+	list func(context.Context) ([]waves.VM, error)
+}
+
+func (f *faultyVMs) VMs(ctx context.Context) ([]waves.VM, error) { return f.list(ctx) }
+
+// Guards against tasks of a crashed worker that wait for its lease to expire although the platform's
+// list of VMs proves that its process has terminated, and against a worker that refuses connections or
+// is silent whose tasks are started again while they may still be running: a partition refuses
+// connections, too, and a list that is unavailable, foreign or without the worker only once proves nothing.
 func TestCrashedAndUnresponsiveWorkers(t *testing.T) {
 	const lease = 2 * time.Second
-	run := func(t *testing.T, fail func(*cellTest, domain.WorkerID), least, most time.Duration) {
+	run := func(t *testing.T, list func(*cellworker.Fleet) ([]waves.VM, error), fail func(*cellTest, domain.WorkerID), least, most time.Duration) {
 		c := newFleetTest(t, 2, time.Minute)
+		if list != nil {
+			c.vms = &faultyVMs{c.fleet, func(context.Context) ([]waves.VM, error) { return list(c.fleet) }}
+		}
 		cell := c.start("a").awaitOwned(t)
 		c.fleet.Lasting("j")
 		if r := c.submit(cell, "j", 4); !r.Accepted {
@@ -46,12 +62,30 @@
 		}
 		c.checkFaults()
 	}
-	t.Run("crashed", func(t *testing.T) {
-		run(t, func(c *cellTest, id domain.WorkerID) { c.fleet.Crash(id) }, 0, lease/2)
-	})
-	t.Run("unresponsive", func(t *testing.T) {
-		run(t, func(c *cellTest, id domain.WorkerID) { c.fleet.Cut(id, true) }, lease/2, 2*lease)
-	})
+	crash := func(c *cellTest, id domain.WorkerID) { c.fleet.Crash(id) }
+	cut := func(c *cellTest, id domain.WorkerID) { c.fleet.Cut(id, true) }
+	refuse := func(c *cellTest, id domain.WorkerID) { c.fleet.Refuse(id) }
+	var missedOnce atomic.Bool
+	for name, tc := range map[string]struct {
+		list        func(*cellworker.Fleet) ([]waves.VM, error)
+		fail        func(*cellTest, domain.WorkerID)
+		least, most time.Duration
+	}{
+		"crashed":                         {nil, crash, 0, lease / 2},
+		"silent":                          {nil, cut, lease / 2, 2 * lease},
+		"refuses connections":             {nil, refuse, lease / 2, 2 * lease},
+		"refuses, VM service unavailable": {func(*cellworker.Fleet) ([]waves.VM, error) { return nil, errRelayFailed }, refuse, lease / 2, 2 * lease},
+		"refuses, list names no worker":   {func(*cellworker.Fleet) ([]waves.VM, error) { return []waves.VM{{ID: "other"}}, nil }, refuse, lease / 2, 2 * lease},
+		"refuses, missing in one list": {func(f *cellworker.Fleet) ([]waves.VM, error) {
+			list, err := f.VMs(t.Context())
+			if missedOnce.CompareAndSwap(false, true) {
+				list = list[:1]
+			}
+			return list, err
+		}, refuse, lease / 2, 2 * lease},
+	} {
+		t.Run(name, func(t *testing.T) { run(t, tc.list, tc.fail, tc.least, tc.most) })
+	}
 }
 
 // Guards against recovered jobs that wait for workers which terminated before the takeover and are
--- a/internal/app/workerrelay/polls.go
+++ b/internal/app/workerrelay/polls.go
@@ -96,7 +96,8 @@
 	case err != nil:
 		r.metrics.Counter("relay.look.unanswered").Inc(1)
 		var terminated *port.WorkerTerminatedError
-		return port.RelayedPollResult{Worker: p.Worker, Failure: err.Error(), Terminated: errors.As(err, &terminated)}
+		replaced := errors.As(err, &terminated)
+		return port.RelayedPollResult{Worker: p.Worker, Failure: err.Error(), Terminated: replaced, Replaced: replaced}
 	}
 	r.metrics.Counter("relay.look.answered").Inc(1)
 	return port.RelayedPollResult{Worker: p.Worker, Report: report}
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -36,7 +36,7 @@
 	Registry func(port.LeaseStore) port.WorkerRegistry
 	Config   func(port.LeaseStore) port.ConfigSource
 	Approver port.Approver
-	// VMs and Waves are used only if the settings list duties.
+	// VMs is used only if the settings name the VM service, and Waves only if they list duties too.
 	VMs   port.VMFleet
 	Waves func(port.LeaseStore) port.WaveSource
 	// ClientHandler returns the HTTP handler of client requests.
@@ -151,8 +151,12 @@
 
 func (i *Instance) ownerPorts(store port.LeaseStore, peers *cellhttp.Dialer) owner.Ports {
 	p := owner.Ports{Store: store, Workers: i.adapters.Workers, Registry: i.adapters.Registry(store), Peers: peers, Probe: peers.Probe}
-	if len(i.settings.Platform.Duties) > 0 && i.settings.Platform.VMs != "" {
-		p.VMs, p.Waves = i.adapters.VMs, i.adapters.Waves(store)
+	if i.settings.Platform.VMs == "" {
+		return p
+	}
+	p.VMs = i.adapters.VMs
+	if len(i.settings.Platform.Duties) > 0 {
+		p.Waves = i.adapters.Waves(store)
 	}
 	return p
 }
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -287,6 +287,24 @@
 	}
 }
 
+// UnresponsiveWorkers returns the workers that did not answer the last poll and may have tasks, and those
+// of a former owner whose address is unknown, in any order.
+func (m *Machine) UnresponsiveWorkers() []domain.WorkerID {
+	var list []domain.WorkerID
+	for _, w := range m.sortedWorkers {
+		_, suspect := m.suspects[w.id]
+		if w.pollFailed && !w.terminated && (suspect || len(w.runs) > 0) {
+			list = append(list, w.id)
+		}
+	}
+	for id := range m.suspects {
+		if _, known := m.workers[id]; !known {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // CountSuspects returns the number of workers that may still run tasks of a former owner and have
 // not reported.
 func (m *Machine) CountSuspects() int { return len(m.suspects) }
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -92,7 +92,7 @@
 }
 
 // WorkerTerminatedError reports proof that the worker's process has terminated:
-// its address refuses connections, or another process responds there.
+// another process responds at its address.
 type WorkerTerminatedError struct {
 	Worker  domain.WorkerID
 	Address string
--- a/internal/port/relay.go
+++ b/internal/port/relay.go
@@ -27,8 +27,11 @@
 	// Failure is set if the worker did not respond; Report is then empty.
 	Failure string            `cbor:"3,keyasint,omitempty"`
 	Report  jobs.WorkerReport `cbor:"4,keyasint"`
-	// Terminated reports whether the failure proves that the worker's process has terminated.
+	// Terminated is not read. Earlier versions also set it for refused connections, which prove
+	// nothing.
 	Terminated bool `cbor:"5,keyasint,omitempty"`
+	// Replaced reports whether another incarnation responds at the worker's address.
+	Replaced bool `cbor:"6,keyasint,omitempty"`
 }
 
 // PollRelay polls workers from another instance. It calls deliver with the
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"auburnpier/internal/core/jobs"
+	"auburnpier/internal/core/waves"
 	"auburnpier/internal/domain"
 	"auburnpier/internal/port"
 )
@@ -36,6 +38,7 @@
 	fence   int64
 	cut     bool
 	crashed bool
+	refuses bool
 	// born is the Unix millisecond of the worker's life, as it says itself.
 	born    int64
 	until   int64
@@ -78,6 +81,13 @@
 	f.workers[id].cut = cut
 }
 
+// Refuse lets connections to a worker be refused, while its tasks run on.
+func (f *Fleet) Refuse(id domain.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].refuses = true
+}
+
 // Crash ends the process of a worker, with all that runs there.
 func (f *Fleet) Crash(id domain.WorkerID) {
 	f.mu.Lock()
@@ -142,7 +152,31 @@
 
 func (f *Fleet) clock() int64 { return time.Since(f.began).Milliseconds() }
 
-var errCut = errors.New("the stand-in is cut off")
+var (
+	errCut = errors.New("the stand-in is cut off")
+	// errRefused is what a call to a crashed worker returns.
+	errRefused = syscall.ECONNREFUSED
+)
+
+// VMs lists a VM for each worker, as the platform does. The VM of a crashed worker has none.
+func (f *Fleet) VMs(context.Context) ([]waves.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []waves.VM
+	for id, w := range f.workers {
+		vm := waves.VM{ID: waves.VMID("vm-" + id), Up: !w.crashed}
+		if !w.crashed {
+			vm.Worker = id
+		}
+		list = append(list, vm)
+	}
+	return list, nil
+}
+
+// StartMaintenance implements port.VMFleet. The fleet takes no such orders.
+func (f *Fleet) StartMaintenance(context.Context, domain.InstanceID, int64, waves.Order) (waves.Outcome, error) {
+	return waves.Busy, errors.New("the stand-in has no maintenance")
+}
 
 // Start implements port.WorkerClient.
 func (f *Fleet) Start(_ context.Context, fence int64, o jobs.StartOrder) (jobs.StartOutcome, error) {
@@ -151,7 +185,7 @@
 	w := f.workers[o.Worker]
 	f.lapse(w)
 	switch {
-	case w.cut || w.crashed:
+	case w.cut || w.crashed || w.refuses:
 		return jobs.StartUnanswered, errCut
 	case fence < w.fence:
 		return jobs.StartFenced, fmt.Errorf("fence %d is below %d", fence, w.fence)
@@ -222,7 +256,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[o.Worker]
-	if w.cut || fence < w.fence {
+	if w.cut || w.refuses || fence < w.fence {
 		return &port.WorkerUnreachableError{Address: o.Address, Err: errCut}
 	}
 	if w.running[o.Task] == o.Run {
@@ -271,8 +305,8 @@
 	defer f.mu.Unlock()
 	w := f.workers[id]
 	f.lapse(w)
-	if w.crashed {
-		return jobs.WorkerReport{}, &port.WorkerTerminatedError{Worker: id, Address: address, Err: errCut}
+	if w.crashed || w.refuses {
+		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errRefused}
 	}
 	if w.cut {
 		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
@@ -301,8 +335,8 @@
 			return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
 		}
 	}
-	if w.crashed {
-		return jobs.WorkerReport{}, &port.WorkerTerminatedError{Worker: id, Address: address, Err: errCut}
+	if w.crashed || w.refuses {
+		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errRefused}
 	}
 	if w.cut {
 		return jobs.WorkerReport{}, &port.WorkerUnreachableError{Address: address, Err: errCut}
