Show a job as completed only once that is stored

Cause: while the store rejected all writes, Cell.State showed a completion that was not stored, because there could be no later owner, and because the workers that list the ends were there. Leases may run out while the store is down, so there is a later owner as soon as it is back; and the workers may terminate before that owner polls them.

Change: the state of a job is what the store holds. Nothing else outlives the loss of the owner and of the workers, so nothing proves it sooner. The code that kept track of such completions goes.

--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -171,12 +171,6 @@
 	confirmed := c.claimConfirmed()
 	return callLoop(ctx, c, func(reply func(port.StateReply, error)) {
 		state, team, found := c.machine.StoredState(j.Job)
-		// While the store rejects all writes there can be no later owner either, and a completed
-		// job stays completed.
-		if found && c.storeRejecting && c.machine.CompletedUnstored(j.Job) {
-			reply(port.StateReply{Found: team == j.Team, State: jobs.Completed}, nil)
-			return
-		}
 		// A former owner does not know the jobs that its successor has accepted.
 		if !confirmed {
 			reply(port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance})
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -334,7 +334,6 @@
 		}
 		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.leaseExpiryMS {
 			delete(m.workers, w.id)
-			w.discardPendingEnds()
 			m.membersChanged = true
 			m.out.RemovedWorkers = append(m.out.RemovedWorkers, w.id)
 			continue
@@ -422,33 +421,9 @@
 	return a.Index - b.Index
 }
 
-// CompletedUnstored reports whether a job has completed and every run end that is not stored
-// yet is listed by a worker that a later owner can rely on. If such a worker is about to leave
-// or does not respond, it may be lost first, and a later owner would run the tasks again.
-func (m *Machine) CompletedUnstored(id domain.JobID) bool {
-	j, ok := m.jobs[id]
-	if !ok || !j.durable || j.state != Completed || j.endsLost {
-		return false
-	}
-	for _, w := range m.sortedWorkers {
-		for _, p := range w.pendingEnds {
-			if p.job == j && (w.draining || w.evacuating || !w.registered || w.pollFailed || !m.reportedRecently(w)) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-// discardPendingEnds records that the worker no longer lists its run ends.
-func (w *worker) discardPendingEnds() {
-	for _, p := range w.pendingEnds {
-		p.job.endsLost = p.job.endsLost || p.job.storedVersion < p.version
-	}
-	w.pendingEnds = nil
-}
-
-// StoredState returns the state that the store holds for a job, and its team.
+// StoredState returns the state that the store holds for a job, and its team. A later state must not be
+// shown to callers: if the store loses the claim and the workers that list the ends terminate, a later
+// owner runs the tasks again.
 func (m *Machine) StoredState(id domain.JobID) (State, domain.TeamID, bool) {
 	j, ok := m.jobs[id]
 	if !ok || !j.durable {
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -124,8 +124,7 @@
 		}
 	}
 	w.startedMS = startedMS
-	w.discardPendingEnds()
-	w.lastEndNumber, w.abandonedRuns, w.withheldEnd = 0, nil, 0
+	w.lastEndNumber, w.pendingEnds, w.abandonedRuns, w.withheldEnd = 0, nil, nil, 0
 	w.clockKnown = false
 	w.health = health{}
 }
