--- a/internal/standin/leasestore/store.go
+++ b/internal/standin/leasestore/store.go
@@ -88,6 +88,16 @@
 	s.wake()
 }
 
+// Delete removes a key as another writer would.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
 // Writes returns the number of transactions that took effect.
 func (s *Store) Writes() int {
 	s.mu.Lock()
