Look a submitted job up before an unconfirmed claim refuses it

What callers saw, as users reported it once: REFUSED, a task started although each submission of its job was answered with a refusal.

Cause, by reading: an owner whose claim was not confirmed at that moment refused a submission with store_unavailable without asking whether it knows the job. If the first submission had reached the former owner and was stored, but its answer was lost, the entry asked the next owner, took its refusal for the knowledge that the job is not stored, and told the caller so. The job is recovered, and its tasks start. It takes the loss of an owner and a renewal of the next claim that is answered late, both common where processes are killed and the machine is busy.

Change: the check is made on the loop, and a known job is answered as such. New jobs are refused as before.

Test: TestStoredJobIsNotRefusedWhileClaimIsUnconfirmed failed before: "the second submission of a stored job is answered with {Accepted:false OutcomeUnknown:false Reason:store_unavailable RetryAfterMS:1000}, want accepted". Whether this is what the users saw is not shown: their case has not been reproduced with real processes.

--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -334,6 +334,26 @@
 	c.checkFaults()
 }
 
+// Guards against a caller that is told that its job does not run although the job is stored: its first
+// submission got no answer, and an owner whose claim was not confirmed at that moment refused the second
+// without looking the job up.
+func TestStoredJobIsNotRefusedWhileClaimIsUnconfirmed(t *testing.T) {
+	c := newCellTest(t, time.Minute)
+	i := c.start("a")
+	cell := i.awaitOwned(t)
+	if r := c.submit(cell, "stored", 1); !r.Accepted {
+		t.Fatalf("submission: %+v", r)
+	}
+	cell.confirmedUntilMS.Store(0)
+	if r := c.submit(cell, "stored", 1); !r.Accepted {
+		t.Errorf("the second submission of a stored job is answered with %+v, want accepted", r)
+	}
+	cell.confirmedUntilMS.Store(0)
+	if r := c.submit(cell, "new", 1); r.Accepted || r.RetryAfterMS == 0 {
+		t.Errorf("a new job is answered with %+v while the claim is not confirmed, want a refusal with a retry time", r)
+	}
+}
+
 // Guards against a job that is shown as completed before this is stored: the workers that list the ends
 // may terminate while the store is down, and the next owner runs the tasks again. Guards, too, against a
 // completion that is withheld longer than the store is down.
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -82,9 +82,6 @@
 	if !c.awaitRecovery(ctx) {
 		return port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance}
 	}
-	if !c.claimConfirmed() {
-		return port.SubmitReply{Reason: reasonStoreUnavailable, RetryAfterMS: storeRetryAfterMS}, nil
-	}
 	reply, err := callLoop(ctx, c, func(reply func(port.SubmitReply, error)) { c.submit(s, reply) })
 	var notOwner *port.NotOwnerError
 	switch {
@@ -131,6 +128,12 @@
 		reply(port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance})
 		return
 	}
+	// A job that is known may be stored, so a refusal would be false.
+	if !c.claimConfirmed() && !c.machine.Knows(s.Job) {
+		c.metrics.Counter("refusal." + reasonStoreUnavailable).Inc(1)
+		reply(port.SubmitReply{Reason: reasonStoreUnavailable, RetryAfterMS: storeRetryAfterMS}, nil)
+		return
+	}
 	result := c.machine.Submit(s.Job, &s.Queue, s.Team, &s.Spec)
 	switch {
 	case result.Refusal != jobs.NotRefused:
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -71,6 +71,9 @@
 	return SubmitResult{}
 }
 
+// Knows reports whether a job with the ID was submitted.
+func (m *Machine) Knows(id domain.JobID) bool { return m.jobs[id] != nil }
+
 // neverFitsRetryMS is the retry delay for jobs that fit no worker or limit. A larger worker may be
 // added, but not within seconds.
 const neverFitsRetryMS = 10_000
