Take a refusal for the outcome only where it refutes all silent owners

What callers could see: REFUSED, a task starts although each submission of its job was answered with a refusal.

Cause, by reading: the entry kept the address of the last owner that had not answered. With two silent owners, a and b, and then a later term of a, it took the refusal of a for the outcome, though the first call may still be on its way to a and be accepted there. It also took the refusal of an owner of an earlier term, of which an entry with a late view of the claim may hear, and which does not know what its successor has stored.

Change: a refusal counts after a silence only if it comes from a term later than all of the silent owners, and from an address that is none of theirs. Else the outcome is unknown, and the same ID may be sent again.

Test: TestRefusalAfterSilentOwners; its cases of two silent owners and of a former owner returned "Kind:job_refused" before. Not seen with real processes.

--- a/internal/app/entry/directory.go
+++ b/internal/app/entry/directory.go
@@ -105,6 +105,7 @@
 	// number increases with each change of the ownership.
 	number  int64
 	address string
+	epoch   int64
 }
 
 // term returns the present term, or nil if no owner is known, and a channel that is closed at the
@@ -117,7 +118,7 @@
 	}
 	t := &ownerTerm{OwnerService: d.client, number: d.changes}
 	if d.ownership.Claim != nil {
-		t.address = d.ownership.Claim.Address
+		t.address, t.epoch = d.ownership.Claim.Address, d.ownership.Claim.Epoch
 	}
 	return t, d.changed
 }
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -213,8 +213,8 @@
 	defer cancel()
 	call := port.SubmitRequest{Job: id, Queue: c.Route.Queue, Team: c.Team, Spec: spec}
 	var previous *ownerTerm
-	// unknownAt is the address of an owner that has not answered and may have accepted the job.
-	unknownAt, unknown := "", false
+	// silent are the owners that have not answered and may have accepted the job.
+	var silent silentOwners
 	waitUntil := time.Now().Add(submitWait(&c.Route.Queue, &spec))
 	for range maxSubmitAttempts {
 		term := s.directory.waitForOwner(ctx, previous, max(0, time.Until(waitUntil)))
@@ -230,22 +230,42 @@
 			// the job is stored, and no former owner can store it any more.
 			s.metrics.Counter("job.asked_again").Inc(1)
 			s.log.Info("the owner did not answer a submission, asking again", zap.String("job", string(id)), zap.Error(err))
-			unknownAt, unknown = term.address, true
+			silent.add(term)
 			waitUntil = time.Now().Add(unknownOutcomeWait)
 			ctxtime.Sleep(ctx, queryRetryDelay)
-		case unknown && !reply.Accepted && term.address == unknownAt:
-			// The first call may still be on its way to the instance that refuses the second.
+		case !reply.Accepted && !silent.refutedBy(term):
 			return s.rejectUnknown()
 		default:
 			return s.submitResult(reply)
 		}
 	}
-	if unknown {
+	if len(silent.addresses) > 0 {
 		return s.rejectUnknown()
 	}
 	return s.reject(NoOwner, retryAfter, "no instance owns the cell now, come back")
 }
 
+// silentOwners are the owners that have not answered a submission.
+type silentOwners struct {
+	addresses map[string]bool
+	lastEpoch int64
+}
+
+func (o *silentOwners) add(t *ownerTerm) {
+	if o.addresses == nil {
+		o.addresses = make(map[string]bool)
+	}
+	o.addresses[t.address] = true
+	o.lastEpoch = max(o.lastEpoch, t.epoch)
+}
+
+// refutedBy reports whether a refusal in the given term proves that none of the owners has accepted the
+// job or can still do so. The owner of a later term knows what is stored, and no former owner can store
+// anything any more. But a call may still be on its way to an instance that has not answered.
+func (o *silentOwners) refutedBy(t *ownerTerm) bool {
+	return len(o.addresses) == 0 || t.epoch > o.lastEpoch && !o.addresses[t.address]
+}
+
 // submitTo submits a job to an owner. It gives up when a later owner is known, which can tell the
 // outcome sooner than an owner that is lost.
 func (s *Service) submitTo(ctx context.Context, t *ownerTerm, r port.SubmitRequest) (port.SubmitReply, error) {
--- a/internal/app/entry/service_test.go
+++ b/internal/app/entry/service_test.go
@@ -29,6 +29,9 @@
 	silent bool
 }
 
+// errSilent makes a call wait until its context ends.
+var errSilent = errors.New("no answer")
+
 func (f *fakeOwner) Submit(ctx context.Context, _ port.SubmitRequest) (port.SubmitReply, error) {
 	if f.silent {
 		<-ctx.Done()
@@ -37,6 +40,9 @@
 	if len(f.errs) > 0 {
 		err := f.errs[0]
 		f.errs = f.errs[1:]
+		if err == errSilent {
+			<-ctx.Done()
+		}
 		return port.SubmitReply{}, err
 	}
 	return f.reply, f.err
@@ -86,10 +92,10 @@
 			core, logs := observer.New(zapcore.InfoLevel)
 			d := NewDirectory(dialer{"a": c.first, "b": c.second})
 			if c.first != nil {
-				d.Publish(owner.Ownership{Claim: &owner.Claim{Address: "a"}})
+				d.Publish(owner.Ownership{Claim: &owner.Claim{Address: "a", Epoch: 1}})
 			}
 			if c.second != nil {
-				time.AfterFunc(minSubmitWait/4, func() { d.Publish(owner.Ownership{Claim: &owner.Claim{Address: "b"}}) })
+				time.AfterFunc(minSubmitWait/4, func() { d.Publish(owner.Ownership{Claim: &owner.Claim{Address: "b", Epoch: 2}}) })
 			}
 			s := NewService(Options{}, nil, d, nil, zap.New(core), metrics.New())
 			call := Call{Route: &port.QueueRoute{Queue: jobs.Queue{Name: "q"}}, Team: "team"}
@@ -108,6 +114,42 @@
 	}
 }
 
+// Guards against a caller that is told that its job does not run although an owner that has not answered may
+// have stored it: a call may still reach an instance that was silent in an earlier term, and a former owner
+// does not know what its successor has stored.
+func TestRefusalAfterSilentOwners(t *testing.T) {
+	refuses := port.SubmitReply{Reason: "objective_out_of_reach", RetryAfterMS: 1000}
+	type term struct {
+		address string
+		epoch   int64
+	}
+	for name, c := range map[string]struct {
+		owners dialer
+		terms  []term
+		want   RejectionKind
+	}{
+		"next owner refuses": {dialer{"a": &fakeOwner{silent: true}, "b": &fakeOwner{reply: refuses}}, []term{{"a", 1}, {"b", 2}}, JobRefused},
+		"the first of two silent owners refuses": {dialer{"a": &fakeOwner{errs: []error{errSilent}, reply: refuses}, "b": &fakeOwner{silent: true}},
+			[]term{{"a", 1}, {"b", 2}, {"a", 3}}, OutcomeUnknown},
+		"a former owner refuses": {dialer{"b": &fakeOwner{silent: true}, "a": &fakeOwner{reply: refuses}}, []term{{"b", 2}, {"a", 1}}, OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory(c.owners)
+			for n, term := range c.terms {
+				time.AfterFunc(time.Duration(n)*250*time.Millisecond, func() {
+					d.Publish(owner.Ownership{Claim: &owner.Claim{Address: term.address, Epoch: term.epoch}})
+				})
+			}
+			s := NewService(Options{}, nil, d, nil, zap.NewNop(), metrics.New())
+			spec := jobs.Spec{Steps: []jobs.StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1, MemoryMB: 1}}}}
+			rejection := s.Submit(t.Context(), Call{Route: &port.QueueRoute{Queue: jobs.Queue{Name: "q"}}, Team: "team"}, "j", spec, 3*time.Second)
+			if rejection == nil || rejection.Kind != c.want {
+				t.Errorf("Submit returned %+v, want kind %v", rejection, c.want)
+			}
+		})
+	}
+}
+
 // Guards against submissions that are rejected with a retry delay of one second while a handover
 // would have ended within a fraction of that.
 func TestSubmissionWaitsForNextOwner(t *testing.T) {
