--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -247,6 +247,8 @@
 }
 
 func (c *Cell) advance() {
+	// A renewal that was answered proves that the claim was held when it was sent.
+	c.machine.SetClaimHeld(c.confirmedUntilMS.Load() - c.term.ttl.Milliseconds())
 	c.machine.Advance(steady.NowMS(), time.Now().UnixMilli())
 }
 
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -130,7 +130,7 @@
 		ClaimDelay: i.claimDelay, MaxDirectWorkers: maxDirectWorkers, HolderLeaseMS: s.Bounds.HolderLeaseMS,
 		ConfigAge: func() time.Duration { return time.Duration(i.config.AgeMS()) * time.Millisecond }, MaxConfigAge: maxStartConfigAge(s.Bounds),
 		Jobs: jobs.Config{
-			LeaseMS: lease.Milliseconds(), FormerLeaseMS: (lease + unconfirmedGrace).Milliseconds() * 21 / 20,
+			LeaseMS: lease.Milliseconds(), FormerLeaseMS: formerLease(lease, ttl).Milliseconds(),
 			StartLimitMS: startTimeLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.MaxStopMS,
 			RetentionMS: s.Bounds.RetentionMS, OffRackFactor: s.Bounds.OffRackFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
 		},
@@ -139,6 +139,13 @@
 	return i
 }
 
+// formerLease returns how long tasks of a former owner may run on after a takeover, on workers that only it can
+// reach. Another instance may have released its claim, so it may take the claim for held during the claim's
+// TTL, and calls workers for unconfirmedGrace after that. Clock rates may differ.
+func formerLease(workerLease, claimTTL time.Duration) time.Duration {
+	return (workerLease + unconfirmedGrace + claimTTL) * 21 / 20
+}
+
 // maxStartConfigAge returns the age of the last confirmed configuration beyond which no task is
 // started, or zero if the platform evacuates no zones. A start order has no effect after
 // startTimeLimit, so none takes effect later than EvacuateMS after a zone was evacuated.
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"auburnpier/internal/core/approvals"
@@ -60,6 +61,7 @@
 	cfg           Config
 	nowMS         int64
 	unixMS        int64
+	claimHeldMS   int64
 	queues        map[domain.QueueID]*Queue
 	teams         map[domain.TeamID]*team
 	workers       map[domain.WorkerID]*worker
@@ -108,7 +110,7 @@
 // New returns a Machine without workers and jobs.
 func New(cfg Config, nowMS, unixMS int64) *Machine {
 	return &Machine{
-		cfg: cfg, nowMS: nowMS, unixMS: unixMS,
+		cfg: cfg, nowMS: nowMS, unixMS: unixMS, claimHeldMS: math.MaxInt64,
 		queues:         make(map[domain.QueueID]*Queue),
 		teams:          make(map[domain.TeamID]*team),
 		workers:        make(map[domain.WorkerID]*worker),
@@ -126,6 +128,10 @@
 	m.unixMS = unixMS
 }
 
+// SetClaimHeld sets the latest monotonic time at which the claim of the cell was certainly held. Until then no
+// other owner can have extended the lease of a worker. Without a call the claim counts as held at any time.
+func (m *Machine) SetClaimHeld(ms int64) { m.claimHeldMS = ms }
+
 // Advance sets the time and performs the work that is due.
 func (m *Machine) Advance(nowMS, unixMS int64) {
 	m.SetTime(nowMS, unixMS)
@@ -312,7 +318,7 @@
 // expireWorkers ends the runs of workers whose lease has certainly expired.
 func (m *Machine) expireWorkers() {
 	for id, until := range m.suspects {
-		if m.nowMS >= until {
+		if m.hasExpired(until) {
 			delete(m.suspects, id)
 			m.membersChanged = true
 			m.out.recordWorker("suspect_lapsed", id, "")
@@ -323,7 +329,7 @@
 	for _, w := range m.sortedWorkers {
 		// An owner that is short of CPU time may poll a worker too late. The worker still lists
 		// how its runs ended, so runs are abandoned only if a poll has failed.
-		if m.nowMS >= w.leaseExpiryMS && len(w.runs) > 0 && w.pollFailed {
+		if m.hasExpired(w.leaseExpiryMS) && len(w.runs) > 0 && w.pollFailed {
 			m.out.recordWorker("worker_lapsed", w.id, "")
 			m.recordAbandonedRuns(w)
 			kind := EndLeaseExpired
@@ -354,6 +360,12 @@
 	}
 }
 
+// hasExpired reports whether what was leased until the given time has certainly ended: the time is past, and
+// no successor of this owner can have extended the lease before.
+func (m *Machine) hasExpired(untilMS int64) bool {
+	return m.nowMS >= untilMS && m.claimHeldMS >= untilMS
+}
+
 // memberTrimIntervalMS is the least time between two writes of the list of workers that only leave
 // workers out.
 const memberTrimIntervalMS = 500
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -285,6 +285,28 @@
 	}
 }
 
+// Guards against an owner that takes a worker's lease for expired although its successor extends it: the
+// worker answers the successor and not the former owner, which has not yet learned that it lost the claim and
+// starts the tasks again on a worker that the successor has not reached.
+func TestLeaseExpiryNeedsHeldClaim(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 0, 0)
+	registerWorker(m)
+	m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+	storeAll(t, m)
+	report(m, nil, RunReport{Task: TaskID{Job: "j"}, Run: 1})
+	m.AddSuspects([]Member{{ID: "former", Address: "10.0.0.2:1"}})
+	m.PollFailed("w")
+	expiry := m.workers["w"].leaseExpiryMS
+	for _, c := range []struct{ heldMS, runs int64 }{{0, 1}, {expiry - 1, 1}, {expiry, 0}} {
+		m.SetClaimHeld(c.heldMS)
+		m.Advance(m.nowMS+60_000, m.unixMS+60_000)
+		if runs, suspects := int64(len(m.workers["w"].runs)), int64(m.CountSuspects()); runs != c.runs || suspects != c.runs {
+			t.Errorf("claim held until %d ms, leases until %d ms: %d runs and %d suspects are left, want %d each", c.heldMS, expiry, runs, suspects, c.runs)
+		}
+	}
+}
+
 // Guards against a team that exceeds its limit after a takeover: tasks that may run on workers that
 // have not reported yet count, also for new jobs.
 func TestTeamLimitCountsUnreportedTasks(t *testing.T) {
