Keep a run that was accepted after the poll that shows a restart

What callers could see: TWICE, two runs of one task at once, after a worker restarted under its ID.

A poll and a start order may be carried out by the new incarnation in this order and their answers arrive in the other one. The report then knows nothing of the run, which is live, and its task was started on another worker.

Change: only runs that were confirmed before the poll was sent belong to the former incarnation. A later one is left to the next report, which lists it or proves that it was lost, as for other runs that a report does not list. Nor does the crash count against it.

Test: TestRunOfNewIncarnationIsKept failed before: "starts [{w 10.0.0.1:1 {j 0 0 0} 2 ...}], stops [], want none while the run may be live". Not seen with real processes.

--- a/internal/core/jobs/crash.go
+++ b/internal/core/jobs/crash.go
@@ -22,10 +22,10 @@
 	aliveMS    = 3000
 )
 
-// recordCrash counts the termination of a worker's process against the tasks that may have caused it: the
-// isolated ones, or else all that ran there or whose start order may have been delivered. Runs that are
-// counted already are left out.
-func (m *Machine) recordCrash(w *worker) {
+// recordCrash counts the termination of a worker's process against the tasks that may have caused it, among the
+// runs that certainly belonged to the process: the isolated ones, or else all that ran there or whose start
+// order may have been delivered. Runs that are counted already are left out.
+func (m *Machine) recordCrash(w *worker, belonged func(*run) bool) {
 	w.aliveSinceMS = m.nowMS
 	if w.draining || w.evacuating {
 		return
@@ -33,7 +33,7 @@
 	isolated := w.isolatedStep
 	for _, r := range w.sortedRuns() {
 		t, j := r.task, r.task.step.job
-		if j.state.Terminal() || t.phase == taskDone || isolated != nil && t.step != isolated || slices.Contains(t.crashedRuns, r.number) {
+		if !belonged(r) || j.state.Terminal() || t.phase == taskDone || isolated != nil && t.step != isolated || slices.Contains(t.crashedRuns, r.number) {
 			continue
 		}
 		// An order for which no connection could be opened came after the crash.
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -283,7 +283,7 @@
 	}
 	// It gets work again once a poll is answered.
 	w.contacted, w.pollFailed, w.terminated = false, true, true
-	m.recordCrash(w)
+	m.recordCrash(w, anyRun)
 	ended := func(r *run) bool { return r.confirmedMS > 0 }
 	if m.endLostRuns(w, EndWorkerTerminated, ended) > 0 {
 		m.out.recordWorker("worker_gone", w.id, "")
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -285,6 +285,44 @@
 	}
 }
 
+// Guards against a run that is started elsewhere while it is live: a worker restarts, accepts a start order, and
+// its answer overtakes that to a poll which was sent and carried out before. The report knows nothing of the run
+// and names another incarnation, of which the run is.
+func TestRunOfNewIncarnationIsKept(t *testing.T) {
+	for name, lists := range map[string]bool{"started by the new incarnation": true, "lost with the former one": false} {
+		t.Run(name, func(t *testing.T) {
+			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+			m := New(testConfig(), 1, 1)
+			m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+			registerWorker(m)
+			storeAll(t, m)
+			report(m, nil)
+			m.Advance(100, 100)
+			m.Schedule()
+			start := m.TakeOutput().Starts[0]
+			m.SetTime(200, 200)
+			m.StartAnswered("w", start.Task, start.Run, StartAccepted)
+			m.Report(WorkerReport{Worker: "w", StartedMS: 2, SentMS: 150, ReceivedMS: 200, ClockMS: 10})
+			m.Advance(300, 300)
+			m.Schedule()
+			if out := m.TakeOutput(); len(out.Starts)+len(out.Stops) > 0 || len(m.workers["w"].runs) != 1 {
+				t.Fatalf("starts %v, stops %v, want none while the run may be live", out.Starts, out.Stops)
+			}
+			next := WorkerReport{Worker: "w", StartedMS: 2, SentMS: 300, ReceivedMS: 310, ClockMS: 120}
+			if lists {
+				next.Running = []RunReport{{Task: start.Task, Run: start.Run}}
+			}
+			m.SetTime(310, 310)
+			m.Report(next)
+			m.Advance(400, 400)
+			m.Schedule()
+			if starts := m.TakeOutput().Starts; (len(starts) == 0) != lists {
+				t.Errorf("starts %v after the next report, which lists the run: %v", starts, lists)
+			}
+		})
+	}
+}
+
 // Guards against an owner that takes a worker's lease for expired although its successor extends it: the
 // worker answers the successor and not the former owner, which has not yet learned that it lost the claim and
 // starts the tasks again on a worker that the successor has not reached.
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if w.startedMS != r.StartedMS {
-		m.workerRestarted(w, r.StartedMS)
+		m.workerRestarted(w, r)
 	}
 	w.contacted, w.pollFailed, w.terminated = true, false, false
 	delete(m.suspects, w.id)
@@ -111,19 +111,25 @@
 	}
 }
 
-func (m *Machine) workerRestarted(w *worker, startedMS int64) {
+// workerRestarted handles the first report of another incarnation of the worker. A start that was accepted
+// after the poll was sent may be one of either incarnation; the next report lists the run or proves that it
+// was lost.
+func (m *Machine) workerRestarted(w *worker, report WorkerReport) {
 	if w.startedMS != 0 {
 		m.out.recordWorker("worker_reborn", w.id, "")
-		m.recordCrash(w)
-		m.endLostRuns(w, EndWorkerTerminated, func(r *run) bool { return r.confirmedMS > 0 })
+		former := func(r *run) bool { return r.confirmedMS <= report.SentMS }
+		m.recordCrash(w, former)
+		m.endLostRuns(w, EndWorkerTerminated, func(r *run) bool { return r.confirmedMS > 0 && former(r) })
 		// An unanswered start order may reach the new incarnation. Its clock has restarted, so the
 		// order's time limit does not protect against that. A stop order makes the worker refuse
 		// the start.
 		for _, r := range w.sortedRuns() {
-			m.stopRun(r, "worker has restarted")
+			if former(r) {
+				m.stopRun(r, "worker has restarted")
+			}
 		}
 	}
-	w.startedMS = startedMS
+	w.startedMS = report.StartedMS
 	w.lastEndNumber, w.pendingEnds, w.abandonedRuns, w.withheldEnd = 0, nil, nil, 0
 	w.clockKnown = false
 	w.health = health{}
@@ -495,7 +501,7 @@
 	case StartUnanswered:
 		r.startUnanswered = true
 		if w.terminated {
-			m.recordCrash(w)
+			m.recordCrash(w, anyRun)
 		}
 		m.repeatStart(r)
 		return
