Let ends be acknowledged again once the worker's lease has expired

Cause: a success that was listed after its task had been started again is not acknowledged, so that it does not count as done, and with it no later end of that worker. A report has room for 500, so the worker gets no work once 300 follow. Nothing ever ended that state but a restart of the worker.

A run can only succeed under a lease. So once the lease has certainly expired and was not extended since, everything listed came before the expiry and may be acknowledged.

Change: the first report that was asked for after the lease's end releases the ends; that is at once for a worker that comes back after its lease. The lease of an idle worker with a withheld end is no longer extended, so a worker that gets no work for its ends is idle and released within the lease's time. The owner's record of the lease is no longer cut short when a worker is found terminated. ends_released is logged.

Test: TestWithheldEndsAreReleasedAfterLeaseExpiry failed before: "the worker is idle since 12100 ms and none of its ends is acknowledged".

Left: a worker with long-running tasks is not idle, and stays without new work.

--- a/internal/core/jobs/held_test.go
+++ b/internal/core/jobs/held_test.go
@@ -87,6 +87,56 @@
 	}
 }
 
+// Guards against a worker that gets no work for the rest of its life because it listed a success that must not
+// be acknowledged: it then has to list all later ends, too, and a report has room for 500. Once it is idle its
+// lease expires, after which the success may be acknowledged.
+func TestWithheldEndsAreReleasedAfterLeaseExpiry(t *testing.T) {
+	m := New(testConfig(), 0, 1_000_000)
+	queue := Queue{Name: "q", Service: "svc", Stretch: 100, ObjectiveMS: 600_000}
+	m.Configure([]Queue{queue}, nil)
+	need := domain.Resources{CPUMilli: 1000, MemoryMB: 100}
+	registerWorker(m)
+	m.Submit("job", &queue, "team", &Spec{Steps: []StepSpec{{Tasks: 2, Need: need, EstimateMS: 500}}})
+	storeAll(t, m)
+	abandoned := TaskID{Job: "job"}
+	m.findTask(abandoned).formerAbandonedRun = 1
+	ends := []EndReport{{Number: 1, Task: abandoned, Run: 1, Kind: EndSucceeded}}
+	for n := range int64(maxEndsAfterWithheld) {
+		ends = append(ends, EndReport{Number: n + 2, Task: TaskID{Job: "other"}, Run: 1, Kind: EndStopped})
+	}
+	step := func(running ...RunReport) []StartOrder {
+		const interval = 100
+		m.Advance(m.nowMS+interval, m.unixMS+interval)
+		m.LeaseLimit("w")
+		report(m, ends, running...)
+		m.Schedule()
+		storeAll(t, m)
+		return m.TakeOutput().Starts
+	}
+	busy := RunReport{Task: TaskID{Job: "job", Index: 1}, Run: 1}
+	for m.nowMS < 2*m.cfg.FormerLeaseMS {
+		if starts := step(busy); len(starts) > 0 || m.AcknowledgeableEnd("w") > 0 {
+			t.Fatalf("starts %v and ends up to %d are acknowledged while the lease is extended", starts, m.AcknowledgeableEnd("w"))
+		}
+	}
+	idleMS := m.nowMS
+	for m.AcknowledgeableEnd("w") == 0 {
+		if m.nowMS-idleMS > 2*m.cfg.LeaseMS {
+			t.Fatalf("the worker is idle since %d ms and none of its ends is acknowledged", m.nowMS-idleMS)
+		}
+		step()
+	}
+	if held := m.nowMS - idleMS; held < m.cfg.LeaseMS {
+		t.Errorf("the success is acknowledged %d ms after the lease was extended last, want at least %d", held, m.cfg.LeaseMS)
+	}
+	if got, want := m.AcknowledgeableEnd("w"), int64(len(ends)); got != want {
+		t.Errorf("ends up to %d are acknowledged, want %d", got, want)
+	}
+	if w := m.workers["w"]; !m.usable(w) {
+		t.Error("the worker gets no work although its ends are acknowledged")
+	}
+}
+
 // Guards against withholding the success of a former owner's run because another task of the step
 // has a higher run number.
 func TestSuccessAfterRecoveryIsNotWithheld(t *testing.T) {
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -288,9 +288,6 @@
 	if m.endLostRuns(w, EndWorkerTerminated, ended) > 0 {
 		m.out.recordWorker("worker_gone", w.id, "")
 	}
-	if len(w.runs) == 0 {
-		w.leaseExpiryMS = min(w.leaseExpiryMS, m.nowMS)
-	}
 }
 
 // UnresponsiveWorkers returns the workers that did not answer the last poll and may have tasks, and those
@@ -338,7 +335,7 @@
 			}
 			m.endLostRuns(w, kind, anyRun)
 		}
-		if !w.registered && len(w.runs) == 0 && m.nowMS >= w.leaseExpiryMS {
+		if !w.registered && len(w.runs) == 0 && (w.terminated || m.nowMS >= w.leaseExpiryMS) {
 			delete(m.workers, w.id)
 			m.membersChanged = true
 			m.out.RemovedWorkers = append(m.out.RemovedWorkers, w.id)
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -44,11 +44,11 @@
 const leaseMarginMS = 150
 
 // LeaseLimit returns the time of the worker's clock to which the next poll may extend the lease of
-// the worker's tasks. It returns false until the worker's clock is known. The caller sends the poll
-// before it calls LeaseLimit again.
+// the worker's tasks. It returns false until the worker's clock is known, and for an idle worker with a
+// withheld end, whose lease has to expire. The caller sends the poll before it calls LeaseLimit again.
 func (m *Machine) LeaseLimit(id domain.WorkerID) (int64, bool) {
 	w, ok := m.workers[id]
-	if !ok || !w.clockKnown {
+	if !ok || !w.clockKnown || w.withheldEnd > 0 && len(w.runs) == 0 && w.unknownRuns == 0 {
 		return 0, false
 	}
 	m.extendLease(w, m.cfg.LeaseMS)
@@ -87,6 +87,7 @@
 			}
 		}
 	}
+	m.releaseWithheldEnds(w, r)
 	seen := make(map[TaskID]int, len(r.Running))
 	for _, row := range r.Running {
 		seen[row.Task] = row.Run
@@ -284,8 +285,18 @@
 	return ok && w.withheldEnd > 0
 }
 
+// releaseWithheldEnds lets the worker's ends be acknowledged again once its lease has expired since: the
+// platform does not count a success as done if the lease expired before its acknowledgment. A run can only
+// succeed under a lease, so all ends that are listed after the expiry came before it.
+func (m *Machine) releaseWithheldEnds(w *worker, r WorkerReport) {
+	if w.withheldEnd > 0 && r.SentMS >= w.leaseExpiryMS {
+		m.out.recordWorker("ends_released", w.id, "")
+		w.withheldEnd = 0
+	}
+}
+
 // maxEndsAfterWithheld bounds the run ends that a worker has to list after a withheld one. A report
-// lists at most 500 ends, so a worker beyond the bound gets no more work.
+// lists at most 500 ends, so a worker beyond the bound gets no more work until its lease has expired.
 const maxEndsAfterWithheld = 300
 
 func (w *worker) hasTooManyWithheldEnds() bool {
