Spread a gang over racks if none has room for it

Cause: the planner took same_rack for a condition. Admission does not look at racks, and a rack that lost a worker for good never has the room again.

Change: a gang waits for a rack with room for 2 s at most, and no longer than it takes longer on several racks; then it spreads. The platform takes a step for stuck after 3 s without a start.

--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -18,6 +18,8 @@
 	// and so what they withhold from other steps.
 	minHolds       = 6
 	workersPerHold = 10
+	// maxSameRackWaitMS bounds how long a gang that is faster within one rack waits for one.
+	maxSameRackWaitMS = 2000
 	// minPreemptionIntervalMS is the minimum time between preemptions for one gang.
 	minPreemptionIntervalMS = 1200
 )
@@ -78,7 +80,8 @@
 
 type freeFunc func(s *step, w *worker) domain.Resources
 
-// planGang finds a worker for each member, within one rack if the step requires it.
+// planGang finds a worker for each member. If the step is faster within one rack, it spreads over several
+// only after sameRackWaitMS.
 func (m *Machine) planGang(s *step, approved func(*step, *worker) bool, freeOn freeFunc) gangPlan {
 	if !s.spec.SameRack {
 		return m.planInRack(s, "", approved, freeOn)
@@ -103,7 +106,16 @@
 			return plan
 		}
 	}
-	return nil
+	if m.nowMS-s.readyMS < m.sameRackWaitMS(s) {
+		return nil
+	}
+	return m.planInRack(s, "", approved, freeOn)
+}
+
+// sameRackWaitMS returns how long the step waits for a rack that has room for all members: at most as long as
+// it takes longer on several racks.
+func (m *Machine) sameRackWaitMS(s *step) int64 {
+	return min(maxSameRackWaitMS, int64((m.cfg.OffRackFactor-1)*float64(s.spec.EstimateMS)))
 }
 
 type gangSlot struct {
