Bound the backlog of approvals with which jobs are accepted

Cause: the approval service handles one request of an instance at a time. Admission counted workers and limits, not what the instances that are left can ask for, so more was accepted than could ever start. With two instances long requests went out one at a time, the other instance being kept for short ones.

Change: admission estimates how long the service needs for the waiting steps of a job's priorities, from what a step of the queue has taken so far, divided by the instances that may ask at once. Beyond 6 s the job is refused at once with a retry delay. Steps of a team at its limit wait for the limit and are left out. A step that has waited 3 s for an instance may use one of those kept for short requests.

Test: TestApprovalBacklogIsBounded failed before: "reading-53 was accepted and has not started 14000 ms after the last submission" (3 jobs).

--- a/internal/core/approvals/pool.go
+++ b/internal/core/approvals/pool.go
@@ -120,9 +120,22 @@
 // others are reserved for short requests.
 func (p *Pool) maxLong() int { return max(1, len(p.instances)*2/3) }
 
-func (p *Pool) selectInstance(expectedMS float64, nowMS int64) *instance {
+// Lanes returns how many requests of the expected duration are processed at once, or
+// zero if the pool has no instances.
+func (p *Pool) Lanes(expectedMS float64) int {
+	if len(p.instances) == 0 || expectedMS < MinLongRequestMS {
+		return len(p.instances)
+	}
+	return p.maxLong()
+}
+
+func (p *Pool) selectInstance(expectedMS float64, overdue bool, nowMS int64) *instance {
 	if expectedMS >= MinLongRequestMS {
-		return p.selectIdle(nowMS)
+		most := p.maxLong()
+		if overdue {
+			most++
+		}
+		return p.selectIdle(most, nowMS)
 	}
 	for _, i := range slices.Backward(p.instances) {
 		if i.responsive(nowMS) && i.queueDelayMS(nowMS) < maxQueuedMS {
@@ -135,14 +148,14 @@
 // selectIdle returns an instance without requests in flight for a long request.
 // Requests on different connections may overtake each other, so a short one
 // already in flight could end up behind the long one.
-func (p *Pool) selectIdle(nowMS int64) *instance {
+func (p *Pool) selectIdle(maxLong int, nowMS int64) *instance {
 	long := 0
 	for _, i := range p.instances {
 		if i.hasLong() {
 			long++
 		}
 	}
-	if long >= p.maxLong() {
+	if long >= maxLong {
 		return nil
 	}
 	for _, i := range p.instances {
@@ -153,15 +166,16 @@
 	return nil
 }
 
-// CanSend reports whether a request of the expected duration can be sent now.
-func (p *Pool) CanSend(expectedMS float64, nowMS int64) bool {
-	return p.selectInstance(expectedMS, nowMS) != nil
+// CanSend reports whether a request of the expected duration can be sent now. One that
+// is overdue may use one of the instances that are reserved for short requests.
+func (p *Pool) CanSend(expectedMS float64, overdue bool, nowMS int64) bool {
+	return p.selectInstance(expectedMS, overdue, nowMS) != nil
 }
 
 // Acquire reserves an instance for a request, or returns false if none is available.
 // Each grant must be released with Answered or Failed.
-func (p *Pool) Acquire(expectedMS float64, nowMS int64) (Grant, bool) {
-	i := p.selectInstance(expectedMS, nowMS)
+func (p *Pool) Acquire(expectedMS float64, overdue bool, nowMS int64) (Grant, bool) {
+	i := p.selectInstance(expectedMS, overdue, nowMS)
 	if i == nil {
 		return Grant{}, false
 	}
--- a/internal/core/approvals/pool_test.go
+++ b/internal/core/approvals/pool_test.go
@@ -24,7 +24,7 @@
 	t.Helper()
 	var grants []Grant
 	for len(grants) < 1000 {
-		g, ok := p.Acquire(expectedMS, nowMS)
+		g, ok := p.Acquire(expectedMS, false, nowMS)
 		if !ok {
 			return grants
 		}
@@ -43,7 +43,7 @@
 		if want := max(1, n*2/3); len(long) != want {
 			t.Errorf("%d long requests are in flight with %d instances, want %d", len(long), n, want)
 		}
-		if n > 1 && !p.CanSend(10, 0) {
+		if n > 1 && !p.CanSend(10, false, 0) {
 			t.Errorf("none of %d instances accepts a short request", n)
 		}
 	}
@@ -108,8 +108,8 @@
 				if now == warmupMS {
 					before, s.longestWaitMS = s.busyMS, 0
 				}
-				for p.CanSend(expectedMS, now) {
-					g, _ := p.Acquire(expectedMS, now)
+				for p.CanSend(expectedMS, false, now) {
+					g, _ := p.Acquire(expectedMS, false, now)
 					s.send(g, now)
 				}
 			}
@@ -129,14 +129,14 @@
 // those of a previous owner: each of them would time out.
 func TestOverdueInstanceReceivesNoRequests(t *testing.T) {
 	p := newTestPool(1)
-	g, _ := p.Acquire(10, 0)
+	g, _ := p.Acquire(10, false, 0)
 	for now := g.DueMS; now < g.DueMS+2000; now += 10 {
-		if p.CanSend(10, now) != (now <= g.DueMS+overdueGraceMS) {
-			t.Fatalf("%d ms after an answer was due, Has returned %v", now-g.DueMS, p.CanSend(10, now))
+		if p.CanSend(10, false, now) != (now <= g.DueMS+overdueGraceMS) {
+			t.Fatalf("%d ms after an answer was due, Has returned %v", now-g.DueMS, p.CanSend(10, false, now))
 		}
 	}
 	p.Answered(g, g.DueMS+2000)
-	if !p.CanSend(10, g.DueMS+2000) {
+	if !p.CanSend(10, false, g.DueMS+2000) {
 		t.Error("the instance is not used again after the overdue answer arrived")
 	}
 }
@@ -145,12 +145,12 @@
 // the same instance, which would delay the short one.
 func TestLongRequestsGoToIdleInstances(t *testing.T) {
 	p := newTestPool(2)
-	short, _ := p.Acquire(10, 0)
-	long, ok := p.Acquire(500, 0)
+	short, _ := p.Acquire(10, false, 0)
+	long, ok := p.Acquire(500, false, 0)
 	if !ok || long.Instance == short.Instance {
 		t.Errorf("the long request was sent to %q, the short one in flight is at %q", long.Instance, short.Instance)
 	}
-	if p.CanSend(500, 0) {
+	if p.CanSend(500, false, 0) {
 		t.Error("a long request was granted at an instance with a short one in flight")
 	}
 }
@@ -159,12 +159,12 @@
 // again.
 func TestFailedInstanceBacksOff(t *testing.T) {
 	p := newTestPool(1)
-	g, _ := p.Acquire(10, 1000)
+	g, _ := p.Acquire(10, false, 1000)
 	p.Failed(g, 1100)
-	if p.CanSend(10, 1100+failureBackoffMS-1) {
+	if p.CanSend(10, false, 1100+failureBackoffMS-1) {
 		t.Error("the instance is used during its backoff")
 	}
-	if !p.CanSend(10, 1100+failureBackoffMS) {
+	if !p.CanSend(10, false, 1100+failureBackoffMS) {
 		t.Error("the instance is not used after its backoff")
 	}
 }
@@ -180,7 +180,7 @@
 	}
 	p.SetInstances(nil)
 	p.Answered(grants[0], 600)
-	if p.CanSend(1, 600) {
+	if p.CanSend(1, false, 600) {
 		t.Error("a pool without instances grants a request")
 	}
 	p.SetInstances([]string{"a", "a", "b"})
--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -1,6 +1,9 @@
 package jobs
 
-import "auburnpier/internal/domain"
+import (
+	"auburnpier/internal/core/approvals"
+	"auburnpier/internal/domain"
+)
 
 // Parameters of admission.
 const (
@@ -13,6 +16,10 @@
 	// maxLoadAgeMS is how long computed loads are used for admission. Jobs accepted in the
 	// meantime are added to them.
 	maxLoadAgeMS = 100
+	// maxApprovalBacklogMS bounds the wait for approvals with which a job is accepted. Instances may leave
+	// after that, and an accepted job must start although the service handles one request of an instance at
+	// a time.
+	maxApprovalBacklogMS = 6000
 	// busyThreshold is the utilization of a service, or of a team's limit, above which a backlog
 	// is expected to cause a considerable wait.
 	busyThreshold = 0.8
@@ -62,8 +69,47 @@
 type load struct {
 	capacity, used domain.Resources
 	waiting        map[backlogKey]work
+	// approvalMS is the time that the approval service needs for the waiting steps.
+	approvalMS map[approvalKey]float64
+}
+
+type approvalKey struct {
+	priority int
+	// long is set if a request takes long.
+	long bool
+}
+
+// addApproval adds the approvals of a step. Those of a team at its limit do not wait for the service, but for
+// the limit.
+func (l *load) addApproval(t *team, q *Queue, ms float64) {
+	if !isBusy(t.used, t.Limit) {
+		l.approvalMS[approvalKey{q.Priority, q.hasLongApprovals()}] += ms
+	}
 }
 
+// approvalWaitMS estimates how long a new job of the queue waits until the approval service is asked for it.
+func (m *Machine) approvalWaitMS(l *load, q *Queue) float64 {
+	if q.Approval == nil {
+		return 0
+	}
+	lanes := m.approvers.Lanes(q.Approval.usualMS())
+	if lanes == 0 {
+		return 0
+	}
+	ahead := 0.0
+	for k, ms := range l.approvalMS {
+		if k.priority <= q.Priority && k.long == q.hasLongApprovals() {
+			ahead += ms
+		}
+	}
+	return ahead / float64(lanes)
+}
+
+func (q *Queue) hasLongApprovals() bool { return q.Approval.usualMS() >= approvals.MinLongRequestMS }
+
+// usualMS returns how long the service takes for a request that names as many workers as usual.
+func (a *ApprovalPolicy) usualMS() float64 { return a.BaseMS + approvalWorkersPerStep*a.PerWorkerMS }
+
 type backlogKey struct {
 	team     *team
 	priority int
@@ -125,7 +171,7 @@
 func (m *Machine) cachedLoad(service string) *load {
 	l, ok := m.loads[service]
 	if !ok {
-		l = &load{waiting: make(map[backlogKey]work)}
+		l = &load{waiting: make(map[backlogKey]work), approvalMS: make(map[approvalKey]float64)}
 		m.loads[service] = l
 	}
 	return l
@@ -144,6 +190,9 @@
 		if l, ok := m.loads[s.job.queue.Service]; ok && s.rank <= rankNormal {
 			l.add(s.job.team, s.job.queue.Priority, workOf(s.spec.Need, s.waiting, s.spec.EstimateMS))
 		}
+		if l, ok := m.loads[s.job.queue.Service]; ok && s.job.queue.Approval != nil && !s.approvalAnswered {
+			l.addApproval(s.job.team, s.job.queue, m.remainingApprovalMS(s))
+		}
 	}
 }
 
@@ -156,9 +205,13 @@
 	}
 	usefulMS := float64(usefulLatenessFactor*ObjectiveMS(spec, q) - criticalPathMS(spec, q))
 	waitMS := l.waitMS(t, q.Priority, usefulMS)
-	if waitMS <= usefulMS*usableTimeShare {
+	approvalMS := m.approvalWaitMS(l, q)
+	if waitMS <= usefulMS*usableTimeShare && approvalMS <= min(maxApprovalBacklogMS, usefulMS*usableTimeShare) {
 		return 0, false
 	}
+	if waitMS <= usefulMS*usableTimeShare {
+		return min(maxRetryMS, max(minRetryMS, int64(approvalMS)-maxApprovalBacklogMS)), true
+	}
 	return min(maxRetryMS, max(minRetryMS, int64(waitMS-usefulMS))), true
 }
 
@@ -171,6 +224,9 @@
 	for i := range j.spec.Steps {
 		if s := &j.spec.Steps[i]; len(s.After) == 0 {
 			l.add(j.team, j.queue.Priority, workOf(s.Need, s.Tasks, s.EstimateMS))
+			if j.queue.Approval != nil {
+				l.addApproval(j.team, j.queue, m.statsOf(j.queue).stepMS)
+			}
 		}
 	}
 }
--- a/internal/core/jobs/approval.go
+++ b/internal/core/jobs/approval.go
@@ -12,6 +12,8 @@
 type approvalStats struct {
 	// rate is the smoothed fraction of named workers that are approved.
 	rate float64
+	// stepMS is the smoothed time that the service spends on all requests of a step.
+	stepMS float64
 }
 
 // Parameters of approval requests.
@@ -41,6 +43,11 @@
 	startTransitMS = 120
 	// approvalRetryDelayMS is the delay after a request that was refused or not answered.
 	approvalRetryDelayMS = 100
+	// approvalStepWeight is the weight of the newest step in approvalStats.stepMS.
+	approvalStepWeight = 0.1
+	// overdueApprovalMS is how long a step waits for an instance before it may use one that is reserved
+	// for short requests.
+	overdueApprovalMS = 3000
 	// minDiscoveryIntervalMS is the least time between a response and the next request that only looks
 	// for more workers of the same step.
 	minDiscoveryIntervalMS = 120
@@ -50,6 +57,9 @@
 	st, ok := m.approvalStats[q.Name]
 	if !ok {
 		st = &approvalStats{rate: initialApprovalRate}
+		if a := q.Approval; a != nil {
+			st.stepMS = a.usualMS()
+		}
 		m.approvalStats[q.Name] = st
 	}
 	return st
@@ -79,7 +89,7 @@
 	if s.approvalPending || m.nowMS < max(s.nextApprovalMS, s.nextDiscoveryMS) || len(candidates) == 0 {
 		return
 	}
-	if !m.approvers.CanSend(s.job.queue.Approval.BaseMS, m.nowMS) {
+	if !m.approvers.CanSend(s.job.queue.Approval.BaseMS, s.approvalOverdue(m.nowMS), m.nowMS) {
 		m.waitForApprover(s)
 		return
 	}
@@ -102,12 +112,13 @@
 		ids = append(ids, w.id)
 	}
 	expectedMS := q.Approval.BaseMS + q.Approval.PerWorkerMS*float64(len(ids))
-	grant, ok := m.approvers.Acquire(expectedMS, m.nowMS)
+	grant, ok := m.approvers.Acquire(expectedMS, s.approvalOverdue(m.nowMS), m.nowMS)
 	if !ok {
 		m.waitForApprover(s)
 		return
 	}
 	s.approvalPending = true
+	s.approvalMS += expectedMS
 	m.out.Approvals = append(m.out.Approvals, ApprovalRequest{
 		Step: StepID{s.job.id, s.occurrence.number, s.number}, Queue: q.Name, Workers: ids, Grant: grant, WaitedMS: s.approverWaitMS(m.nowMS),
 	})
@@ -131,6 +142,23 @@
 	return nowMS - s.approverWaitSinceMS
 }
 
+func (s *step) approvalOverdue(nowMS int64) bool { return s.approverWaitMS(nowMS) >= overdueApprovalMS }
+
+// remainingApprovalMS estimates how long the service is still needed for the step's waiting tasks.
+func (m *Machine) remainingApprovalMS(s *step) float64 {
+	return max(s.job.queue.Approval.BaseMS, m.statsOf(s.job.queue).stepMS-s.approvalMS)
+}
+
+// observeApprovals updates the statistics once all tasks of the step are placed.
+func (m *Machine) observeApprovals(s *step) {
+	if s.approvalMS == 0 {
+		return
+	}
+	st := m.statsOf(s.job.queue)
+	st.stepMS += (s.approvalMS - st.stepMS) * approvalStepWeight
+	s.approvalMS = 0
+}
+
 // SetApprovers replaces the addresses of the instances that send approval requests.
 func (m *Machine) SetApprovers(addresses []string) {
 	m.approvers.SetInstances(addresses)
--- a/internal/core/jobs/approval_test.go
+++ b/internal/core/jobs/approval_test.go
@@ -116,6 +116,51 @@
 	}
 }
 
+// Guards against accepted jobs that wait for an approval without end: the instances that are left can ask for
+// less than what is accepted, while workers and limits have room. Guards, too, against refusals where they can
+// ask for all.
+func TestApprovalBacklogIsBounded(t *testing.T) {
+	// The platform asks for all jobs 14 s after the last submission.
+	const settleMS = 14_000
+	for name, c := range map[string]struct {
+		instances int
+		refuses   bool
+	}{"all instances": {7, false}, "two instances left": {2, true}} {
+		t.Run(name, func(t *testing.T) {
+			f := newOpticianFleet(t, 7)
+			f.runUntil(2000)
+			f.setApprovers(c.instances)
+			refused := 0
+			var accepted []domain.JobID
+			q := &opticianQueues[1]
+			for n := range 60 {
+				id := domain.JobID(fmt.Sprintf("reading-%d", n))
+				if r := f.submit(id, q, "team", opticianSpec(q.Name)); r.Refusal == NotRefused {
+					accepted = append(accepted, id)
+				} else if refused++; r.RetryAfterMS < minRetryMS {
+					t.Errorf("%s is refused with a retry delay of %d ms, want at least %d", id, r.RetryAfterMS, minRetryMS)
+				}
+				for range 20 {
+					lookup := &opticianQueues[0]
+					f.submit(domain.JobID(fmt.Sprintf("lookup-%d-%d", n, f.nowMS)), lookup, "team", opticianSpec(lookup.Name))
+					f.runUntil(f.nowMS + 25)
+				}
+			}
+			f.runUntil(f.nowMS + settleMS)
+			for _, id := range accepted {
+				if j := f.m.jobs[id]; !j.started {
+					t.Errorf("%s was accepted and has not started %d ms after the last submission", id, settleMS)
+				}
+			}
+			if (refused > 0) != c.refuses {
+				t.Errorf("%d jobs are refused, want some: %v", refused, c.refuses)
+			}
+			t.Logf("%d accepted, %d refused", len(accepted), refused)
+			f.check()
+		})
+	}
+}
+
 // Guards against a new owner that queues its approval requests behind those of the former owner,
 // which the service is still processing. Each call would then time out, and nothing would start for
 // seconds.
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -96,10 +96,12 @@
 	// approverWaitSinceMS is since when the step has waited for an instance that can send its
 	// approval request, or zero.
 	approverWaitSinceMS int64
-	nextApprovalMS      int64
-	nextDiscoveryMS     int64
-	rank                int64
-	tier                int64
+	// approvalMS is the expected duration of the approval requests for the tasks that wait.
+	approvalMS      float64
+	nextApprovalMS  int64
+	nextDiscoveryMS int64
+	rank            int64
+	tier            int64
 	// lastAttempt is set while one more failure would fail the job.
 	lastAttempt bool
 	// waitReason is why the last pass left tasks unplaced. loggedWaitReason is the last reason
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -479,7 +479,9 @@
 	w.isolate(r)
 	if t.phase == taskWaiting {
 		t.phase = taskActive
-		s.waiting--
+		if s.waiting--; s.waiting == 0 {
+			m.observeApprovals(s)
+		}
 	}
 	return r
 }
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -153,7 +153,7 @@
 		}
 		ends[i] = start + s.EstimateMS
 		if q.Approval != nil {
-			ends[i] += int64(q.Approval.BaseMS + approvalWorkersPerStep*q.Approval.PerWorkerMS)
+			ends[i] += int64(q.Approval.usualMS())
 		}
 		longest = max(longest, ends[i])
 	}
