Count a job as started once a worker has taken its task

Cause: a job counted as started with its first start order, whatever became of that.

Change: it counts once a start order is accepted, or a report lists a run or its end. The time to the first start is measured to there, too.

Test: TestUnansweredStartIsNoStart failed before: "the job is running and 0 jobs wait, want queued and 1".

--- a/internal/core/jobs/output.go
+++ b/internal/core/jobs/output.go
@@ -57,7 +57,7 @@
 	// RemovedWorkers lists the workers that were removed for good.
 	RemovedWorkers []domain.WorkerID
 	Decisions      []Decision
-	// TimeToFirstStartMS lists the times from acceptance to the first start order of jobs that are
+	// TimeToFirstStartMS lists the times from acceptance to the first accepted start order of jobs that are
 	// not recurring.
 	TimeToFirstStartMS []int64
 	// WaitedMS is how long steps have waited since the last TakeOutput, by reason.
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -190,7 +190,7 @@
 		r.percent = row.Percent
 		r.progressMS = m.nowMS
 	}
-	r.task.step.job.started = true
+	m.markStarted(r.task.step.job)
 }
 
 func (s *step) setCheckpoint(value string) {
@@ -322,6 +322,7 @@
 	t, w := r.task, r.worker
 	m.release(r)
 	if kind == EndSucceeded || kind == EndFailed {
+		m.markStarted(t.step.job)
 		m.recordRunResult(r, kind)
 	}
 	m.out.recordRun("run_ended", r, kind.String())
@@ -503,6 +504,7 @@
 		if r.phase == runSent {
 			r.phase = runConfirmed
 			r.confirmedMS, r.progressMS = m.nowMS, m.nowMS
+			m.markStarted(r.task.step.job)
 		}
 		if r.task.step.spec.BestEffort {
 			m.updateThrottling(w)
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -442,11 +442,16 @@
 	m.extendLease(w, m.cfg.StartLimitMS)
 	m.out.Starts = append(m.out.Starts, m.startOrder(r))
 	m.out.recordRun("run_start", r, "")
-	if j := t.step.job; !j.started {
-		j.started = true
-		if !j.spec.Recurring() {
-			m.out.TimeToFirstStartMS = append(m.out.TimeToFirstStartMS, max(0, m.unixMS-j.acceptedUnixMS))
-		}
+}
+
+// markStarted records that a task of the job has begun. A start order without an answer proves nothing.
+func (m *Machine) markStarted(j *job) {
+	if j.started {
+		return
+	}
+	j.started = true
+	if !j.spec.Recurring() && !j.recovered {
+		m.out.TimeToFirstStartMS = append(m.out.TimeToFirstStartMS, max(0, m.unixMS-j.acceptedUnixMS))
 	}
 }
 
