Show the jobs of an open queue to callers without a key

Cause: a call without a known key was taken for one of a team with an empty name, which has no jobs.

Change: a call on an open queue sees and cancels the jobs of all teams in that queue, and none of other queues. The stored state names the queue, so that a later owner and an entry that reads the store know it for ended jobs, too; records of earlier versions lack it and are shown to their team only, as before, and earlier versions ignore the field.

Test: TestOpenQueueShowsJobsOfAllTeams.

--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -131,6 +131,15 @@
 	Rest string
 }
 
+// jobRequest returns the request for a job of the call.
+func (c *Call) jobRequest(id domain.JobID) port.JobRequest {
+	r := port.JobRequest{Job: id, Team: c.Team}
+	if c.Route.Open {
+		r.OpenQueue = c.Route.Queue.Name
+	}
+	return r
+}
+
 // Admit routes a call to a queue by its host and path, and authenticates its key.
 func (s *Service) Admit(host, path, key string) (Call, *Rejection) {
 	return s.admit(key, "no queue has this host and path", func(c *Config) (*port.QueueRoute, string) { return c.Route(host, path) })
@@ -312,7 +321,7 @@
 		if client == nil {
 			break
 		}
-		reply, err := client.Cancel(ctx, port.JobRequest{Job: id, Team: c.Team})
+		reply, err := client.Cancel(ctx, c.jobRequest(id))
 		switch {
 		case err != nil:
 			previous = s.prepareRetry(ctx, client, err)
@@ -349,7 +358,7 @@
 	client, _ := s.directory.Owner()
 	if client != nil {
 		ownerCtx, stop := context.WithTimeout(ctx, ownerStateTimeout)
-		reply, err := client.State(ownerCtx, port.JobRequest{Job: id, Team: c.Team})
+		reply, err := client.State(ownerCtx, c.jobRequest(id))
 		stop()
 		if err == nil && reply.Found {
 			return reply.State, nil
@@ -378,7 +387,7 @@
 				s.log.Error("failed to decode the stored job state", zap.String("job", string(id)), zap.Error(err))
 				return 0, s.reject(NoOwner, retryAfter, "the state cannot be read now")
 			}
-			if r.Team != c.Team {
+			if !c.jobRequest(id).Sees(r.Team, r.Queue) {
 				return 0, s.reject(UnknownJob, 0, "the team has no such job")
 			}
 			return r.State.Shown(r.Started), nil
--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -334,6 +334,36 @@
 	c.checkFaults()
 }
 
+// Guards against an accepted job that an open queue does not show to callers without a key once the key of its
+// team is withdrawn, against one of another queue that is shown to them, and against an owner that takes over
+// and does not know the queue of a job that has ended.
+func TestOpenQueueShowsJobsOfAllTeams(t *testing.T) {
+	c := newCellTest(t, 100*time.Millisecond)
+	first := c.start("a")
+	cell := first.awaitOwned(t)
+	check := func(when string, cell *Cell) {
+		t.Helper()
+		for _, tc := range []struct {
+			team  domain.TeamID
+			open  domain.QueueID
+			found bool
+		}{{"team", "", true}, {"team", "q", true}, {"", "q", true}, {"", "", false}, {"other", "", false}, {"", "another", false}} {
+			r, err := cell.State(t.Context(), port.JobRequest{Job: "job", Team: tc.team, OpenQueue: tc.open})
+			if err != nil || r.Found != tc.found {
+				t.Errorf("%s, team %q, open queue %q: found %v, error %v, want found %v", when, tc.team, tc.open, r.Found, err, tc.found)
+			}
+		}
+	}
+	if r := c.submit(cell, "job", 1); !r.Accepted {
+		t.Fatalf("submission: %+v", r)
+	}
+	check("while the job runs", cell)
+	c.awaitCompleted(first, "job")
+	first.stop()
+	<-first.done
+	check("after a change of the owner", c.start("b").awaitOwned(t))
+}
+
 // Guards against a caller that is told that its job does not run although the job is stored: its first
 // submission got no answer, and an owner whose claim was not confirmed at that moment refused the second
 // without looking the job up.
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -155,7 +155,7 @@
 		return port.CancelReply{}, &port.NotOwnerError{Instance: c.options.Instance}
 	}
 	reply, err := callLoop(ctx, c, func(reply func(port.CancelReply, error)) {
-		found, stored := c.machine.Cancel(j.Job, j.Team)
+		found, stored := c.machine.Cancel(j.Job, j.Sees)
 		if !found || stored {
 			reply(port.CancelReply{Found: found, Done: stored}, nil)
 			return
@@ -173,13 +173,13 @@
 func (c *Cell) State(ctx context.Context, j port.JobRequest) (port.StateReply, error) {
 	confirmed := c.claimConfirmed()
 	return callLoop(ctx, c, func(reply func(port.StateReply, error)) {
-		state, team, found := c.machine.StoredState(j.Job)
+		state, team, queue, found := c.machine.StoredState(j.Job)
 		// A former owner does not know the jobs that its successor has accepted.
 		if !confirmed {
 			reply(port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance})
 			return
 		}
-		reply(port.StateReply{Found: found && team == j.Team, State: state}, nil)
+		reply(port.StateReply{Found: found && j.Sees(team, queue), State: state}, nil)
 	})
 }
 
--- a/internal/core/jobs/held_test.go
+++ b/internal/core/jobs/held_test.go
@@ -71,7 +71,7 @@
 			if got := m.AcknowledgeableEnd("a"); got != want {
 				t.Errorf("ends up to %d are acknowledged, want %d", got, want)
 			}
-			if state, _, _ := m.StoredState("job"); state != Completed {
+			if state, _, _, _ := m.StoredState("job"); state != Completed {
 				t.Errorf("the job is %v, want completed", state)
 			}
 			if !c.secondEnds && len(out.Stops) != 1 {
@@ -235,7 +235,7 @@
 	if got := third.AcknowledgeableEnd("a"); got >= 4 {
 		t.Errorf("ends up to %d are acknowledged, want less than 4, the success of the abandoned run", got)
 	}
-	if state, _, _ := third.StoredState("job"); state != Completed {
+	if state, _, _, _ := third.StoredState("job"); state != Completed {
 		t.Errorf("the job is %v, want completed", state)
 	}
 }
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -430,15 +430,15 @@
 	return a.Index - b.Index
 }
 
-// StoredState returns the state that the store holds for a job, and its team. A later state must not be
+// StoredState returns the state that the store holds for a job, its team and its queue. A later state must not be
 // shown to callers: if the store loses the claim and the workers that list the ends terminate, a later
 // owner runs the tasks again.
-func (m *Machine) StoredState(id domain.JobID) (State, domain.TeamID, bool) {
+func (m *Machine) StoredState(id domain.JobID) (state State, team domain.TeamID, queue domain.QueueID, found bool) {
 	j, ok := m.jobs[id]
 	if !ok || !j.durable {
-		return 0, "", false
+		return 0, "", "", false
 	}
-	return j.storedState.Shown(j.started), j.team.ID, true
+	return j.storedState.Shown(j.started), j.team.ID, j.queue.Name, true
 }
 
 // CountWaitingJobs returns the number of accepted jobs of a queue without a started task.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -29,6 +29,8 @@
 	DoneOccurrences []int         `cbor:"4,keyasint,omitempty"`
 	Started         bool          `cbor:"5,keyasint,omitempty"`
 	Team            domain.TeamID `cbor:"6,keyasint,omitempty"`
+	// Queue is empty in records of earlier versions.
+	Queue domain.QueueID `cbor:"7,keyasint,omitempty"`
 }
 
 // StepRecord is the stored progress of one occurrence of a step.
@@ -252,7 +254,7 @@
 }
 
 func (j *job) stateRecord() StateRecord {
-	r := StateRecord{State: j.state, EndedUnixMS: j.endedUnixMS, Started: j.started, Team: j.team.ID}
+	r := StateRecord{State: j.state, EndedUnixMS: j.endedUnixMS, Started: j.started, Team: j.team.ID, Queue: j.queue.Name}
 	if j.state.Terminal() {
 		return r
 	}
@@ -356,7 +358,7 @@
 }
 
 func (m *Machine) recoverEnded(id domain.JobID, state StateRecord) {
-	j := &job{id: id, queue: &Queue{}, team: m.teamOf(state.Team), spec: &Spec{},
+	j := &job{id: id, queue: &Queue{Name: state.Queue}, team: m.teamOf(state.Team), spec: &Spec{},
 		state: state.State, storedState: state.State, endedUnixMS: state.EndedUnixMS, maybeStored: true, durable: true, started: state.Started}
 	m.jobs[id] = j
 	m.endedJobs = append(m.endedJobs, j)
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -59,7 +59,7 @@
 		next := nextOwner(t, m)
 		registerWorker(next)
 		report(next, end)
-		if state, _, _ := next.StoredState("j"); state == Failed || next.jobs["j"].state == Failed {
+		if state, _, _, _ := next.StoredState("j"); state == Failed || next.jobs["j"].state == Failed {
 			t.Errorf("gang %v: the job failed after one failure that was listed twice", gang)
 		}
 		report(next, append(end, EndReport{Number: 2, Task: TaskID{Job: "j"}, Run: 2, Kind: EndFailed}))
@@ -107,7 +107,7 @@
 	storeAll(t, m)
 	m.Schedule()
 	m.Advance(50, 50)
-	m.Cancel("j", "team")
+	m.Cancel("j", func(domain.TeamID, domain.QueueID) bool { return true })
 	storeAll(t, m)
 	report(m, nil)
 	if m.workers["w"].used.IsZero() {
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -225,11 +225,11 @@
 	return true
 }
 
-// Cancel cancels a job. It reports whether the job is known, and whether it had already ended
+// Cancel cancels a job if that is permitted for its team and queue. It reports whether the job is known, and whether it had already ended
 // with nothing left to store. A new cancellation is durable once the next batch is stored.
-func (m *Machine) Cancel(id domain.JobID, teamID domain.TeamID) (known, stored bool) {
+func (m *Machine) Cancel(id domain.JobID, permitted func(domain.TeamID, domain.QueueID) bool) (known, stored bool) {
 	j, ok := m.jobs[id]
-	if !ok || j.team.ID != teamID {
+	if !ok || !permitted(j.team.ID, j.queue.Name) {
 		return false, false
 	}
 	if j.state.Terminal() {
--- a/internal/core/jobs/waiting_test.go
+++ b/internal/core/jobs/waiting_test.go
@@ -35,7 +35,7 @@
 				m.SetTime(200, 200)
 				report(m, nil, RunReport{Task: o.Task, Run: o.Run})
 			}
-			state, _, _ := m.StoredState("j")
+			state, _, _, _ := m.StoredState("j")
 			if n := m.CountWaitingJobs("q"); state != c.state || n != c.waiting {
 				t.Errorf("the job is %v and %d jobs wait, want %v and %d", state, n, c.state, c.waiting)
 			}
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -31,6 +31,14 @@
 type JobRequest struct {
 	Job  domain.JobID  `cbor:"1,keyasint"`
 	Team domain.TeamID `cbor:"2,keyasint"`
+	// OpenQueue is the queue of the call if that accepts calls without a key, and else empty. Such a call
+	// sees the jobs of all teams in that queue.
+	OpenQueue domain.QueueID `cbor:"3,keyasint,omitempty"`
+}
+
+// Sees reports whether the caller may see and cancel a job of the team in the queue.
+func (r JobRequest) Sees(team domain.TeamID, queue domain.QueueID) bool {
+	return team == r.Team || r.OpenQueue != "" && queue == r.OpenQueue
 }
 
 // CancelReply answers a request to cancel a job.
