Do not refuse for approvals before the instances are known

Cause: a new owner hears of the instances within seconds, and its first estimate divided the backlog of all recovered steps by one or two of them. And 6 s is less than callers would wait with use.

Change: the bound holds from 3 s after the takeover on, and is 10 s. The platform asks for all jobs 14 s after the last one came.

Test: TestApprovalBacklogIsUnknownAfterTakeover; without the time to settle a job is refused right after the takeover.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -19,7 +19,10 @@
 	// maxApprovalBacklogMS bounds the wait for approvals with which a job is accepted. Instances may leave
 	// after that, and an accepted job must start although the service handles one request of an instance at
 	// a time.
-	maxApprovalBacklogMS = 6000
+	maxApprovalBacklogMS = 10_000
+	// approverSettleMS is how long after the takeover the instances are still announcing themselves, so that
+	// what they can ask for is not known.
+	approverSettleMS = 3000
 	// busyThreshold is the utilization of a service, or of a team's limit, above which a backlog
 	// is expected to cause a considerable wait.
 	busyThreshold = 0.8
@@ -93,7 +96,7 @@
 		return 0
 	}
 	lanes := m.approvers.Lanes(q.Approval.usualMS())
-	if lanes == 0 {
+	if lanes == 0 || m.nowMS-m.beganMS < approverSettleMS {
 		return 0
 	}
 	ahead := 0.0
--- a/internal/core/jobs/approval_test.go
+++ b/internal/core/jobs/approval_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// Guards against refusals by a new owner, of which only the first instances have announced themselves.
+func TestApprovalBacklogIsUnknownAfterTakeover(t *testing.T) {
+	f := newOpticianFleet(t, 1)
+	q := &opticianQueues[1]
+	for n := range 40 {
+		if r := f.submit(domain.JobID(fmt.Sprintf("reading-%d", n)), q, "team", opticianSpec(q.Name)); r.Refusal != NotRefused {
+			t.Fatalf("job %d is refused with %v %d ms after the takeover", n, r.Refusal, f.nowMS)
+		}
+	}
+}
+
 // Guards against accepted jobs that wait for an approval without end: the instances that are left can ask for
 // less than what is accepted, while workers and limits have room. Guards, too, against refusals where they can
 // ask for all.
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -61,6 +61,7 @@
 	cfg           Config
 	nowMS         int64
 	unixMS        int64
+	beganMS       int64
 	claimHeldMS   int64
 	queues        map[domain.QueueID]*Queue
 	teams         map[domain.TeamID]*team
@@ -110,7 +111,7 @@
 // New returns a Machine without workers and jobs.
 func New(cfg Config, nowMS, unixMS int64) *Machine {
 	return &Machine{
-		cfg: cfg, nowMS: nowMS, unixMS: unixMS, claimHeldMS: math.MaxInt64,
+		cfg: cfg, nowMS: nowMS, unixMS: unixMS, beganMS: nowMS, claimHeldMS: math.MaxInt64,
 		queues:         make(map[domain.QueueID]*Queue),
 		teams:          make(map[domain.TeamID]*team),
 		workers:        make(map[domain.WorkerID]*worker),
