--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -45,6 +45,24 @@
 	m.Report(WorkerReport{Worker: "w", StartedMS: 1, SentMS: m.nowMS, ReceivedMS: m.nowMS, ClockMS: m.nowMS, Ends: ends, Running: running})
 }
 
+// orderSingleStart returns a machine at 100 ms that has just ordered worker w to start the only task of job j.
+func orderSingleStart(t *testing.T) (*Machine, StartOrder) {
+	t.Helper()
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
+	m := New(testConfig(), 1, 1)
+	m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
+	registerWorker(m)
+	storeAll(t, m)
+	report(m, nil)
+	m.Advance(100, 100)
+	m.Schedule()
+	starts := m.TakeOutput().Starts
+	if len(starts) != 1 {
+		t.Fatalf("%d start orders, want 1", len(starts))
+	}
+	return m, starts[0]
+}
+
 // Guards against the next owner counting a failure again because its run end was stored but not yet
 // acknowledged.
 func TestFailureListedTwiceCountsOnce(t *testing.T) {
@@ -291,15 +309,7 @@
 func TestRunOfNewIncarnationIsKept(t *testing.T) {
 	for name, lists := range map[string]bool{"started by the new incarnation": true, "lost with the former one": false} {
 		t.Run(name, func(t *testing.T) {
-			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
-			m := New(testConfig(), 1, 1)
-			m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
-			registerWorker(m)
-			storeAll(t, m)
-			report(m, nil)
-			m.Advance(100, 100)
-			m.Schedule()
-			start := m.TakeOutput().Starts[0]
+			m, start := orderSingleStart(t)
 			m.SetTime(200, 200)
 			m.StartAnswered("w", start.Task, start.Run, StartAccepted)
 			m.Report(WorkerReport{Worker: "w", StartedMS: 2, SentMS: 150, ReceivedMS: 200, ClockMS: 10})
--- a/internal/core/jobs/waiting_test.go
+++ b/internal/core/jobs/waiting_test.go
@@ -1,10 +1,6 @@
 package jobs
 
-import (
-	"testing"
-
-	"auburnpier/internal/domain"
-)
+import "testing"
 
 // Guards against a job that is shown as running, and left out of the count of waiting jobs, because a start
 // order for it was sent to a worker that was lost and never answered.
@@ -21,15 +17,7 @@
 		"unanswered, then seen": {StartUnanswered, true, Running, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := New(testConfig(), 1, 1)
-			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}
-			m.Submit("j", q, "team", &Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1}, EstimateMS: 1000}}})
-			registerWorker(m)
-			storeAll(t, m)
-			report(m, nil)
-			m.Advance(100, 100)
-			m.Schedule()
-			o := m.TakeOutput().Starts[0]
+			m, o := orderSingleStart(t)
 			m.StartAnswered("w", o.Task, o.Run, c.outcome)
 			if c.listed {
 				m.SetTime(200, 200)
