--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -38,8 +38,6 @@
 	nextID   int64
 	// down is set while the store answers every call with 503. Leases run on meanwhile.
 	down bool
-	// onTxn is called with the keys of each transaction that took effect.
-	onTxn func(keys []string)
 }
 
 func newStore() *store {
@@ -253,19 +251,14 @@
 		}
 	}
 	s.revision++
-	var keys []string
 	for _, p := range body.Puts {
 		s.set(p.Key, p.Value, p.Lease)
-		keys = append(keys, p.Key)
 	}
 	for _, k := range body.Remove {
 		if _, ok := s.items[k]; ok {
 			s.remove(k)
 		}
 	}
-	if s.onTxn != nil {
-		s.onTxn(keys)
-	}
 	s.changed.Broadcast()
 	answer(w, 200, map[string]int64{"revision": s.revision})
 }
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -47,19 +47,18 @@
 	cpu, mem                   int64
 	lab                        *lab
 
-	mu       sync.Mutex
-	address  string
-	server   *http.Server
-	up       bool
-	born     time.Time
-	fence    int64
-	untilMS  int64
-	runs     map[string]*taskRun
-	refused  map[string]int
-	ended    []endedRun
-	number   int64
-	seq      int64
-	draining bool
+	mu      sync.Mutex
+	address string
+	server  *http.Server
+	up      bool
+	born    time.Time
+	fence   int64
+	untilMS int64
+	runs    map[string]*taskRun
+	refused map[string]int
+	ended   []endedRun
+	number  int64
+	seq     int64
 }
 
 func (w *worker) clockMS() int64 { return 1000 + time.Since(w.born).Milliseconds() }
@@ -131,8 +130,7 @@
 func (w *worker) register() {
 	w.mu.Lock()
 	w.seq++
-	state := "ready"
-	value, _ := json.Marshal(map[string]any{"service": w.service, "addr": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
+	value, _ := json.Marshal(map[string]any{"service": w.service, "addr": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
 		"cold_left_ms": 0, "capacity": map[string]int64{"cpu": w.cpu, "mem_mb": w.mem, "gpu": 0}, "labels": []string{"a", w.rack},
 		"clock_ms": w.clockMS(), "seq": w.seq, "born": w.born.UnixMilli()})
 	w.mu.Unlock()
