Acknowledge a cancellation only once the store holds the job's end

Cause: for a job that had ended in memory, jobs.Cancel took "nothing left to write" for "stored". TakeBatch clears that mark when a write begins. A DELETE that arrived while the write of the end was under way was answered at once, whatever became of the write; the first one, which waits for the write, was not.

Why this works: storedState changes only in BatchStored, after the store has answered the transaction of this owner, or has shown it by the key of its chain. Until then the call waits with the others for that write, or for the end of its deadline.

--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -225,15 +225,15 @@
 	return true
 }
 
-// Cancel cancels a job if that is permitted for its team and queue. It reports whether the job is known, and whether it had already ended
-// with nothing left to store. A new cancellation is durable once the next batch is stored.
+// Cancel cancels a job if that is permitted for its team and queue. It reports whether the job is known, and whether the store holds its
+// end. An end that is not stored yet is lost if another owner takes over, also while its write is under way.
 func (m *Machine) Cancel(id domain.JobID, permitted func(domain.TeamID, domain.QueueID) bool) (known, stored bool) {
 	j, ok := m.jobs[id]
 	if !ok || !permitted(j.team.ID, j.queue.Name) {
 		return false, false
 	}
 	if j.state.Terminal() {
-		return true, !j.unwritten
+		return true, j.storedState.Terminal()
 	}
 	m.endJob(j, Cancelled)
 	return true, false
