Forget a withdrawn submission that was cancelled, and answer its cancellation

If it was cancelled meanwhile it stayed in the list of ended jobs. Its ID may be submitted again; when the first one's retention was over, the accepted job was removed from memory and from the store (LOST). The caller of the cancellation got no answer until its deadline, and was kept for the whole term.

A withdrawn job leaves the list of ended jobs with its ID. Nothing of it is stored, which is what makes it withdrawable, so "not known" is a true answer to its cancellation.

--- a/internal/app/owner/cancel_test.go
+++ b/internal/app/owner/cancel_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// awaitHeld waits until a write is held.
+func (s *heldCommits) awaitHeld(t *testing.T) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); s.held.Load() == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no state of a job is written after 5 s")
+		}
+	}
+}
+
 // storedEnd reports whether the store holds the end of the job.
 func (c *cellTest) storedEnd(id string) bool {
 	c.t.Helper()
@@ -112,11 +122,7 @@
 			if tc.runTime > wait {
 				cancel("first cancellation")
 			}
-			for deadline := time.Now().Add(5 * time.Second); store.held.Load() == 0; time.Sleep(5 * time.Millisecond) {
-				if time.Now().After(deadline) {
-					t.Fatal("the end of the job is not written after 5 s")
-				}
-			}
+			store.awaitHeld(t)
 			cancel("while the write is under way")
 			if tc.fate != nil {
 				tc.fate(store)
@@ -138,3 +144,30 @@
 		})
 	}
 }
+
+// Guards against a cancellation that gets no answer until its deadline, and one that is kept for the whole term,
+// although its job was refused because the store took no writes.
+func TestCancellationOfRefusedSubmission(t *testing.T) {
+	c := newCellTest(t, time.Minute)
+	c.claimTTL = 4 * storeDownAfter
+	store := &heldCommits{Store: c.store}
+	c.claimStore = store
+	cell := c.start("a").awaitOwned(t)
+	c.submit(cell, "before", 1)
+	release := store.hold()
+	submitted := make(chan port.SubmitReply, 1)
+	go func() { submitted <- c.submit(cell, "job", 1) }()
+	store.awaitHeld(t)
+	c.store.SetFault(leasestore.Down)
+	defer c.store.SetFault(leasestore.None)
+	release()
+	ctx, stop := context.WithTimeout(t.Context(), 3*storeDownAfter)
+	defer stop()
+	r, err := cell.Cancel(ctx, port.JobRequest{Job: "job", Team: "team"})
+	if s := <-submitted; s.Accepted || s.RetryAfterMS == 0 {
+		t.Fatalf("the submission is answered with %+v, want a refusal", s)
+	}
+	if err != nil || r.Found || ctx.Err() != nil {
+		t.Errorf("the cancellation of a refused job is answered with %+v, %v (context: %v), want that the job is not known", r, err, ctx.Err())
+	}
+}
--- a/internal/app/owner/write.go
+++ b/internal/app/owner/write.go
@@ -223,10 +223,7 @@
 	for _, j := range batch.Jobs {
 		c.replySubmit(j.ID, port.SubmitReply{Accepted: true}, nil)
 		if j.Ended {
-			for _, reply := range c.pendingCancels[j.ID] {
-				reply(port.CancelReply{Found: true, Done: true}, nil)
-			}
-			delete(c.pendingCancels, j.ID)
+			c.replyCancel(j.ID, port.CancelReply{Found: true, Done: true})
 		}
 	}
 }
@@ -238,11 +235,19 @@
 	delete(c.pendingSubmits, id)
 }
 
+func (c *Cell) replyCancel(id domain.JobID, reply port.CancelReply) {
+	for _, send := range c.pendingCancels[id] {
+		send(reply, nil)
+	}
+	delete(c.pendingCancels, id)
+}
+
 // rejectUnwritten refuses submissions that are not part of any write yet.
 func (c *Cell) rejectUnwritten() {
 	for id := range c.pendingSubmits {
 		if c.machine.Withdraw(id) {
 			c.replySubmit(id, port.SubmitReply{Reason: reasonStoreUnavailable, RetryAfterMS: storeRetryAfterMS}, nil)
+			c.replyCancel(id, port.CancelReply{})
 		}
 	}
 }
@@ -259,11 +264,8 @@
 		}
 		c.replySubmit(id, port.SubmitReply{OutcomeUnknown: true}, nil)
 	}
-	for id, list := range c.pendingCancels {
-		for _, reply := range list {
-			reply(port.CancelReply{Found: true}, nil)
-		}
-		delete(c.pendingCancels, id)
+	for id := range c.pendingCancels {
+		c.replyCancel(id, port.CancelReply{Found: true})
 	}
 }
 
--- a/internal/core/jobs/consistency_test.go
+++ b/internal/core/jobs/consistency_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"auburnpier/internal/domain"
 )
 
 // disconnect makes a worker unreachable for a time. If restarted is set, it comes back as a new
@@ -81,3 +83,27 @@
 		t.Errorf("%d tasks with lost runs reported, want %d: %s", len(lost), len(s.tasks), fmt.Sprint(lost))
 	}
 }
+
+// Guards against an accepted job that is deleted when an earlier submission under its ID would have been: that one
+// was cancelled before it was written, and then withdrawn because the store took no writes.
+func TestSubmittedAgainAfterWithdrawal(t *testing.T) {
+	f := newFleet(t, 2, workerSize)
+	f.taskMS = func(StartOrder) int64 { return 10 * testConfig().RetentionMS }
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 500}
+	f.m.Configure([]Queue{*q}, nil)
+	spec := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1000}, EstimateMS: 1000, LongRunning: true}}}
+	anyTeam := func(domain.TeamID, domain.QueueID) bool { return true }
+	if r := f.m.Submit("job", q, "team", &spec); r.Refusal != NotRefused {
+		t.Fatalf("refused with %v", r.Refusal)
+	}
+	f.m.Cancel("job", anyTeam)
+	if !f.m.Withdraw("job") {
+		t.Fatal("a job that no write includes is not withdrawn")
+	}
+	f.submit("job", q, "team", spec)
+	f.runUntil(f.nowMS + testConfig().RetentionMS + 5000)
+	if state, _, _, found := f.m.StoredState("job"); !found || state != Running {
+		t.Errorf("after the retention of the withdrawn job, the accepted one is found %v, %v", found, state)
+	}
+	f.check()
+}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -88,6 +88,8 @@
 	delete(m.recurring, id)
 	j.state = Cancelled
 	m.unwrittenJobs = removeItem(m.unwrittenJobs, j)
+	// A job that was cancelled before is not to be evicted later: its ID may belong to another submission then.
+	m.endedJobs = removeItem(m.endedJobs, j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			m.removeReady(s)
