Let an owner without a claim answer no questions about jobs

The number of waiting jobs was answered at any time after the claim was lost, by an owner that is cut off and has not learned of it. Now it is answered as long as the owner may still call workers: 3 s after the claim was last confirmed, within the 5 s (visible_ms and 2 s) after which an accepted job has to be counted. State and cancellation had the check; a cancellation that met the end of the term is now passed on to the next owner at once.

TestUnconfirmedOwnerAnswersNoQuestions: before "waiting: error <nil> while the claim is not confirmed"; after, passes.

--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -384,6 +384,29 @@
 	}
 }
 
+// Guards against answers of an owner that has lost its claim without knowing it, and does not know what its successor
+// has accepted: a job that is not known, or too few that wait.
+func TestUnconfirmedOwnerAnswersNoQuestions(t *testing.T) {
+	c := newCellTest(t, time.Minute)
+	cell := c.start("a").awaitOwned(t)
+	request := port.JobRequest{Job: "accepted by the successor", Team: "team"}
+	for name, ask := range map[string]func() error{
+		"state":   func() error { _, err := cell.State(t.Context(), request); return err },
+		"cancel":  func() error { _, err := cell.Cancel(t.Context(), request); return err },
+		"waiting": func() error { _, err := cell.WaitingJobs(t.Context(), "q"); return err },
+	} {
+		if err := ask(); err != nil {
+			t.Errorf("%s: %v while the claim is confirmed", name, err)
+		}
+		cell.confirmedUntilMS.Store(0)
+		var notOwner *port.NotOwnerError
+		if err := ask(); !errors.As(err, &notOwner) {
+			t.Errorf("%s: error %v while the claim is not confirmed, want *port.NotOwnerError", name, err)
+		}
+		cell.extendConfirmed(steady.NowMS() + 1000)
+	}
+}
+
 // Guards against a job that is shown as completed before this is stored: the workers that list the ends
 // may terminate while the store is down, and the next owner runs the tasks again. Guards, too, against a
 // completion that is withheld longer than the store is down.
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// callOwned is callLoop for calls whose reply follows from what is stored. It returns a *port.NotOwnerError if the claim is not confirmed:
+// a former owner does not know which jobs its successor has accepted.
+func callOwned[T any](ctx context.Context, c *Cell, f func(reply func(T, error))) (T, error) {
+	if !c.claimConfirmed() {
+		var zero T
+		return zero, &port.NotOwnerError{Instance: c.options.Instance}
+	}
+	return callLoop(ctx, c, f)
+}
+
 // Submit implements port.OwnerService.
 func (c *Cell) Submit(ctx context.Context, s port.SubmitRequest) (port.SubmitReply, error) {
 	if !c.awaitRecovery(ctx) {
@@ -151,10 +161,7 @@
 
 // Cancel implements port.OwnerService.
 func (c *Cell) Cancel(ctx context.Context, j port.JobRequest) (port.CancelReply, error) {
-	if !c.claimConfirmed() {
-		return port.CancelReply{}, &port.NotOwnerError{Instance: c.options.Instance}
-	}
-	reply, err := callLoop(ctx, c, func(reply func(port.CancelReply, error)) {
+	reply, err := callOwned(ctx, c, func(reply func(port.CancelReply, error)) {
 		found, stored := c.machine.Cancel(j.Job, j.Sees)
 		if !found || stored {
 			reply(port.CancelReply{Found: found, Done: stored}, nil)
@@ -162,29 +169,27 @@
 		}
 		c.pendingCancels[j.Job] = append(c.pendingCancels[j.Job], reply)
 	})
-	if err != nil {
+	var notOwner *port.NotOwnerError
+	if err != nil && !errors.As(err, &notOwner) {
 		// The caller may retry, whatever the outcome of this call was.
 		return port.CancelReply{Found: true}, nil
 	}
-	return reply, nil
+	return reply, err
 }
 
 // State implements port.OwnerService.
 func (c *Cell) State(ctx context.Context, j port.JobRequest) (port.StateReply, error) {
-	confirmed := c.claimConfirmed()
-	return callLoop(ctx, c, func(reply func(port.StateReply, error)) {
+	return callOwned(ctx, c, func(reply func(port.StateReply, error)) {
 		state, team, queue, found := c.machine.StoredState(j.Job)
-		// A former owner does not know the jobs that its successor has accepted.
-		if !confirmed {
-			reply(port.StateReply{}, &port.NotOwnerError{Instance: c.options.Instance})
-			return
-		}
 		reply(port.StateReply{Found: found && j.Sees(team, queue), State: state}, nil)
 	})
 }
 
-// WaitingJobs implements port.OwnerService.
+// WaitingJobs implements port.OwnerService. The number may be as old as the claim may be unconfirmed while the owner still calls workers.
 func (c *Cell) WaitingJobs(ctx context.Context, queue domain.QueueID) (int, error) {
+	if !c.mayCallWorkers(steady.NowMS()) {
+		return 0, &port.NotOwnerError{Instance: c.options.Instance}
+	}
 	return callLoop(ctx, c, func(reply func(int, error)) { reply(c.machine.CountWaitingJobs(queue), nil) })
 }
 
