Look a job up in the store before a cancellation is answered with "not known"

Now the store is read before that answer. If it holds the job's end, the cancellation is acknowledged; if it holds the job, the next owner is asked; if it does not answer, the caller is told at once to send the cancellation again.

--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -326,7 +326,18 @@
 		case err != nil:
 			previous = s.prepareRetry(ctx, client, err)
 		case !reply.Found:
-			return s.reject(UnknownJob, 0, "the team has no such job")
+			// An owner whose claim was released takes it for held until it would have expired, and does not know
+			// the jobs of its successor.
+			state, found, err := s.storedState(ctx, c, id)
+			switch {
+			case err != nil:
+				return s.reject(NoOwner, retryAfter, "the owner does not know the job, and the store does not answer; send it again")
+			case !found:
+				return s.reject(UnknownJob, 0, "the team has no such job")
+			case state.Terminal():
+				return nil
+			}
+			previous = s.prepareRetry(ctx, client, errNotStored)
 		case reply.Done:
 			return nil
 		default:
@@ -376,21 +387,15 @@
 
 func (s *Service) stateFromStore(ctx context.Context, c Call, id domain.JobID) (jobs.State, *Rejection) {
 	for {
-		entry, err := s.store.Get(ctx, owner.StateKey(id))
-		var missing *port.NotFoundError
-		if errors.As(err, &missing) {
+		state, found, err := s.storedState(ctx, c, id)
+		var undecodable *undecodableError
+		switch {
+		case errors.As(err, &undecodable):
+			return 0, s.reject(NoOwner, retryAfter, "the state cannot be read now")
+		case err == nil && !found:
 			return 0, s.reject(UnknownJob, 0, "the team has no such job")
-		}
-		if err == nil {
-			var r jobs.StateRecord
-			if err := cbor.Unmarshal(entry.Value, &r); err != nil {
-				s.log.Error("failed to decode the stored job state", zap.String("job", string(id)), zap.Error(err))
-				return 0, s.reject(NoOwner, retryAfter, "the state cannot be read now")
-			}
-			if !c.jobRequest(id).Sees(r.Team, r.Queue) {
-				return 0, s.reject(UnknownJob, 0, "the team has no such job")
-			}
-			return r.State.Shown(r.Started), nil
+		case err == nil:
+			return state, nil
 		}
 		if !ctxtime.Sleep(ctx, queryRetryDelay) {
 			return 0, s.reject(NoOwner, retryAfter, "neither the owner nor the store answers, come back")
@@ -398,6 +403,32 @@
 	}
 }
 
+// undecodableError reports a stored state of a job that cannot be decoded. Reading it again does not help.
+type undecodableError struct{ err error }
+
+func (e *undecodableError) Error() string {
+	return "failed to decode the stored job state: " + e.err.Error()
+}
+func (e *undecodableError) Unwrap() error { return e.err }
+
+// storedState reads the state of a job that the caller may see from the store.
+func (s *Service) storedState(ctx context.Context, c Call, id domain.JobID) (state jobs.State, found bool, err error) {
+	entry, err := s.store.Get(ctx, owner.StateKey(id))
+	var missing *port.NotFoundError
+	if errors.As(err, &missing) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	var r jobs.StateRecord
+	if err := cbor.Unmarshal(entry.Value, &r); err != nil {
+		s.log.Error("failed to decode the stored job state", zap.String("job", string(id)), zap.Error(err))
+		return 0, false, &undecodableError{err}
+	}
+	return r.State.Shown(r.Started), c.jobRequest(id).Sees(r.Team, r.Queue), nil
+}
+
 // Waiting returns the number of the queue's jobs of which no task has started. The count may be up
 // to maxWaitingCountAge old.
 func (s *Service) Waiting(ctx context.Context, c Call, deadline time.Duration) (int, *Rejection) {
--- a/internal/app/entry/service_test.go
+++ b/internal/app/entry/service_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
@@ -16,6 +17,7 @@
 	"auburnpier/internal/domain"
 	"auburnpier/internal/metrics"
 	"auburnpier/internal/port"
+	"auburnpier/internal/standin/leasestore"
 )
 
 // fakeOwner answers submissions with a fixed reply or error.
@@ -213,3 +215,58 @@
 		t.Error("the owner received no announcement within 5 s")
 	}
 }
+
+// cancelOwner answers cancellations with a fixed reply.
+type cancelOwner struct {
+	port.OwnerService
+	reply port.CancelReply
+}
+
+func (o cancelOwner) Cancel(context.Context, port.JobRequest) (port.CancelReply, error) {
+	return o.reply, nil
+}
+
+// Guards against a cancellation that a caller takes for done because the job is not known: the answer is one of an
+// owner whose claim was released, and that does not know the jobs of its successor.
+func TestCancellationAtFormerOwner(t *testing.T) {
+	const id = "job"
+	for name, tc := range map[string]struct {
+		stored *jobs.StateRecord
+		down   bool
+		next   bool
+		kind   RejectionKind
+		done   bool
+	}{
+		"not stored":                    {kind: UnknownJob},
+		"stored by the successor":       {stored: &jobs.StateRecord{Team: "team"}, next: true, done: true},
+		"stored, no successor yet":      {stored: &jobs.StateRecord{Team: "team"}, kind: NoOwner},
+		"ended by the successor":        {stored: &jobs.StateRecord{Team: "team", State: jobs.Cancelled}, done: true},
+		"a job of another team":         {stored: &jobs.StateRecord{Team: "other"}, kind: UnknownJob},
+		"unknown and the store is down": {down: true, kind: NoOwner},
+		"stored and the store is down":  {stored: &jobs.StateRecord{Team: "team"}, down: true, kind: NoOwner},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := leasestore.New()
+			if tc.stored != nil {
+				value, err := cbor.Marshal(tc.stored)
+				if err != nil {
+					t.Fatal(err)
+				}
+				store.Put(owner.StateKey(id), value)
+			}
+			if tc.down {
+				store.SetFault(leasestore.Down)
+			}
+			d := NewDirectory(dialer{"a": cancelOwner{}, "b": cancelOwner{reply: port.CancelReply{Found: true, Done: true}}})
+			d.Publish(owner.Ownership{Claim: &owner.Claim{Address: "a", Epoch: 1}})
+			if tc.next {
+				time.AfterFunc(200*time.Millisecond, func() { d.Publish(owner.Ownership{Claim: &owner.Claim{Address: "b", Epoch: 2}}) })
+			}
+			s := NewService(Options{}, nil, d, store, zap.NewNop(), metrics.New())
+			rejection := s.Cancel(t.Context(), Call{Route: &port.QueueRoute{Queue: jobs.Queue{Name: "q"}}, Team: "team"}, id, 600*time.Millisecond)
+			if (rejection == nil) != tc.done || rejection != nil && rejection.Kind != tc.kind {
+				t.Errorf("rejection %+v, want done %v, kind %v", rejection, tc.done, tc.kind)
+			}
+		})
+	}
+}
