Show operators the stored state of a job

If the write is lost the next owner runs the job on. It now shows the stored state, and a later one beside it as not stored yet.

TestExplainShowsStoredState: did not build before (no such field); with State alone taken from memory, as before, it fails with "cancelled, want running".

--- a/internal/cli/cell.go
+++ b/internal/cli/cell.go
@@ -159,6 +159,9 @@
 	row(w, "TEAM", v.Team)
 	row(w, "QUEUE", v.Queue)
 	row(w, "STATE", v.State)
+	if v.UnstoredState != "" {
+		row(w, "NOT STORED YET", v.UnstoredState)
+	}
 	if v.OverRate {
 		row(w, "ORDER", "after the jobs of teams within their weight")
 	}
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -101,11 +101,13 @@
 
 // JobView describes a job to operators. Durations are milliseconds.
 type JobView struct {
-	Job            domain.JobID   `json:"job"`
-	Team           domain.TeamID  `json:"team"`
-	Queue          domain.QueueID `json:"queue"`
-	State          string         `json:"state"`
-	AcceptedUnixMS int64          `json:"accepted_unix_ms"`
+	Job   domain.JobID   `json:"job"`
+	Team  domain.TeamID  `json:"team"`
+	Queue domain.QueueID `json:"queue"`
+	// State is the state that the store holds, and UnstoredState a later one that is lost if another owner takes over now.
+	State          string `json:"state"`
+	UnstoredState  string `json:"unstored_state,omitempty"`
+	AcceptedUnixMS int64  `json:"accepted_unix_ms"`
 	// OverRate is set if the team had submitted more than its weight permits.
 	OverRate bool       `json:"over_rate"`
 	Steps    []StepView `json:"steps"`
@@ -155,8 +157,11 @@
 	if !ok {
 		return JobView{}, false
 	}
-	v := JobView{Job: j.id, Team: j.team.ID, Queue: j.queue.Name, State: j.state.Shown(j.started).String(),
+	v := JobView{Job: j.id, Team: j.team.ID, Queue: j.queue.Name, State: j.storedState.Shown(j.started).String(),
 		AcceptedUnixMS: j.acceptedUnixMS, OverRate: j.overRate}
+	if j.state != j.storedState {
+		v.UnstoredState = j.state.String()
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			v.Steps = append(v.Steps, m.explainStep(s))
--- a/internal/core/jobs/explain_test.go
+++ b/internal/core/jobs/explain_test.go
@@ -24,3 +24,21 @@
 		t.Errorf("after 3 s the job reports a wait of %d ms for its team's limit, want 2500 to 3000 ms: %v", waited, v.Steps[0].WaitedMS)
 	}
 }
+
+// Guards against operators who are shown that a job has ended while that is not stored: if the write is lost, the
+// next owner runs the job on.
+func TestExplainShowsStoredState(t *testing.T) {
+	f := newFleet(t, 2, workerSize)
+	f.taskMS = func(StartOrder) int64 { return 60_000 }
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 500}
+	f.submit("job", q, "team", Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 1000}, EstimateMS: 60_000}}})
+	f.runUntil(f.nowMS + 1000)
+	f.m.Cancel("job", func(domain.TeamID, domain.QueueID) bool { return true })
+	if v, _ := f.m.Explain("job"); v.State != "running" || v.UnstoredState != "cancelled" {
+		t.Errorf("before the write the job is shown as %s, not stored yet %q, want running, cancelled", v.State, v.UnstoredState)
+	}
+	f.runUntil(f.nowMS + 1000)
+	if v, _ := f.m.Explain("job"); v.State != "cancelled" || v.UnstoredState != "" {
+		t.Errorf("after the write the job is shown as %s, not stored yet %q, want cancelled", v.State, v.UnstoredState)
+	}
+}
