Count a worker as stored only with its present capacity

A capacity that had changed while the write was under way was not stored, and the worker got work: a successor that cannot reach it bounds what a team may run there by the stored capacity (boundUnreported), so the team's limit could be exceeded.

TestWorkerIsStoredWithItsPresentCapacity fails before ("the store holds its former capacity") and passes after. updateWorker requests another write with each change of address or capacity, so the worker is usable after that one.

--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -203,7 +203,7 @@
 		m.membersWriteInFlight = false
 	}
 	for _, member := range b.Members {
-		if w, ok := m.workers[member.ID]; ok && w.address == member.Address {
+		if w, ok := m.workers[member.ID]; ok && w.address == member.Address && w.capacity == member.Capacity {
 			w.inStoredMembers = true
 		}
 	}
--- a/internal/core/jobs/recover_test.go
+++ b/internal/core/jobs/recover_test.go
@@ -629,6 +629,27 @@
 	}
 }
 
+// Guards against a worker that counts as stored with its present capacity because a write that was under way when it
+// changed has succeeded: a later owner would bound by the former capacity what a team may run there.
+func TestWorkerIsStoredWithItsPresentCapacity(t *testing.T) {
+	m := New(testConfig(), 0, 0)
+	registerWorker(m)
+	former, err := m.TakeBatch(testBatchEntries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	larger := workerSize.Scale(2)
+	m.UpdateWorkers([]WorkerInfo{{ID: "w", Address: "10.0.0.1:1", Service: "svc", Capacity: larger, StartedMS: 1}})
+	m.BatchStored(former)
+	if m.workers["w"].inStoredMembers {
+		t.Error("the worker counts as stored, but the store holds its former capacity")
+	}
+	storeAll(t, m)
+	if !m.workers["w"].inStoredMembers {
+		t.Error("the worker does not count as stored after the next write")
+	}
+}
+
 // Guards against a rollback after which stored jobs cannot be read because a later version has added fields.
 func TestRecordsOfLaterVersionsAreReadable(t *testing.T) {
 	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 1000}
