--- a/internal/core/sched/apply.go
+++ b/internal/core/sched/apply.go
@@ -11,10 +11,14 @@
 func (m *Machine) commit(r Record) {
 	r.Version = RecordVersion
 	r.AtMS = m.nowMS
+	ended := len(m.ended)
 	if err := m.apply(r); err != nil {
 		// A decision is based on the state that it changes, so an error here is a bug in this package.
 		panic(fmt.Sprintf("sched: cannot apply a record of this process: %v", err))
 	}
+	for _, j := range m.ended[min(ended, len(m.ended)):] {
+		j.endBatch = m.nextBatch()
+	}
 	m.records = append(m.records, r)
 }
 
--- a/internal/core/sched/cell_test.go
+++ b/internal/core/sched/cell_test.go
@@ -350,8 +350,10 @@
 	return s.State
 }
 
+// mustState checks the state that callers are shown once the store has taken what was decided so far.
 func (c *cell) mustState(id domain.JobID, want ...domain.JobState) {
 	c.t.Helper()
+	c.flushJournal()
 	got := c.state(id)
 	for _, s := range want {
 		if s == got {
--- a/internal/core/sched/state.go
+++ b/internal/core/sched/state.go
@@ -84,6 +84,8 @@
 	// does not count against the restart rate, and those whose start does. Entries may
 	// be stale; a task is placed only if its state is taskWaiting.
 	ready, readyRestarts []int
+	// endBatch is the batch with the record that ended the job, or zero if the job had ended when the state was loaded.
+	endBatch uint64
 	// queuedDemand is the job's part of its team's demand.
 	queuedDemand domain.Resources
 	inQueue      bool
--- a/internal/core/sched/status.go
+++ b/internal/core/sched/status.go
@@ -7,7 +7,8 @@
 	"auburnpier/internal/metrics"
 )
 
-// Status returns the state of a job without its history.
+// Status returns the state of a job without its history. A job whose end is not durable is shown as running: another owner that takes over
+// before the journal holds the end runs it on.
 func (m *Machine) Status(id domain.JobID) (domain.JobStatus, bool) {
 	j, ok := m.jobs[id]
 	if !ok {
@@ -19,7 +20,11 @@
 		Failed:   j.counts[taskFailed] + j.counts[taskFailedEverywhere] + j.counts[taskUnknown],
 		Accepted: fromMillis(j.AcceptedMS), Reason: m.reason(j),
 	}
-	if j.State.Terminal() {
+	switch {
+	case !j.State.Terminal():
+	case j.endBatch > m.durable:
+		s.State, s.Reason = domain.JobRunning, "its end is not stored yet"
+	default:
 		ended := fromMillis(j.EndedMS)
 		s.Ended = &ended
 	}
--- a/internal/core/sched/walk_test.go
+++ b/internal/core/sched/walk_test.go
@@ -177,6 +177,7 @@
 	for waited := 0; waited < 3_600_000 && w.m.Stats().TasksActive+w.m.Stats().TasksWaiting > 0; waited += 10_000 {
 		w.advance(10_000)
 	}
+	w.flushJournal()
 	for _, id := range w.jobs {
 		if s, ok := w.m.Status(id); ok && !s.State.Terminal() {
 			e, _ := w.m.Explain(id)
