jobs: give a task memory of its own from its first run until its success

Cause: acceptance and recovery built every task of a job at once, 168 B each. Nothing bounds how many of them all jobs together have. That is two faults; this is the first one's mend.

Now a step holds only tasks that have had a run and have not succeeded, sorted by index. Of one that has succeeded 4 B stay, the number of its last run: a worker that comes back may list an earlier run's success, which must not be acknowledged. A task with an abandoned run keeps its state until the job ends.

--- a/internal/core/jobs/consistency.go
+++ b/internal/core/jobs/consistency.go
@@ -29,24 +29,24 @@
 func (m *Machine) unaccountedInStep(s *step, ready bool) []TaskID {
 	var lost []TaskID
 	waiting, open := 0, 0
-	for _, t := range s.tasks {
-		switch t.phase {
-		case taskDone:
-			continue
-		case taskWaiting:
-			waiting++
-			if !ready || len(t.runs) > 0 {
-				lost = append(lost, t.id())
-			}
-		case taskActive:
+	s.eachWaiting(func(index int, t *task) bool {
+		waiting++
+		open++
+		if !ready || t != nil && len(t.runs) > 0 {
+			lost = append(lost, TaskID{s.job.id, s.occurrence.number, s.number, index})
+		}
+		return true
+	})
+	for _, t := range s.active {
+		if t.phase == taskActive {
+			open++
 			if !m.hasLiveRun(t) {
 				lost = append(lost, t.id())
 			}
 		}
-		open++
 	}
 	if (waiting != s.waiting || open != s.open) && len(lost) == 0 {
-		lost = append(lost, s.tasks[0].id())
+		lost = append(lost, TaskID{s.job.id, s.occurrence.number, s.number, 0})
 	}
 	return lost
 }
--- a/internal/core/jobs/consistency_test.go
+++ b/internal/core/jobs/consistency_test.go
@@ -69,18 +69,18 @@
 	}
 	s := f.m.findStep(StepID{Job: "job"})
 	f.m.ready = removeItem(f.m.ready, s)
-	if lost := f.m.UnaccountedTasks(); len(lost) != len(s.tasks) {
-		t.Errorf("%d lost tasks reported, want %d", len(lost), len(s.tasks))
+	if lost := f.m.UnaccountedTasks(); len(lost) != s.spec.Tasks {
+		t.Errorf("%d lost tasks reported, want %d", len(lost), s.spec.Tasks)
 	}
 	f.m.ready = append(f.m.ready, s)
 	f.runUntil(f.nowMS + 500)
-	for _, task := range s.tasks {
+	for _, task := range s.active {
 		for _, r := range task.runs {
 			delete(r.worker.runs, task.id())
 		}
 	}
-	if lost := f.m.UnaccountedTasks(); len(lost) != len(s.tasks) {
-		t.Errorf("%d tasks with lost runs reported, want %d: %s", len(lost), len(s.tasks), fmt.Sprint(lost))
+	if lost := f.m.UnaccountedTasks(); len(lost) != s.spec.Tasks {
+		t.Errorf("%d tasks with lost runs reported, want %d: %s", len(lost), s.spec.Tasks, fmt.Sprint(lost))
 	}
 }
 
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -82,7 +82,7 @@
 	fmt.Fprintf(&detail, "late by %d ms (objective %d ms, critical path %d ms)", lateMS, j.objectiveMS(), j.criticalPathMS)
 	for _, s := range o.steps {
 		m.countWait(s)
-		fmt.Fprintf(&detail, "; step %d, last run %d, ready since %d ms, waited", s.number, s.lastRun(), m.nowMS-s.readyMS)
+		fmt.Fprintf(&detail, "; step %d, last run %d, ready since %d ms, waited", s.number, s.lastRun, m.nowMS-s.readyMS)
 		for _, reason := range slices.Sorted(maps.Keys(s.waitMSByReason)) {
 			fmt.Fprintf(&detail, " %d ms: %s,", s.waitMSByReason[reason], reason)
 		}
@@ -90,15 +90,6 @@
 	m.out.recordJob("job_late", j, detail.String())
 }
 
-// lastRun returns the highest run number of the step's tasks.
-func (s *step) lastRun() int {
-	last := 0
-	for _, t := range s.tasks {
-		last = max(last, t.lastRun)
-	}
-	return last
-}
-
 // JobView describes a job to operators. Durations are milliseconds.
 type JobView struct {
 	Job   domain.JobID   `json:"job"`
@@ -174,8 +165,8 @@
 }
 
 func (m *Machine) explainStep(s *step) StepView {
-	v := StepView{Occurrence: s.occurrence.number, Step: s.number, Tasks: len(s.tasks), Waiting: s.waiting,
-		Succeeded: len(s.tasks) - s.open, ObjectiveMS: s.occurrence.deadlineMS - m.nowMS, FailedRuns: len(s.gangFailedRuns),
+	v := StepView{Occurrence: s.occurrence.number, Step: s.number, Tasks: s.spec.Tasks, Waiting: s.waiting,
+		Succeeded: s.spec.Tasks - s.open, ObjectiveMS: s.occurrence.deadlineMS - m.nowMS, FailedRuns: len(s.gangFailedRuns),
 		WaitedMS: maps.Clone(s.waitMSByReason)}
 	for _, earlier := range s.spec.After {
 		if s.occurrence.steps[earlier].open > 0 {
@@ -185,7 +176,7 @@
 	if s.ready && s.waiting > 0 {
 		v.Reason, v.ReadyMS = s.waitReason, m.nowMS-s.readyMS
 	}
-	for _, t := range s.tasks {
+	for _, t := range s.active {
 		v.FailedRuns += len(t.failedRuns)
 		for _, r := range t.runs {
 			row := RunView{Task: t.index, Run: r.number, Worker: r.worker.id, Phase: phaseNames[r.phase], Reason: r.reason,
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -327,7 +327,7 @@
 	for id, r := range w.running {
 		f.runningRuns[id]--
 		if t := f.m.findTask(id); t != nil && t.step.spec.Gang {
-			for _, member := range t.step.tasks {
+			for _, member := range t.step.active {
 				for _, other := range f.workers {
 					if other != w {
 						f.end(other, member.id(), r.run, EndGangMemberEnded)
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -27,7 +27,7 @@
 // gangCanStart reports whether all members are startable and the team's limit permits the gang.
 func (m *Machine) gangCanStart(s *step, blocked map[*team]bool) bool {
 	j := s.job
-	for _, t := range s.tasks {
+	for _, t := range s.active {
 		if !m.startable(t) {
 			return false
 		}
@@ -178,20 +178,15 @@
 }
 
 func (m *Machine) startGang(s *step, plan gangPlan) {
-	number := max(s.gangRun, m.firstRunNumber(s.job))
-	for _, t := range s.tasks {
-		number = max(number, t.lastRun)
-	}
-	s.gangRun = number + 1
+	s.gangRun = max(s.gangRun, m.firstRunNumber(s.job), s.lastRun) + 1
 	s.gangPlacedMS = m.nowMS
 	s.gangMemberEnded = false
 	i := 0
-	for _, t := range s.tasks {
-		if t.phase == taskWaiting {
-			m.start(t, plan[i], s.gangRun)
-			i++
-		}
-	}
+	s.eachWaiting(func(index int, _ *task) bool {
+		m.start(m.task(s, index), plan[i], s.gangRun)
+		i++
+		return true
+	})
 	m.releaseHold(s)
 }
 
@@ -200,21 +195,22 @@
 func (m *Machine) repairGang(s *step) {
 	repairMS := int64(float64(m.cfg.GangWaitMS) * gangRepairShare)
 	repairable := !s.gangMemberEnded && m.nowMS-s.gangPlacedMS < repairMS
-	for _, t := range s.tasks {
+	for _, t := range s.active {
 		for _, r := range t.runs {
 			repairable = repairable && r.phase != runStopping && r.number == s.gangRun
 		}
 	}
-	for _, t := range s.tasks {
-		if t.phase != taskWaiting || !repairable || !m.startable(t) {
-			continue
+	s.eachWaiting(func(index int, t *task) bool {
+		if !repairable || t != nil && !m.startable(t) {
+			return repairable
 		}
 		w := m.pick(s)
 		if w == nil {
-			break
+			return false
 		}
-		m.start(t, w, s.gangRun)
-	}
+		m.start(m.task(s, index), w, s.gangRun)
+		return true
+	})
 	if s.waiting > 0 && m.nowMS-s.gangPlacedMS >= repairMS {
 		m.stopStep(s, "gang member missing")
 	}
@@ -231,15 +227,13 @@
 	if s.gangPlacedMS == 0 || age < m.cfg.GangWaitMS-m.cfg.StopMS-gangStopMarginMS || age > m.cfg.GangWaitMS {
 		return false
 	}
-	for _, t := range s.tasks {
-		present := t.phase == taskDone || slices.ContainsFunc(t.runs, func(r *run) bool {
-			return r.number == s.gangRun && r.confirmedMS > 0
-		})
-		if !present {
-			return true
+	present := s.spec.Tasks - s.open
+	for _, t := range s.active {
+		if t.phase != taskDone && slices.ContainsFunc(t.runs, func(r *run) bool { return r.number == s.gangRun && r.confirmedMS > 0 }) {
+			present++
 		}
 	}
-	return false
+	return present < s.spec.Tasks
 }
 
 // holdPlan withholds the capacity of a plan from later steps of this pass.
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -78,7 +78,7 @@
 	if s.spec.Gang {
 		return len(s.gangFailedRuns) >= last
 	}
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.phase == taskWaiting && len(t.failedRuns) >= last })
+	return slices.ContainsFunc(s.active, func(t *task) bool { return t.phase == taskWaiting && len(t.failedRuns) >= last })
 }
 
 // trusts reports whether the step may be placed on the worker. A last attempt is not spent on a
@@ -233,7 +233,7 @@
 // lastProgressMS returns when a member of the gang last reported progress.
 func (s *step) lastProgressMS() int64 {
 	last := int64(0)
-	for _, t := range s.tasks {
+	for _, t := range s.active {
 		for _, r := range t.runs {
 			last = max(last, r.progressMS)
 		}
@@ -243,7 +243,7 @@
 
 // stopStep stops all runs of a step.
 func (m *Machine) stopStep(s *step, reason string) {
-	for _, t := range s.tasks {
+	for _, t := range s.active {
 		for _, r := range t.runs {
 			m.stopRun(r, reason)
 		}
--- a/internal/core/jobs/held_test.go
+++ b/internal/core/jobs/held_test.go
@@ -147,10 +147,8 @@
 	m.UpdateWorkers([]WorkerInfo{{ID: "a", Address: "x", Service: "svc", StartedMS: 1, Capacity: capacity}})
 	m.Submit("job", &queue, "team", &Spec{Steps: []StepSpec{{Tasks: 3, Need: domain.Resources{CPUMilli: 1000, MemoryMB: 100}, EstimateMS: 500}}})
 	s := m.jobs["job"].occurrences[0].steps[0]
-	for _, task := range s.tasks {
-		// The store keeps only the highest run number of the step.
-		task.lastRun = 3
-	}
+	// The store keeps only the highest run number of the step.
+	s.lastRun, s.formerRun = 3, 3
 	m.Report(WorkerReport{Worker: "a", StartedMS: 1, ClockMS: 1, Ends: []EndReport{{Number: 1, Task: TaskID{Job: "job", Index: 1}, Run: 1, Kind: EndSucceeded}}})
 	if m.HasWithheldEnds("a") {
 		t.Error("a success is withheld although no later run of its task was started")
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -107,6 +107,8 @@
 	unwrittenJobs        []*job
 	approvalStats        map[domain.QueueID]*approvalStats
 	approvers            approvals.Pool
+	// activeTasks is the number of tasks that have a state of their own.
+	activeTasks int
 	// loads caches the load of each service, computed at loadsMS.
 	loads   map[string]*load
 	loadsMS int64
@@ -530,6 +532,9 @@
 	for ; n < len(m.endedJobs) && m.unixMS-m.endedJobs[n].endedUnixMS > m.cfg.RetentionMS; n++ {
 		j := m.endedJobs[n]
 		delete(m.jobs, j.id)
+		for _, o := range j.occurrences {
+			m.freeTasks(o)
+		}
 		m.jobsToDelete = append(m.jobsToDelete, j.id)
 	}
 	clear(m.endedJobs[:n])
--- a/internal/core/jobs/memory_test.go
+++ b/internal/core/jobs/memory_test.go
@@ -58,3 +58,50 @@
 	}
 	runtime.KeepAlive(f)
 }
+
+// wideSpec returns a job of wide steps without an estimate, none of which depends on another.
+func wideSpec(steps, tasks int) Spec {
+	var spec Spec
+	for range steps {
+		spec.Steps = append(spec.Steps, StepSpec{Tasks: tasks, Need: domain.Resources{CPUMilli: 8000, MemoryMB: 100}})
+	}
+	return spec
+}
+
+// Guards against accepted jobs whose waiting tasks fill the owner's memory, and that of each next owner that reads
+// them back: 200 jobs of 8,000 tasks held 300 MB.
+func TestWaitingTasksUseLittleMemory(t *testing.T) {
+	const jobs, steps, width = 50, 4, 2000
+	// 19,000 tasks run at the target size, and a hundred times as many may wait in a tenth of the 128 MB that the
+	// control functions may use.
+	const bytesPerTask = 128 << 20 / 10 / (100 * 19_000)
+	q := &Queue{Name: "q", Service: "svc", Priority: 2, MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+	m := New(testConfig(), 0, 1_000_000)
+	before := heapBytes()
+	for n := range jobs {
+		spec := wideSpec(steps, width)
+		if r := m.Submit(domain.JobID(fmt.Sprintf("%016x", n)), q, "team", &spec); r.Refusal != NotRefused {
+			t.Fatalf("job %d refused with %v", n, r.Refusal)
+		}
+	}
+	accepted := heapBytes() - before
+	b, err := m.TakeBatch(1 << 20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before = heapBytes()
+	next := New(testConfig(), 0, 1_000_000)
+	for _, j := range b.Jobs {
+		if err := next.RecoverJob(j.ID, j.Job, j.State); err != nil {
+			t.Fatal(err)
+		}
+	}
+	recovered := heapBytes() - before
+	const tasks = jobs * steps * width
+	t.Logf("%.2f B per waiting task once accepted, %.2f B once read back", float64(accepted)/tasks, float64(recovered)/tasks)
+	if most := max(accepted, recovered) / tasks; most > bytesPerTask {
+		t.Errorf("%d waiting tasks hold %d B each, want at most %d B", tasks, most, bytesPerTask)
+	}
+	runtime.KeepAlive(m)
+	runtime.KeepAlive(next)
+}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -70,7 +70,7 @@
 	occurrence *occurrence
 	number     int
 	spec       *StepSpec
-	tasks      []*task
+	tasks
 	// open is the number of tasks that have not succeeded.
 	open    int
 	waiting int
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -274,13 +274,18 @@
 }
 
 func (s *step) record() (StepRecord, bool) {
-	r := StepRecord{Occurrence: s.occurrence.number, Step: s.number, GangFailedRuns: s.gangFailedRuns}
+	r := StepRecord{Occurrence: s.occurrence.number, Step: s.number, GangFailedRuns: s.gangFailedRuns, LastRun: s.lastRun}
 	changed := len(s.gangFailedRuns) > 0 || s.open < s.spec.Tasks
 	if s.open < s.spec.Tasks {
-		r.Done = make([]byte, (len(s.tasks)+7)/8)
+		r.Done = make([]byte, (s.spec.Tasks+7)/8)
 	}
-	for i, t := range s.tasks {
-		r.LastRun = max(r.LastRun, t.lastRun)
+	for i, last := range s.succeeded {
+		if last != 0 {
+			r.Done[i/8] |= 1 << (i % 8)
+		}
+	}
+	for _, t := range s.active {
+		i := t.index
 		if t.phase == taskDone {
 			r.Done[i/8] |= 1 << (i % 8)
 		}
@@ -376,13 +381,17 @@
 	}
 	s := o.steps[r.Step]
 	s.gangFailedRuns = r.GangFailedRuns
-	s.gangRun = r.LastRun
-	for i, t := range s.tasks {
-		t.lastRun = r.LastRun
-		t.failedRuns = r.FailedRuns[i]
-		t.setCrashes(r.CrashedRuns[i])
-		t.formerAbandonedRun = r.AbandonedRuns[i]
-		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
+	s.gangRun, s.lastRun, s.formerRun = r.LastRun, r.LastRun, r.LastRun
+	for i := range s.spec.Tasks {
+		failed, crashed, abandoned := r.FailedRuns[i], r.CrashedRuns[i], r.AbandonedRuns[i]
+		done := i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0
+		if !done && len(failed) == 0 && len(crashed) == 0 && abandoned == 0 {
+			continue
+		}
+		t := m.task(s, i)
+		t.failedRuns, t.formerAbandonedRun = failed, abandoned
+		t.setCrashes(crashed)
+		if done {
 			m.finishTask(t)
 		}
 	}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -245,7 +245,8 @@
 }
 
 func (s *step) setCheckpoint(value string) {
-	for _, t := range s.tasks {
+	s.checkpoint = value
+	for _, t := range s.active {
 		t.checkpoint = value
 	}
 }
@@ -292,10 +293,10 @@
 
 func (m *Machine) findTask(id TaskID) *task {
 	s := m.findStep(id.StepOf())
-	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
+	if s == nil || id.Index < 0 || id.Index >= s.spec.Tasks {
 		return nil
 	}
-	return s.tasks[id.Index]
+	return m.task(s, id.Index)
 }
 
 func (m *Machine) findStep(id StepID) *step {
@@ -372,7 +373,7 @@
 	if t == nil {
 		return
 	}
-	t.lastRun = max(t.lastRun, e.Run)
+	t.raiseLastRun(e.Run)
 	m.applyEnd(t, e.Run, e.Kind, e.Checkpoint, w)
 }
 
@@ -402,6 +403,7 @@
 		t.phase = taskWaiting
 		s.waiting++
 	}
+	m.compactTask(t)
 	m.needsPass = true
 }
 
@@ -436,8 +438,8 @@
 	s := t.step
 	if s.spec.Gang {
 		// The members of a gang finish together, so one success counts for all.
-		for _, member := range s.tasks {
-			m.finishTask(member)
+		for index := range s.spec.Tasks {
+			m.finishTask(m.task(s, index))
 		}
 	} else {
 		m.finishTask(t)
@@ -465,6 +467,7 @@
 		m.removeReady(s)
 		s.dropApprovals()
 	}
+	m.compactTask(t)
 }
 
 func (m *Machine) finishStep(s *step) {
@@ -482,6 +485,7 @@
 		return
 	}
 	j.doneOccurrences[o.number] = true
+	m.freeTasks(o)
 	delete(j.occurrences, o.number)
 	if len(j.doneOccurrences) >= j.spec.Occurrences {
 		m.endJob(j, Completed)
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -286,30 +286,43 @@
 	}
 	p.scans++
 	p.stale = true
-	for _, t := range s.tasks {
-		if t.phase != taskWaiting || !m.startable(t) {
-			continue
+	limited := false
+	s.eachWaiting(func(index int, t *task) bool {
+		if t != nil && !m.startable(t) {
+			return true
 		}
-		if !j.team.withinLimit(s.spec.Need) {
-			blocked[j.team] = true
-			s.waitReason = waitTeamLimit
-			return
-		}
-		if !j.team.leavesRoomForUrgent(s, s.spec.Need) {
-			s.waitReason = waitTeamUrgent
-			return
+		limited = !m.teamPermits(s, blocked)
+		if limited {
+			return false
 		}
 		w := m.pick(s)
 		if w == nil || !j.durable {
-			break
+			return false
 		}
+		t = m.task(s, index)
 		m.start(t, w, max(t.lastRun, m.firstRunNumber(j))+1)
-	}
-	if s.waiting > 0 {
+		return true
+	})
+	if s.waiting > 0 && !limited {
 		m.reserveForWaiting(s)
 	}
 }
 
+// teamPermits reports whether the team's limit permits one more task of the step.
+func (m *Machine) teamPermits(s *step, blocked map[*team]bool) bool {
+	t := s.job.team
+	switch {
+	case !t.withinLimit(s.spec.Need):
+		blocked[t] = true
+		s.waitReason = waitTeamLimit
+	case !t.leavesRoomForUrgent(s, s.spec.Need):
+		s.waitReason = waitTeamUrgent
+	default:
+		return true
+	}
+	return false
+}
+
 func gangsPerPass(workers int) int {
 	return max(minGangsPerPass, workers/workersPerGang, gangsTimesWorkers/max(1, workers))
 }
@@ -477,7 +490,7 @@
 	if s.hold != nil {
 		s.hold[w] = s.hold[w].Sub(r.reserved).Max(domain.Resources{})
 	}
-	t.lastRun = max(t.lastRun, number)
+	t.raiseLastRun(number)
 	t.startedRun = max(t.startedRun, number)
 	t.runs = append(t.runs, r)
 	w.lastPlacedMS = m.nowMS
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -94,6 +94,7 @@
 		for _, s := range o.steps {
 			m.removeReady(s)
 		}
+		m.freeTasks(o)
 	}
 	return true
 }
@@ -264,13 +265,16 @@
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for _, t := range s.tasks {
+			for _, t := range s.active {
 				if len(t.runs) > 0 {
 					return
 				}
 			}
 		}
 	}
+	for _, o := range j.occurrences {
+		m.freeTasks(o)
+	}
 	j.occurrences, j.doneOccurrences, j.spec = nil, nil, &Spec{}
 }
 
@@ -304,10 +308,6 @@
 		spec := &j.spec.Steps[i]
 		s := &step{job: j, occurrence: o, number: i, spec: spec, open: spec.Tasks, waiting: spec.Tasks,
 			tasksPerWorker: make(map[domain.WorkerID]int)}
-		s.tasks = make([]*task, spec.Tasks)
-		for k := range s.tasks {
-			s.tasks[k] = &task{step: s, index: k}
-		}
 		o.steps = append(o.steps, s)
 	}
 	j.occurrences[number] = o
--- a/internal/core/jobs/throttle.go
+++ b/internal/core/jobs/throttle.go
@@ -225,10 +225,10 @@
 	if !s.spec.LongRunning || s.spec.DisruptionBudget <= 0 {
 		return true
 	}
-	away := 0
-	for _, t := range s.tasks {
-		if !t.isAvailable() {
-			away++
+	away := s.spec.Tasks
+	for _, t := range s.active {
+		if t.isAvailable() {
+			away--
 		}
 	}
 	return away < s.spec.DisruptionBudget
