jobs: open the due occurrences of a job in turn

A job of 100,000 occurrences that are all due was opened as a whole at acceptance, and again by each owner that reads it back.

At most 16 occurrences of a job are open now, in the order of their due time; the next one is opened when one completes.

--- a/internal/core/jobs/memory_test.go
+++ b/internal/core/jobs/memory_test.go
@@ -105,3 +105,29 @@
 	runtime.KeepAlive(m)
 	runtime.KeepAlive(next)
 }
+
+// Guards against a job whose occurrences are all due and fill the owner's memory at once: their number and period are
+// its caller's. All of them run in the end, each once.
+func TestDueOccurrencesAreOpenedInTurn(t *testing.T) {
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+	recurring := func(occurrences int) Spec {
+		return Spec{Occurrences: occurrences, FirstUnixMS: 1, PeriodMS: 0,
+			Steps: []StepSpec{{Tasks: 2, Need: domain.Resources{CPUMilli: 1000}, EstimateMS: 100}}}
+	}
+	f := newFleet(t, 2, workerSize)
+	f.taskMS = func(StartOrder) int64 { return 100 }
+	f.m.Configure([]Queue{*q}, nil)
+	before := heapBytes()
+	f.submit("many", q, "team", recurring(MaxOccurrences))
+	f.m.Advance(f.nowMS, f.m.unixMS)
+	if grown := heapBytes() - before; grown > 1<<20 {
+		t.Errorf("a job of %d due occurrences takes %d KB, want at most 1 MB", MaxOccurrences, grown>>10)
+	}
+	f.m.Cancel("many", func(domain.TeamID, domain.QueueID) bool { return true })
+	f.submit("few", q, "team", recurring(100))
+	f.runUntil(f.nowMS + 20_000)
+	f.check()
+	if _, done := f.completed["few"]; !done {
+		t.Errorf("a job of 100 due occurrences has not completed; %d are done", len(f.m.jobs["few"].doneOccurrences))
+	}
+}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -284,9 +284,12 @@
 	}
 }
 
+// maxOpenOccurrences bounds the occurrences of a job that are open at once. Their number and period are the caller's: all may be due.
+const maxOpenOccurrences = 16
+
 // openOccurrencesOf opens the job's occurrences that are due by this instance's clock.
 func (m *Machine) openOccurrencesOf(j *job) {
-	for j.nextOccurrence < j.spec.Occurrences && j.spec.FirstUnixMS+int64(j.nextOccurrence)*j.spec.PeriodMS <= m.unixMS {
+	for len(j.occurrences) < maxOpenOccurrences && j.nextOccurrence < j.spec.Occurrences && j.spec.FirstUnixMS+int64(j.nextOccurrence)*j.spec.PeriodMS <= m.unixMS {
 		if j.occurrences[j.nextOccurrence] == nil && !j.doneOccurrences[j.nextOccurrence] {
 			m.openOccurrence(j, j.nextOccurrence)
 		}
