Bound the memory of jobs by the smallest VM that may own the cell

Cause: admission counted work as resources times the caller's estimate, so a job without one was free. Recovery listed both prefixes as a whole and built every job, whatever the VM has.

- Admission: a job counts with its numbers and texts, each task with the 176 B that versions take which build all tasks at once, since one of them may follow in an upgrade or a rollback.
All jobs together may take a quarter of the least memory among the instances that announced themselves in the term.
A team's open jobs may take as much as they leave to the others.
Beyond: 429 memory_full, with the time in which jobs free so much at the present rate; a job that takes over half of it: job_too_large.
- Starts: tasks with a state of their own may take 0.15 of that VM.
- Recovery reads pages side by side.
Jobs beyond the VM's own memory are parked: their state is held, the rest is read again when there is room, by priority and acceptance, or when a worker lists a run or an end of theirs.
Until then nothing of that report is acknowledged, and no task of the team starts.

--- a/internal/adapter/cellhttp/store.go
+++ b/internal/adapter/cellhttp/store.go
@@ -30,6 +30,9 @@
 	Wait  time.Duration `cbor:"4,keyasint,omitempty"`
 	Txn   port.Txn      `cbor:"5,keyasint,omitempty"`
 	Lease int64         `cbor:"6,keyasint,omitempty"`
+	// Paged asks for the page of a list that follows AfterKey. Versions that do not know it return the whole list.
+	Paged    bool   `cbor:"7,keyasint,omitempty"`
+	AfterKey string `cbor:"8,keyasint,omitempty"`
 }
 
 // storeFailure names the type of a store error.
@@ -51,6 +54,7 @@
 	TTL      time.Duration    `cbor:"5,keyasint,omitempty"`
 	Failure  storeFailure     `cbor:"6,keyasint,omitempty"`
 	Detail   string           `cbor:"7,keyasint,omitempty"`
+	More     bool             `cbor:"8,keyasint,omitempty"`
 }
 
 // serveStore makes a store call on behalf of another instance.
@@ -63,7 +67,13 @@
 		e, err = s.Get(ctx, c.Key)
 		r.Entries = []port.Entry{e}
 	case opList:
-		r.Entries, r.Revision, err = s.List(ctx, c.Key)
+		if !c.Paged {
+			r.Entries, r.Revision, err = s.List(ctx, c.Key)
+			break
+		}
+		var page port.Page
+		page, err = s.ListPage(ctx, c.Key, c.AfterKey)
+		r.Entries, r.Revision, r.More = page.Entries, page.Revision, page.More
 	case opWatch:
 		r.Watch, err = s.Watch(ctx, c.Key, c.After, c.Wait)
 	case opCommit:
@@ -148,6 +158,12 @@
 	return r.Entries, r.Revision, err
 }
 
+// ListPage implements port.LeaseStore.
+func (s *relayStore) ListPage(ctx context.Context, prefix, after string) (port.Page, error) {
+	r, err := s.call(ctx, storeCall{Op: opList, Key: prefix, Paged: true, AfterKey: after})
+	return port.Page{Entries: r.Entries, Revision: r.Revision, More: r.More}, err
+}
+
 // Watch implements port.LeaseStore.
 func (s *relayStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (port.WatchResult, error) {
 	r, err := s.call(ctx, storeCall{Op: opWatch, Key: prefix, After: after, Wait: wait})
--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -49,6 +49,9 @@
 	pendingCancels map[domain.JobID][]func(port.CancelReply, error)
 	polls          map[domain.WorkerID]*pollState
 	instances      liveInstances
+	// leastMemoryMB is the memory of the smallest VM of the instances that have announced themselves in this term. Any of them may own the
+	// cell next, also one that is away for a moment.
+	leastMemoryMB int64
 	// approversVersion is the version of the instance list that the machine has been given.
 	approversVersion int64
 	pollGroups       pollGroups
@@ -307,6 +310,7 @@
 	for _, r := range output.Approvals {
 		c.requestApproval(r)
 	}
+	c.loadParked(output.Loads)
 	for _, id := range output.RemovedWorkers {
 		delete(c.polls, id)
 		delete(c.ackedEnds, id)
--- a/internal/app/owner/recover_test.go
+++ b/internal/app/owner/recover_test.go
@@ -18,16 +18,16 @@
 	lists atomic.Int64
 }
 
-func (s *slowLists) List(ctx context.Context, prefix string) ([]port.Entry, int64, error) {
+func (s *slowLists) ListPage(ctx context.Context, prefix, after string) (port.Page, error) {
 	if prefix == statePrefix || prefix == jobPrefix {
 		s.lists.Add(1)
 		select {
 		case <-time.After(s.delay):
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return port.Page{}, ctx.Err()
 		}
 	}
-	return s.Store.List(ctx, prefix)
+	return s.Store.ListPage(ctx, prefix, after)
 }
 
 // Guards against a cell that cannot be taken over while the store is slow: listing 4,000 jobs takes
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -22,11 +22,14 @@
 	reasonLimitTooSmall       = "limit_too_small"
 	reasonIDOfAnotherTeam     = "id_of_another_team"
 	reasonZoneEvacuated       = "zone_evacuated"
+	reasonMemoryFull          = "memory_full"
+	reasonJobTooLarge         = "job_too_large"
 )
 
 var refusalReasons = map[jobs.Refusal]string{
 	jobs.RefusedNeverFits: reasonNeverFits, jobs.RefusedOverload: reasonObjectiveOutOfReach, jobs.RefusedTeamLimit: reasonLimitTooSmall,
 	jobs.RefusedIDTaken: reasonIDOfAnotherTeam, jobs.RefusedEvacuated: reasonZoneEvacuated,
+	jobs.RefusedMemory: reasonMemoryFull, jobs.RefusedTooLarge: reasonJobTooLarge,
 }
 
 // callResult is the loop's reply to a call.
@@ -198,6 +201,7 @@
 	return callLoop(ctx, c, func(reply func(port.AnnounceReply, error)) {
 		now := steady.NowMS()
 		c.instances.announce(h.Instance, c.peers)
+		c.noteMemory(h.Instance.MemoryMB)
 		c.instances.expire(now)
 		r := port.AnnounceReply{Version: c.term.epoch<<versionBits + c.instances.changes, NextAnnounceMS: c.instances.announceIntervalMS()}
 		if r.Version != h.KnownVersion {
--- a/internal/app/storerelay/calls.go
+++ b/internal/app/storerelay/calls.go
@@ -24,6 +24,12 @@
 	return entries, revision, err
 }
 
+// ListPage implements port.LeaseStore.
+func (f leaseStoreFunc) ListPage(ctx context.Context, prefix, after string) (page port.Page, err error) {
+	err = f(ctx, "list", func(s port.LeaseStore) (err error) { page, err = s.ListPage(ctx, prefix, after); return })
+	return page, err
+}
+
 // Watch implements port.LeaseStore.
 func (f leaseStoreFunc) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (result port.WatchResult, err error) {
 	err = f(ctx, "watch", func(s port.LeaseStore) (err error) { result, err = s.Watch(ctx, prefix, after, wait); return })
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -121,7 +121,7 @@
 	i.store = relay
 	i.config = entry.NewConfigWatcher(a.Config(relay), log, i.metrics, i.configChanged)
 	maxConfigAge := time.Duration(float64(s.Bounds.RevokeMS)*maxConfigAgeShare) * time.Millisecond
-	self := port.InstanceInfo{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000), Zone: s.Zone}
+	self := port.InstanceInfo{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000), Zone: s.Zone, MemoryMB: int64(s.Limits.MemoryMB)}
 	i.service = entry.NewService(entry.Options{Self: self, MaxConfigAge: maxConfigAge}, i.config, i.directory, relay, log, i.metrics)
 	lease := min(workerLeaseTTL, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
@@ -133,6 +133,7 @@
 			LeaseMS: lease.Milliseconds(), MaxLeaseMS: s.Bounds.MaxLeaseMS, FormerLeaseMS: formerLease(lease, ttl).Milliseconds(),
 			StartLimitMS: startTimeLimit.Milliseconds(), GangWaitMS: s.Bounds.GangWaitMS, StopMS: s.Bounds.MaxStopMS,
 			RetentionMS: s.Bounds.RetentionMS, OffRackFactor: s.Bounds.OffRackFactor, LimitOvershoot: s.Bounds.LimitOvershoot,
+			MemoryBytes: int64(s.Limits.MemoryMB) << 20,
 		},
 	}, i.ownerPorts(relay, dialer), log, i.metrics)
 	dialer.OnUnreachable = i.owner.ReportUnreachable
--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -24,6 +24,8 @@
 	waitNoApproval = "approved workers have no room"
 	waitHeld       = "room is kept until tasks end"
 	waitRepair     = "gang members are placed again"
+	waitMemory     = "the owner's memory for running tasks is in use"
+	waitParked     = "jobs whose tasks run are being read from the store"
 	// waitEvacuated replaces waitCapacity while zones are evacuated.
 	waitEvacuated   = "no worker outside the evacuated zones has room"
 	waitUnconfirmed = "the operators' evacuations are not confirmed"
@@ -100,8 +102,10 @@
 	UnstoredState  string `json:"unstored_state,omitempty"`
 	AcceptedUnixMS int64  `json:"accepted_unix_ms"`
 	// OverRate is set if the team had submitted more than its weight permits.
-	OverRate bool       `json:"over_rate"`
-	Steps    []StepView `json:"steps"`
+	OverRate bool `json:"over_rate"`
+	// Parked is set while only the state of the job is held, until there is memory for its steps.
+	Parked bool       `json:"parked,omitempty"`
+	Steps  []StepView `json:"steps"`
 }
 
 // StepView describes one step of an occurrence.
@@ -149,7 +153,7 @@
 		return JobView{}, false
 	}
 	v := JobView{Job: j.id, Team: j.team.ID, Queue: j.queue.Name, State: j.storedState.Shown(j.started).String(),
-		AcceptedUnixMS: j.acceptedUnixMS, OverRate: j.overRate}
+		AcceptedUnixMS: j.acceptedUnixMS, OverRate: j.overRate, Parked: j.parking != nil}
 	if j.state != j.storedState {
 		v.UnstoredState = j.state.String()
 	}
@@ -198,6 +202,7 @@
 	WaitingTasks int `json:"waiting_tasks"`
 	// Suspects counts the workers that may run tasks of a former owner and have not reported.
 	Suspects int          `json:"suspect_workers"`
+	Memory   MemoryView   `json:"memory"`
 	Workers  WorkerCounts `json:"workers"`
 	// EvacuatedZones lists the zones whose workers get no new work at the operators' request.
 	EvacuatedZones []ZoneView `json:"evacuated_zones,omitempty"`
@@ -213,7 +218,7 @@
 
 // Overview returns counts of jobs, tasks and workers, and the resources in use by each team.
 func (m *Machine) Overview() Overview {
-	v := Overview{Suspects: len(m.suspects), Workers: m.CountWorkers(), EvacuatedZones: m.evacuatedZoneViews()}
+	v := Overview{Suspects: len(m.suspects), Memory: m.memoryView(), Workers: m.CountWorkers(), EvacuatedZones: m.evacuatedZoneViews()}
 	for _, j := range m.jobs {
 		if j.state.Terminal() {
 			v.EndedJobs++
--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -38,6 +38,8 @@
 	failRun func(StartOrder) (afterMS int64, fails bool)
 	// crashes decides which starts terminate their worker's process. It is nil if none does.
 	crashes func(StartOrder) bool
+	// onPass is called before each pass. It may be nil.
+	onPass func()
 	// onDecision is called with each decision of the machine. It may be nil.
 	onDecision func(Decision)
 	// refuse lets a test determine the outcome of a start order in place of the worker.
@@ -57,6 +59,9 @@
 	// approverWaits lists how long steps waited for an instance, by queue.
 	approverWaits map[domain.QueueID][]int64
 	transitMS     int64
+	// term counts the owners. What a former owner has sent and not finished has no effect. stored is what the store holds.
+	term   int
+	stored map[domain.JobID]StoredJob
 }
 
 type fakeWorker struct {
@@ -120,7 +125,7 @@
 	f := &fleet{t: t, m: New(testConfig(), 0, 1_000_000), rng: rand.New(rand.NewSource(1)), approvalShare: 1, writeMS: 20,
 		workers: make(map[domain.WorkerID]*fakeWorker), submitted: make(map[domain.JobID]int64),
 		completed: make(map[domain.JobID]int64), succeeded: make(map[TaskID]bool), runningRuns: make(map[TaskID]int),
-		gangMembers: make(map[gangRunID]map[int]bool)}
+		gangMembers: make(map[gangRunID]map[int]bool), stored: make(map[domain.JobID]StoredJob)}
 	f.taskMS = func(o StartOrder) int64 { return 1000 }
 	f.pollIntervalMS = 500
 	f.transitMS = 10
@@ -172,6 +177,9 @@
 }
 
 func (f *fleet) reconcile() {
+	if f.onPass != nil {
+		f.onPass()
+	}
 	f.m.Schedule()
 	if f.checkUnaccounted {
 		if lost := f.m.UnaccountedTasks(); len(lost) > 0 {
@@ -185,10 +193,13 @@
 		}
 	}
 	for _, o := range out.Starts {
-		f.after(5, func() { f.start(o) })
+		f.inTerm(5, func() { f.start(o) })
 	}
 	for _, o := range out.Stops {
-		f.after(5, func() { f.stop(o) })
+		f.inTerm(5, func() { f.stop(o) })
+	}
+	for _, id := range out.Loads {
+		f.inTerm(f.writeMS, func() { f.load(id) })
 	}
 	for _, o := range out.Throttles {
 		f.after(5, func() { f.interference.applyThrottle(f, o) })
@@ -210,6 +221,7 @@
 	f.writing = !b.Empty()
 	done := func() {
 		f.writing = false
+		f.store(b)
 		f.m.BatchStored(b)
 		for _, id := range f.ids {
 			w := f.workers[id]
@@ -228,7 +240,7 @@
 		done()
 		return
 	}
-	f.after(f.writeMS, done)
+	f.inTerm(f.writeMS, done)
 }
 
 // manyApprovers is enough instances that no request has to wait for one.
@@ -251,7 +263,7 @@
 	f.approverWaits[r.Queue] = append(f.approverWaits[r.Queue], r.WaitedMS)
 	served := max(f.nowMS+f.transitMS/2, f.approverBusyUntilMS[instance]) + int64(r.Grant.ExpectedMS)
 	f.approverBusyUntilMS[instance] = served
-	f.after(served+f.transitMS-f.transitMS/2-f.nowMS, func() { f.approve(r) })
+	f.inTerm(served+f.transitMS-f.transitMS/2-f.nowMS, func() { f.approve(r) })
 }
 
 func (f *fleet) approve(r ApprovalRequest) {
@@ -453,7 +465,7 @@
 	w.polling = true
 	sent := f.nowMS
 	if w.disconnected {
-		f.after(callTimeoutMS, func() {
+		f.inTerm(callTimeoutMS, func() {
 			w.polling = false
 			f.m.PollFailed(w.id)
 			f.expireLease(w)
@@ -463,7 +475,7 @@
 	}
 	f.expireLease(w)
 	w.leaseExpiryMS = f.nowMS + testConfig().LeaseMS
-	f.after(4, func() {
+	f.inTerm(4, func() {
 		w.polling = false
 		r := WorkerReport{Worker: w.id, StartedMS: w.startedMS, SentMS: sent, ReceivedMS: f.nowMS, ClockMS: f.nowMS + 5000}
 		for id, run := range w.running {
--- a/internal/core/jobs/gang.go
+++ b/internal/core/jobs/gang.go
@@ -32,6 +32,10 @@
 			return false
 		}
 	}
+	if !m.mayActivate(s.open - len(s.active)) {
+		s.waitReason = waitMemory
+		return false
+	}
 	total := s.spec.Need.Scale(int64(s.open))
 	if !j.team.withinLimit(total) && !(j.team.used.IsZero() && j.team.maxUnreported.IsZero() && j.team.fitsLimitAlone(total, m.cfg.LimitOvershoot)) {
 		s.waitReason = waitTeamLimit
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -30,6 +30,8 @@
 	StopMS int64
 	// RetentionMS is how long the state of an ended job is kept.
 	RetentionMS int64
+	// MemoryBytes is the memory of the owner's VM. Zero means that memory is not bounded.
+	MemoryBytes int64
 	// LimitOvershoot is the fraction by which a team's limit may be exceeded by a gang that is
 	// slightly larger than the limit and runs alone.
 	LimitOvershoot float64
@@ -62,16 +64,18 @@
 
 // Machine is the scheduler of one cell. It is not safe for concurrent use.
 type Machine struct {
-	cfg           Config
-	nowMS         int64
-	unixMS        int64
-	beganMS       int64
-	beganUnixMS   int64
-	claimHeldMS   int64
-	queues        map[domain.QueueID]*Queue
-	teams         map[domain.TeamID]*team
-	workers       map[domain.WorkerID]*worker
-	sortedWorkers []*worker
+	cfg         Config
+	nowMS       int64
+	unixMS      int64
+	beganMS     int64
+	beganUnixMS int64
+	claimHeldMS int64
+	queues      map[domain.QueueID]*Queue
+	// recoveredQueues are the stored settings of the queues of recovered jobs.
+	recoveredQueues map[domain.QueueID]*Queue
+	teams           map[domain.TeamID]*team
+	workers         map[domain.WorkerID]*worker
+	sortedWorkers   []*worker
 	// slotCount is the number of worker slots assigned so far.
 	slotCount int
 	// evacuatedZones are the zones whose workers get no new work at the operators' request.
@@ -109,6 +113,8 @@
 	approvers            approvals.Pool
 	// activeTasks is the number of tasks that have a state of their own.
 	activeTasks int
+	memory      memory
+	parked      parkedJobs
 	// loads caches the load of each service, computed at loadsMS.
 	loads   map[string]*load
 	loadsMS int64
@@ -127,18 +133,20 @@
 // New returns a Machine without workers and jobs.
 func New(cfg Config, nowMS, unixMS int64) *Machine {
 	return &Machine{
-		cfg: cfg, nowMS: nowMS, unixMS: unixMS, beganMS: nowMS, beganUnixMS: unixMS, claimHeldMS: math.MaxInt64,
-		queues:         make(map[domain.QueueID]*Queue),
-		teams:          make(map[domain.TeamID]*team),
-		workers:        make(map[domain.WorkerID]*worker),
-		jobs:           make(map[domain.JobID]*job),
-		recurring:      make(map[domain.JobID]*job),
-		suspects:       make(map[domain.WorkerID]int64),
-		vms:            make(map[waves.VMID]vmHistory),
-		listedVMs:      make(map[domain.WorkerID]waves.VMID),
-		knownIDs:       make(map[domain.WorkerID]bool),
-		approvalStats:  make(map[domain.QueueID]*approvalStats),
-		imageThrottles: make(map[string]float64),
+		memory: memory{vmBytes: cfg.MemoryBytes, leastBytes: cfg.MemoryBytes, sinceMS: nowMS},
+		cfg:    cfg, nowMS: nowMS, unixMS: unixMS, beganMS: nowMS, beganUnixMS: unixMS, claimHeldMS: math.MaxInt64,
+		queues:          make(map[domain.QueueID]*Queue),
+		recoveredQueues: make(map[domain.QueueID]*Queue),
+		teams:           make(map[domain.TeamID]*team),
+		workers:         make(map[domain.WorkerID]*worker),
+		jobs:            make(map[domain.JobID]*job),
+		recurring:       make(map[domain.JobID]*job),
+		suspects:        make(map[domain.WorkerID]int64),
+		vms:             make(map[waves.VMID]vmHistory),
+		listedVMs:       make(map[domain.WorkerID]waves.VMID),
+		knownIDs:        make(map[domain.WorkerID]bool),
+		approvalStats:   make(map[domain.QueueID]*approvalStats),
+		imageThrottles:  make(map[string]float64),
 	}
 }
 
@@ -160,6 +168,7 @@
 		m.expireWorkers()
 	}
 	m.openOccurrences()
+	m.planLoads()
 	m.checkRuns()
 	if m.nextApproverMS > 0 && m.nowMS >= m.nextApproverMS {
 		m.nextApproverMS = 0
@@ -168,6 +177,7 @@
 	if m.nowMS-m.lastHousekeepingMS >= housekeepingIntervalMS {
 		m.lastHousekeepingMS = m.nowMS
 		m.evictEndedJobs()
+		m.updateFreedRate()
 		m.recordWaits()
 		m.needsPass = true
 	}
@@ -345,6 +355,7 @@
 	}
 	// It gets work again once a poll is answered.
 	w.contacted, w.pollFailed, w.terminated = false, true, true
+	w.parkedRuns = nil
 	m.recordCrash(w, anyRun)
 	if m.endLostRuns(w, EndWorkerTerminated, proof, m.endsWithWorker) > 0 {
 		m.out.recordWorker("worker_gone", w.id, "")
@@ -378,7 +389,7 @@
 			}
 			m.endLostRuns(w, kind, "the lease has expired", anyRun)
 		}
-		if !w.registered && len(w.runs) == 0 && (w.terminated || m.nowMS >= w.leaseExpiryMS) {
+		if !w.registered && len(w.runs) == 0 && len(w.parkedRuns)+len(w.parkedEnds) == 0 && (w.terminated || m.nowMS >= w.leaseExpiryMS) {
 			delete(m.workers, w.id)
 			m.membersChanged = true
 			m.out.RemovedWorkers = append(m.out.RemovedWorkers, w.id)
@@ -532,9 +543,7 @@
 	for ; n < len(m.endedJobs) && m.unixMS-m.endedJobs[n].endedUnixMS > m.cfg.RetentionMS; n++ {
 		j := m.endedJobs[n]
 		delete(m.jobs, j.id)
-		for _, o := range j.occurrences {
-			m.freeTasks(o)
-		}
+		m.dropJob(j)
 		m.jobsToDelete = append(m.jobsToDelete, j.id)
 	}
 	clear(m.endedJobs[:n])
--- a/internal/core/jobs/memory_test.go
+++ b/internal/core/jobs/memory_test.go
@@ -131,3 +131,137 @@
 		t.Errorf("a job of 100 due occurrences has not completed; %d are done", len(f.m.jobs["few"].doneOccurrences))
 	}
 }
+
+// Guards against accepted jobs for which an owner has no memory, and against a flood of one team that leaves none to the
+// others: about 200 jobs of 8,000 tasks without an estimate took each owner over 284 MB.
+func TestFloodLeavesMemoryToOtherTeams(t *testing.T) {
+	for _, vmMB := range []int64{128, 284} {
+		t.Run(fmt.Sprintf("%d MB", vmMB), func(t *testing.T) {
+			f := newFleet(t, 8, smallWorkerSize)
+			f.m.memory.vmBytes, f.m.memory.leastBytes = vmMB<<20, vmMB<<20
+			q := &Queue{Name: "q", Service: "svc", Priority: 2, MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+			limit := share(vmMB<<20, jobsMemoryShare)
+			held := make(map[domain.TeamID]int)
+			for n := range 600 {
+				for _, team := range []domain.TeamID{"flood-a", "flood-b"} {
+					r := f.submit(domain.JobID(fmt.Sprintf("%s-%d", team, n)), q, team, wideSpec(4, 2000))
+					if r.Refusal == NotRefused {
+						held[team]++
+					} else if r.Refusal != RefusedMemory || r.RetryAfterMS < minRetryMS {
+						t.Fatalf("job %d refused with %v, retry after %d ms, want %v and a delay", n, r.Refusal, r.RetryAfterMS, RefusedMemory)
+					}
+				}
+			}
+			for n := range 50 {
+				if r := f.submit(domain.JobID(fmt.Sprintf("small-%d", n)), q, "small", batchSpec()); r.Refusal != NotRefused {
+					t.Errorf("ordinary job %d of another team refused with %v during the floods", n, r.Refusal)
+				}
+			}
+			v := f.m.memoryView()
+			t.Logf("%d and %d jobs of 8,000 tasks held; %d KB held by this version, %d KB counted, limit %d KB",
+				held["flood-a"], held["flood-b"], v.Held>>10, v.Admitted>>10, limit>>10)
+			if v.Admitted > limit || held["flood-a"] == 0 || held["flood-b"] == 0 {
+				t.Errorf("%d KB are counted, limit %d KB; the teams hold %v jobs", v.Admitted>>10, limit>>10, held)
+			}
+			for id := range f.submitted {
+				f.m.Cancel(id, func(domain.TeamID, domain.QueueID) bool { return true })
+			}
+			f.runUntil(f.nowMS + 10_000)
+			if open := f.m.memory.open; open != (size{}) || f.m.activeTasks != 0 {
+				t.Errorf("after all jobs have ended %+v and %d tasks are counted", open, f.m.activeTasks)
+			}
+		})
+	}
+}
+
+// Guards against a job that takes more than its share of the memory, and is to be refused with a reason of its own: no
+// delay helps it.
+func TestTooLargeJobIsRefused(t *testing.T) {
+	f := newFleet(t, 8, smallWorkerSize)
+	f.m.memory.leastBytes = 128 << 20
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+	if r := f.submit("job", q, "team", wideSpec(MaxSteps, MaxTasksPerStep)); r.Refusal != RefusedTooLarge {
+		t.Errorf("a job of %d tasks refused with %v, want %v", MaxSteps*MaxTasksPerStep, r.Refusal, RefusedTooLarge)
+	}
+}
+
+// Guards against jobs that take more memory than is counted for them: their numbers, texts and references are their
+// caller's.
+func TestCountedMemoryCoversJobs(t *testing.T) {
+	text := func(n int) string { return fmt.Sprintf("%0*d", n, 0) }
+	references := func(n int) []int { return make([]int, n) }
+	for name, c := range map[string]struct {
+		jobs int
+		spec func() Spec
+	}{
+		"narrow":     {2000, func() Spec { return wideSpec(1, 1) }},
+		"wide":       {200, func() Spec { return wideSpec(4, 2000) }},
+		"many steps": {200, func() Spec { return wideSpec(MaxSteps, 2) }},
+		"long text": {300, func() Spec {
+			s := wideSpec(1, 1)
+			s.Payload = text(MaxPayloadBytes)
+			s.Steps[0].Image, s.Steps[0].DataRack = text(100_000), domain.RackID(text(20_000))
+			return s
+		}},
+		"many references": {100, func() Spec {
+			s := wideSpec(2, 1)
+			s.Steps[1].After = references(50_000)
+			return s
+		}},
+		"recurring": {200, func() Spec {
+			s := wideSpec(3, 10)
+			s.Occurrences, s.FirstUnixMS = 1000, 1
+			return s
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(testConfig(), 0, 1_000_000)
+			q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+			before := heapBytes()
+			for n := range c.jobs {
+				spec := c.spec()
+				if r := m.Submit(domain.JobID(fmt.Sprintf("%016x", n)), q, "team", &spec); r.Refusal != NotRefused {
+					t.Fatalf("refused with %v", r.Refusal)
+				}
+			}
+			m.Advance(1000, 1_001_000)
+			grown, counted := heapBytes()-before, m.memory.open.held
+			t.Logf("%d B per job, %d B counted, %d B with all tasks built", grown/int64(c.jobs), counted/int64(c.jobs), m.memory.open.admitted/int64(c.jobs))
+			if grown > counted {
+				t.Errorf("%d jobs take %d KB, %d KB are counted", c.jobs, grown>>10, counted>>10)
+			}
+			runtime.KeepAlive(m)
+		})
+	}
+}
+
+// Guards against tasks that take more memory than is counted for them while they run, and against starts beyond what the
+// smallest VM has memory for: tasks that need nothing fit any worker in any number.
+func TestRunningTasksFitSmallestVM(t *testing.T) {
+	f := newFleet(t, 20, smallWorkerSize)
+	f.taskMS = func(StartOrder) int64 { return 1 << 40 }
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+	f.m.memory.leastBytes = 40 << 20
+	before := heapBytes()
+	submitted := 0
+	for n := range 6 {
+		spec := Spec{Steps: []StepSpec{{Tasks: 2000, EstimateMS: 1000}}}
+		f.m.Submit(domain.JobID(fmt.Sprintf("%016x", n)), q, "team", &spec)
+		submitted += 2000
+	}
+	for range 100 {
+		f.m.Advance(f.m.nowMS+10, f.m.unixMS+10)
+		storeAll(t, f.m)
+		f.m.Schedule()
+		f.m.TakeOutput()
+	}
+	grown, limit := heapBytes()-before, share(f.m.memory.leastBytes, tasksMemoryShare)
+	t.Logf("%d of %d tasks have started, %d B each", f.m.activeTasks, submitted, grown/int64(max(1, f.m.activeTasks)))
+	if counted := int64(f.m.activeTasks) * activeTaskBytes; counted > limit || f.m.activeTasks == 0 {
+		t.Errorf("%d tasks are active, their memory of %d KB is beyond %d KB", f.m.activeTasks, counted>>10, limit>>10)
+	}
+	if each := grown / int64(max(1, f.m.activeTasks)); each > activeTaskBytes {
+		t.Errorf("a running task takes %d B, %d B are counted", each, activeTaskBytes)
+	}
+	runtime.KeepAlive(f)
+}
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -41,6 +41,11 @@
 	// storedState is the state that the store holds, and the one that callers see.
 	storedState State
 	unwritten   bool
+	// size is what the job takes of the owner's memory while it is open. kept is set while what is left of an ended one counts.
+	size size
+	kept bool
+	// parking is set while only the state of the job is held.
+	parking *parking
 	// version counts the changes of the job. storedVersion is the latest one in the store.
 	version, storedVersion int
 	// writeInFlight delays the next write of the job, so that writes of one job are never
@@ -297,6 +302,9 @@
 	// aliveSinceMS is since when the worker's process is known to be up, and lastPlacedMS when a run was
 	// last placed on it.
 	aliveSinceMS, lastPlacedMS int64
+	// parkedRuns are the runs of parked jobs in the last report, parkedEnds its ends from the first one of a parked job on.
+	parkedRuns []RunReport
+	parkedEnds []EndReport
 	// isolatedStep is the step whose isolated runs the worker is reserved for, or nil.
 	isolatedStep *step
 	isolatedRuns int
@@ -320,6 +328,10 @@
 	tokens     float64
 	tokensMS   int64
 	configured bool
+	// openBytes is the memory that the team's open jobs take in any version that may own the cell, endedBytes that of its ended ones.
+	openBytes, endedBytes int64
+	// parked is the number of parked jobs, demanded the number of those of which a worker has listed a run.
+	parked, demanded int
 }
 
 // withinLimit reports whether the team may start a task of that size within its limit.
--- a/internal/core/jobs/output.go
+++ b/internal/core/jobs/output.go
@@ -54,6 +54,8 @@
 	Stops     []StopOrder
 	Throttles []ThrottleOrder
 	Approvals []ApprovalRequest
+	// Loads lists the parked jobs to read from the store.
+	Loads []domain.JobID
 	// RemovedWorkers lists the workers that were removed for good.
 	RemovedWorkers []domain.WorkerID
 	Decisions      []Decision
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -314,44 +314,65 @@
 	return r, changed
 }
 
-// RecoverJob loads a stored job. It must not be called after any other event.
+// RecoverJob loads a stored job, or parks it if the VM has no memory left for it. It must not be called after any other event.
 func (m *Machine) RecoverJob(id domain.JobID, jobValue, stateValue []byte) error {
-	var state StateRecord
-	if err := cbor.Unmarshal(stateValue, &state); err != nil {
-		return fmt.Errorf("decode state of job %s: %w", id, err)
+	rec, state, err := decodeStored(id, jobValue, stateValue)
+	if err != nil {
+		return err
 	}
-	if state.State > Cancelled {
-		return fmt.Errorf("stored job %s has the unknown state %s", id, state.State)
-	}
-	if jobValue == nil {
-		if !state.State.Terminal() {
-			return fmt.Errorf("specification of stored job %s in state %s is missing", id, state.State)
-		}
+	if state.State.Terminal() {
 		m.recoverEnded(id, state)
 		return nil
 	}
-	var rec JobRecord
-	if err := cbor.Unmarshal(jobValue, &rec); err != nil {
-		return fmt.Errorf("decode job %s: %w", id, err)
+	j := &job{id: id, queue: m.recoveredQueue(&rec.Queue), team: m.teamOf(rec.Team), acceptedUnixMS: rec.AcceptedUnixMS, epoch: rec.Epoch,
+		maybeStored: true, durable: true, recovered: true, started: state.Started}
+	if m.parksOnRecovery(rec, state) {
+		m.park(j, rec)
+		return nil
 	}
-	if l := rec.Spec.Validate(); len(l) > 0 {
-		return fmt.Errorf("specification of stored job %s is invalid: %s", id, l.String())
+	return m.restore(j, &rec.Spec, state)
+}
+
+// decodeStored decodes the stored values of a job. The record is nil if the job has ended.
+func decodeStored(id domain.JobID, jobValue, stateValue []byte) (*JobRecord, *StateRecord, error) {
+	state := &StateRecord{}
+	if err := cbor.Unmarshal(stateValue, state); err != nil {
+		return nil, nil, fmt.Errorf("decode state of job %s: %w", id, err)
+	}
+	switch {
+	case state.State > Cancelled:
+		return nil, nil, fmt.Errorf("stored job %s has the unknown state %s", id, state.State)
+	case state.State.Terminal() && jobValue == nil:
+		return nil, state, nil
+	case jobValue == nil:
+		return nil, nil, fmt.Errorf("specification of stored job %s in state %s is missing", id, state.State)
+	}
+	rec := &JobRecord{}
+	if err := cbor.Unmarshal(jobValue, rec); err != nil {
+		return nil, nil, fmt.Errorf("decode job %s: %w", id, err)
 	}
-	if state.State.Terminal() {
-		m.recoverEnded(id, state)
-		return nil
+	if l := rec.Spec.Validate(); len(l) > 0 {
+		return nil, nil, fmt.Errorf("specification of stored job %s is invalid: %s", id, l.String())
 	}
-	queue := rec.Queue
-	if q, ok := m.queues[queue.Name]; ok {
-		queue = *q
+	return rec, state, nil
+}
+
+// recoveredQueue returns the queue with its present settings, or else with those of the first job that was recovered in it.
+func (m *Machine) recoveredQueue(stored *Queue) *Queue {
+	if q, ok := m.queues[stored.Name]; ok {
+		return q
 	}
-	j := m.newJob(id, &queue, m.teamOf(rec.Team), &rec.Spec)
-	j.acceptedUnixMS, j.epoch = rec.AcceptedUnixMS, rec.Epoch
-	j.maybeStored, j.durable, j.recovered, j.started = true, true, true, state.Started
-	for _, k := range state.DoneOccurrences {
-		j.doneOccurrences[k] = true
+	q, ok := m.recoveredQueues[stored.Name]
+	if !ok {
+		q = stored
+		m.recoveredQueues[stored.Name] = q
 	}
-	m.insert(j)
+	return q
+}
+
+// restore completes a recovered job with its steps and their progress.
+func (m *Machine) restore(j *job, spec *Spec, state *StateRecord) error {
+	m.insert(j, spec, state.DoneOccurrences)
 	for _, s := range state.Steps {
 		if err := m.recoverStep(j, s); err != nil {
 			return err
@@ -363,11 +384,12 @@
 	return nil
 }
 
-func (m *Machine) recoverEnded(id domain.JobID, state StateRecord) {
+func (m *Machine) recoverEnded(id domain.JobID, state *StateRecord) {
 	j := &job{id: id, queue: &Queue{Name: state.Queue}, team: m.teamOf(state.Team), spec: &Spec{},
 		state: state.State, storedState: state.State, endedUnixMS: state.EndedUnixMS, maybeStored: true, durable: true, started: state.Started}
 	m.jobs[id] = j
 	m.endedJobs = append(m.endedJobs, j)
+	m.keepEnded(j)
 }
 
 func (m *Machine) recoverStep(j *job, r StepRecord) error {
@@ -398,8 +420,9 @@
 	return nil
 }
 
-// FinishRecovery sorts the ended jobs by the time of their end. It is called after the last
+// FinishRecovery sorts the ended jobs by the time of their end, and the parked ones by the order in which they are loaded. It is called after the last
 // RecoverJob.
 func (m *Machine) FinishRecovery() {
+	m.sortParked()
 	sort.SliceStable(m.endedJobs, func(i, k int) bool { return m.endedJobs[i].endedUnixMS < m.endedJobs[k].endedUnixMS })
 }
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -115,18 +115,8 @@
 	// The response took time to arrive, so this gives a lower bound of the worker's clock.
 	w.clockOffset = r.ClockMS - r.ReceivedMS
 	w.clockKnown, w.clockReadMS = true, r.ReceivedMS
-	for _, e := range r.Ends {
-		if e.Number > w.lastEndNumber {
-			w.lastEndNumber = e.Number
-			m.withholdEnd(w, e)
-			m.handleEnd(w, e)
-			// The end may change nothing, such as that of another member of a gang that has already
-			// ended. But the earlier change may not be stored yet.
-			if j := m.jobs[e.Task.Job]; j != nil && j.version > j.storedVersion {
-				w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j, j.version})
-			}
-		}
-	}
+	w.parkedRuns = nil
+	m.handleEnds(w, r.Ends)
 	m.releaseWithheldEnds(w, r)
 	seen := make(map[TaskID]int, len(r.Running))
 	for _, row := range r.Running {
@@ -145,6 +135,29 @@
 	m.needsPass = true
 }
 
+// handleEnds processes the ends that a worker lists. It stops at the first one of a parked job, which is loaded for it.
+func (m *Machine) handleEnds(w *worker, ends []EndReport) {
+	w.parkedEnds = nil
+	for i, e := range ends {
+		if e.Number <= w.lastEndNumber {
+			continue
+		}
+		if j := m.parkedJob(e.Task); j != nil {
+			w.parkedEnds = ends[i:]
+			m.demandLoad(j)
+			return
+		}
+		w.lastEndNumber = e.Number
+		m.withholdEnd(w, e)
+		m.handleEnd(w, e)
+		// The end may change nothing, such as that of another member of a gang that has already ended. But the earlier change may not be
+		// stored yet.
+		if j := m.jobs[e.Task.Job]; j != nil && j.version > j.storedVersion {
+			w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j, j.version})
+		}
+	}
+}
+
 // PollFailed records that a poll of the worker was not answered.
 func (m *Machine) PollFailed(id domain.WorkerID) {
 	if w, ok := m.workers[id]; ok {
@@ -177,6 +190,7 @@
 	}
 	w.startedMS = report.StartedMS
 	w.lastEndNumber, w.pendingEnds, w.abandonedRuns, w.withheldEnd = 0, nil, nil, 0
+	w.parkedRuns, w.parkedEnds = nil, nil
 	w.clockKnown = false
 	w.health = health{}
 }
@@ -192,6 +206,11 @@
 		m.updateRun(r, row)
 		return
 	}
+	if j := m.parkedJob(row.Task); j != nil {
+		w.parkedRuns = append(w.parkedRuns, row)
+		m.demandLoad(j)
+		return
+	}
 	t := m.findTask(row.Task)
 	if t == nil || t.phase == taskDone || t.step.job.state.Terminal() {
 		m.out.Stops = append(m.out.Stops, StopOrder{w.id, w.address, row.Task, row.Run, "no longer needed"})
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -222,6 +222,9 @@
 	}
 	capacity := m.suspectCapacity()
 	for _, t := range m.teams {
+		if t.parked > 0 {
+			t.maxUnreported = capacity
+		}
 		t.maxUnreported = t.maxUnreported.Min(capacity)
 	}
 }
@@ -253,6 +256,10 @@
 		s.waitReason = waitSuspects
 		return
 	}
+	if j.team.demanded > 0 {
+		s.waitReason = waitParked
+		return
+	}
 	p := m.passOf(s)
 	s.waitReason = waitNextPass
 	if p.scans >= min(maxScansPerPass, max(minScansPerPass, scansTimesWorkers/max(1, len(p.usable)))) {
@@ -295,6 +302,11 @@
 		if limited {
 			return false
 		}
+		if t == nil && !m.mayActivate(1) {
+			s.waitReason = waitMemory
+			limited = true
+			return false
+		}
 		w := m.pick(s)
 		if w == nil || !j.durable {
 			return false
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -23,6 +23,10 @@
 	RefusedTeamLimit
 	// RefusedEvacuated means that every worker that fits a task is in an evacuated zone.
 	RefusedEvacuated
+	// RefusedMemory means that an owner would not have the memory for the job beside the accepted ones.
+	RefusedMemory
+	// RefusedTooLarge means that the job would take more memory than one job may.
+	RefusedTooLarge
 	// RefusedIDTaken means that the ID belongs to another team's job.
 	RefusedIDTaken
 )
@@ -61,11 +65,14 @@
 	if wait, refuse := m.overloaded(queue, t, spec); refuse {
 		return SubmitResult{Refusal: RefusedOverload, RetryAfterMS: wait}
 	}
-	j := m.newJob(id, queue, t, spec)
+	if refusal, wait := m.refuseForMemory(t, spec); refusal != NotRefused {
+		return SubmitResult{Refusal: refusal, RetryAfterMS: wait}
+	}
+	j := &job{id: id, queue: queue, team: t}
 	j.acceptedUnixMS = m.unixMS
 	j.epoch = m.cfg.Epoch
 	j.overRate = !t.takeToken(m.nowMS)
-	m.insert(j)
+	m.insert(j, spec, nil)
 	m.addAdmittedLoad(j)
 	m.markChanged(j)
 	return SubmitResult{}
@@ -94,8 +101,8 @@
 		for _, s := range o.steps {
 			m.removeReady(s)
 		}
-		m.freeTasks(o)
 	}
+	m.dropJob(j)
 	return true
 }
 
@@ -108,14 +115,15 @@
 	return list
 }
 
-func (m *Machine) newJob(id domain.JobID, queue *Queue, t *team, spec *Spec) *job {
-	j := &job{id: id, queue: queue, team: t, spec: spec,
-		occurrences: make(map[int]*occurrence), doneOccurrences: make(map[int]bool)}
-	j.criticalPathMS = criticalPathMS(spec, queue)
-	return j
-}
-
-func (m *Machine) insert(j *job) {
+// insert adds a job with its steps. The given occurrences are done.
+func (m *Machine) insert(j *job, spec *Spec, done []int) {
+	j.spec = spec
+	j.occurrences, j.doneOccurrences = make(map[int]*occurrence), make(map[int]bool, len(done))
+	for _, k := range done {
+		j.doneOccurrences[k] = true
+	}
+	j.criticalPathMS = criticalPathMS(spec, j.queue)
+	m.resize(j, sizeOf(spec))
 	m.jobs[j.id] = j
 	if j.spec.Recurring() {
 		m.recurring[j.id] = j
@@ -253,6 +261,10 @@
 		}
 	}
 	m.endedJobs = append(m.endedJobs, j)
+	if j.parking != nil {
+		m.unpark(j)
+		m.keepEnded(j)
+	}
 	m.markChanged(j)
 	m.out.recordJob("job_"+s.String(), j, "")
 }
@@ -276,6 +288,7 @@
 		m.freeTasks(o)
 	}
 	j.occurrences, j.doneOccurrences, j.spec = nil, nil, &Spec{}
+	m.keepEnded(j)
 }
 
 func (m *Machine) openOccurrences() {
--- a/internal/port/cell.go
+++ b/internal/port/cell.go
@@ -34,11 +34,22 @@
 // MaxTxnEntries bounds the total number of conditions, puts and deletes in a transaction.
 const MaxTxnEntries = 32
 
+// Page is a part of the entries of a prefix. Pages are not one snapshot.
+type Page struct {
+	Entries  []Entry
+	Revision int64
+	// More is set if other entries follow.
+	More bool
+}
+
 // LeaseStore is a key-value store with leases and transactions. Methods return
 // the typed errors of this package; Commit may also return a *TxnConflictError.
 type LeaseStore interface {
 	Get(ctx context.Context, key string) (Entry, error)
 	List(ctx context.Context, prefix string) ([]Entry, int64, error)
+	// ListPage returns the entries of a prefix that follow the key, in the order of their keys, as many as the store returns at once. An
+	// empty key begins with the first one.
+	ListPage(ctx context.Context, prefix, after string) (Page, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (WatchResult, error)
 	// Commit applies the transaction and returns its revision.
 	Commit(ctx context.Context, txn Txn) (int64, error)
--- a/internal/port/owner.go
+++ b/internal/port/owner.go
@@ -63,6 +63,8 @@
 	CPUMilli int64 `cbor:"3,keyasint"`
 	// Zone is the availability zone of the VM.
 	Zone domain.ZoneID `cbor:"4,keyasint"`
+	// MemoryMB is the memory of the VM. It is zero from versions that do not tell it.
+	MemoryMB int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // AnnounceRequest tells the owner that an instance is alive.
--- a/internal/standin/leasestore/store.go
+++ b/internal/standin/leasestore/store.go
@@ -200,6 +200,33 @@
 	return list, s.revision, nil
 }
 
+// Sizes of a page of a list.
+const (
+	MaxPageEntries = 500
+	MaxPageBytes   = 1 << 20
+)
+
+// ListPage implements port.LeaseStore.
+func (s *Store) ListPage(ctx context.Context, prefix, after string) (port.Page, error) {
+	list, revision, err := s.List(ctx, prefix)
+	if err != nil {
+		return port.Page{}, err
+	}
+	page := port.Page{Revision: revision}
+	bytes := 0
+	for _, e := range list {
+		if after != "" && e.Key <= after {
+			continue
+		}
+		if bytes += len(e.Value); len(page.Entries) > 0 && (len(page.Entries) == MaxPageEntries || bytes > MaxPageBytes) {
+			page.More = true
+			break
+		}
+		page.Entries = append(page.Entries, e)
+	}
+	return page, nil
+}
+
 // watchPoll bounds how late the end of a lease is seen by a watch.
 const watchPoll = 20 * time.Millisecond
 
