entry: bound the memory of jobs that are handed in

A body of the permitted 256 KB with 87,000 empty steps allocated 225 MB before it was refused, one of 131,000 wrong references 81 MB, most of it for the list of faults, and nothing bounded how many bodies an instance reads at a time.

Jobs being handed in may take 5 % of the VM's memory, four times their body each; beyond, the caller gets 503 with Retry-After at once (counter refusal.busy). Lists of the product's own interface end at 4,096 entries.

TestBodiesTakeBoundedMemory.

--- a/internal/adapter/cellapi/api.go
+++ b/internal/adapter/cellapi/api.go
@@ -77,6 +77,12 @@
 }
 
 func (a *api) submit(w http.ResponseWriter, r *http.Request, call entry.Call, id domain.JobID) {
+	release, rejection := a.service.ReserveBody(r.ContentLength)
+	if rejection != nil {
+		writeRejection(w, rejection, true)
+		return
+	}
+	defer release()
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.service.MaxBodyBytes()))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -148,6 +154,7 @@
 	entry.NoOwner:        {http.StatusServiceUnavailable, refusal.NotReady, "no instance owns the cell"},
 	entry.JobRefused:     {http.StatusTooManyRequests, refusal.QueueFull, "the job was not accepted"},
 	entry.OutcomeUnknown: {http.StatusGatewayTimeout, refusal.OutcomeUnknown, "the job may have been accepted"},
+	entry.Busy:           {http.StatusServiceUnavailable, refusal.InstanceOverloaded, "the instance has no memory for another job now"},
 }
 
 // writeRejection responds with a refusal. notRun states that the call certainly had no
--- a/internal/app/entry/rejection.go
+++ b/internal/app/entry/rejection.go
@@ -22,10 +22,12 @@
 	JobRefused
 	// OutcomeUnknown means that the job may or may not have been accepted.
 	OutcomeUnknown
+	// Busy means that the jobs being handed in take all the memory that the instance has for them.
+	Busy
 )
 
 var kindNames = [...]string{"not_ready", "queue_unknown", "key_unknown", "configuration_stale", "invalid_request",
-	"job_unknown", "no_owner", "job_refused", "outcome_unknown"}
+	"job_unknown", "no_owner", "job_refused", "outcome_unknown", "busy"}
 
 // String returns the kind's stable name, which appears in logs and metrics.
 func (k RejectionKind) String() string { return kindNames[k] }
--- a/internal/app/entry/service.go
+++ b/internal/app/entry/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -23,6 +24,8 @@
 	Self port.InstanceInfo
 	// MaxConfigAge is the age from which on the configuration no longer decides about calls.
 	MaxConfigAge time.Duration
+	// MaxBodiesBytes bounds the memory of the jobs that callers hand in at a time. Zero means no bound.
+	MaxBodiesBytes int64
 }
 
 const (
@@ -62,6 +65,9 @@
 	log       *zap.Logger
 	metrics   *metrics.Registry
 
+	// bodiesBytes is the memory of the jobs that are being handed in.
+	bodiesBytes atomic.Int64
+
 	mu      sync.Mutex
 	waiting map[domain.QueueID]waitingCount
 }
@@ -180,6 +186,27 @@
 
 const defaultMaxBodyBytes = 256 << 10
 
+// bodyFactor is what a job takes while it is handed in, in sizes of its body: the body, the decoded job, and its copy for the owner.
+const bodyFactor = 4
+
+// ReserveBody reserves memory for a job that is about to be read, of so many bytes or, if that is negative, of any permitted number. The caller
+// calls release once the job is answered.
+func (s *Service) ReserveBody(bytes int64) (release func(), rejection *Rejection) {
+	if most := s.MaxBodyBytes(); bytes < 0 || bytes > most {
+		bytes = most
+	}
+	need := bytes * bodyFactor
+	if s.options.MaxBodiesBytes > 0 && s.bodiesBytes.Add(need) > s.options.MaxBodiesBytes {
+		s.bodiesBytes.Add(-need)
+		return nil, s.reject(Busy, retryAfter, "this instance has no memory for another job now, come back")
+	}
+	return func() {
+		if s.options.MaxBodiesBytes > 0 {
+			s.bodiesBytes.Add(-need)
+		}
+	}, nil
+}
+
 func (s *Service) reject(kind RejectionKind, after time.Duration, remedy string) *Rejection {
 	s.metrics.Counter("refusal." + kind.String()).Inc(1)
 	return &Rejection{Kind: kind, RetryAfter: after, Remedy: remedy}
--- a/internal/app/entry/service_test.go
+++ b/internal/app/entry/service_test.go
@@ -270,3 +270,26 @@
 		})
 	}
 }
+
+// Guards against jobs that are handed in at once and take all of an instance's memory before one of them is decided
+// about: each may be as large as the operators permit.
+func TestBodiesTakeBoundedMemory(t *testing.T) {
+	config := NewConfigWatcher(nil, zap.NewNop(), metrics.New(), func(*port.CellConfig) {})
+	s := NewService(Options{MaxBodiesBytes: 4 * bodyFactor * defaultMaxBodyBytes}, config, nil, nil, zap.NewNop(), metrics.New())
+	var releases []func()
+	for n := range 10 {
+		release, rejection := s.ReserveBody(-1)
+		if (rejection == nil) != (n < 4) || rejection != nil && (rejection.Kind != Busy || rejection.RetryAfter == 0) {
+			t.Fatalf("large body %d: rejection %+v", n, rejection)
+		}
+		if release != nil {
+			releases = append(releases, release)
+		}
+	}
+	releases[0]()
+	for n := range 100 {
+		if _, rejection := s.ReserveBody(1000); rejection != nil {
+			t.Fatalf("ordinary body %d: rejection %+v", n, rejection)
+		}
+	}
+}
--- a/internal/celld/celld.go
+++ b/internal/celld/celld.go
@@ -82,6 +82,8 @@
 	// than gcPercent asks for.
 	memoryLimitShare = 0.6
 	gcPercent        = 200
+	// bodiesMemoryShare is the fraction of the VM's memory for the jobs that callers hand in at a time.
+	bodiesMemoryShare = 0.05
 	// Limits of client and peer connections.
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = cellhttp.IdleTimeout + 5*time.Second
@@ -122,7 +124,7 @@
 	i.config = entry.NewConfigWatcher(a.Config(relay), log, i.metrics, i.configChanged)
 	maxConfigAge := time.Duration(float64(s.Bounds.RevokeMS)*maxConfigAgeShare) * time.Millisecond
 	self := port.InstanceInfo{Instance: s.Instance, Address: s.Listen.Peers, CPUMilli: int64(s.Limits.CPUShare * 1000), Zone: s.Zone, MemoryMB: int64(s.Limits.MemoryMB)}
-	i.service = entry.NewService(entry.Options{Self: self, MaxConfigAge: maxConfigAge}, i.config, i.directory, relay, log, i.metrics)
+	i.service = entry.NewService(entry.Options{Self: self, MaxConfigAge: maxConfigAge, MaxBodiesBytes: int64(float64(s.Limits.MemoryMB<<20) * bodiesMemoryShare)}, i.config, i.directory, relay, log, i.metrics)
 	lease := min(workerLeaseTTL, time.Duration(s.Bounds.MaxLeaseMS)*time.Millisecond*9/10)
 	ttl := max(claimTTL, time.Duration(s.Bounds.MinLeaseMS)*time.Millisecond)
 	i.owner = owner.New(owner.Options{
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"auburnpier/internal/domain"
 	"auburnpier/internal/fault"
@@ -102,6 +103,10 @@
 		l.CheckRange("first_unix_ms", s.FirstUnixMS, 0, math.MaxInt64/4)
 		l.CheckRange("period_ms", s.PeriodMS, 0, math.MaxInt64/4/MaxOccurrences)
 	}
+	if len(s.Steps) > MaxSteps {
+		// The faults of so many steps would take far more memory than the job.
+		return l
+	}
 	for i := range s.Steps {
 		s.Steps[i].validate(&l, i)
 	}
@@ -118,8 +123,10 @@
 	l.CheckRange(path("max_per_worker"), int64(s.MaxPerWorker), 0, MaxTasksPerStep)
 	l.CheckRange(path("disruption_budget"), int64(s.DisruptionBudget), 0, MaxTasksPerStep)
 	l.CheckRange(path("latency_target_ms"), s.LatencyTargetMS, 0, domain.MaxRunTimeMS)
-	for _, after := range s.After {
-		l.CheckRange(path("after"), int64(after), 0, int64(number)-1)
+	if len(s.After) > 0 {
+		// One fault of each kind is enough: a caller may name any number of steps.
+		l.CheckRange(path("after"), int64(slices.Min(s.After)), 0, int64(number)-1)
+		l.CheckRange(path("after"), int64(slices.Max(s.After)), 0, int64(number)-1)
 	}
 }
 
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -100,12 +100,19 @@
 }
 
 // objectList decodes an array of objects. The path of each object ends in its index.
+// maxListEntries bounds a list of objects. An empty one takes three bytes of text, and hundreds once decoded.
+const maxListEntries = 4096
+
 func (d *decoder) objectList(path string, raw json.RawMessage, target reflect.Value) {
 	var entries []json.RawMessage
 	if err := json.Unmarshal(raw, &entries); err != nil {
 		d.add(path, raw, "a list of objects", "write [ { ... } ] here")
 		return
 	}
+	if len(entries) > maxListEntries {
+		d.faults.Add(path, fmt.Sprintf("%d entries", len(entries)), fmt.Sprintf("at most %d", maxListEntries), "make the list shorter")
+		return
+	}
 	target.Set(reflect.MakeSlice(target.Type(), len(entries), len(entries)))
 	for i, entry := range entries {
 		d.value(fmt.Sprintf("%s[%d]", path, i), entry, target.Index(i))
