--- a/internal/core/jobs/memory_test.go
+++ b/internal/core/jobs/memory_test.go
@@ -265,3 +265,35 @@
 	}
 	runtime.KeepAlive(f)
 }
+
+// Guards against writes of many large jobs that take an owner's memory while the store is slow, and against jobs that are
+// left out of a batch for good.
+func TestBatchesOfLargeJobsAreSmall(t *testing.T) {
+	const jobs, jobBytes = 40, 100_000
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 4, ObjectiveMS: 3000}
+	m := New(testConfig(), 0, 1_000_000)
+	for n := range jobs {
+		spec := wideSpec(1, 1)
+		spec.Steps[0].Image = fmt.Sprintf("%0*d", jobBytes, 0)
+		m.Submit(domain.JobID(fmt.Sprintf("%016x", n)), q, "team", &spec)
+	}
+	written := 0
+	for m.HasChanges() {
+		b, err := m.TakeBatch(testBatchEntries)
+		if err != nil || len(b.Jobs) == 0 {
+			t.Fatalf("a batch of %d jobs, error %v", len(b.Jobs), err)
+		}
+		bytes := 0
+		for _, j := range b.Jobs {
+			bytes += len(j.Job) + len(j.State)
+		}
+		if bytes > maxBatchBytes+2*jobBytes {
+			t.Fatalf("a batch of %d KB, want at most %d KB and one job", bytes>>10, maxBatchBytes>>10)
+		}
+		written += len(b.Jobs)
+		m.BatchStored(b)
+	}
+	if written != jobs {
+		t.Errorf("%d of %d jobs were written", written, jobs)
+	}
+}
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -79,6 +79,10 @@
 // maxDeletionsPerBatch leaves most of a batch to jobs that callers wait for.
 const maxDeletionsPerBatch = 8
 
+// maxBatchBytes is the size from which on a batch takes no more jobs. Many writes are under way while the store is slow, and a job may be as
+// large as the operators permit.
+const maxBatchBytes = 256 << 10
+
 // Sizes of a batch, in store entries.
 const (
 	// MinBatchEntries is the minimum size of a batch. It has space for the list of workers, a
@@ -128,11 +132,12 @@
 	m.jobsToDelete = m.jobsToDelete[n:]
 	mostEntries -= deletionEntries * n
 	var left []*job
+	bytes := 0
 	for _, j := range m.unwrittenJobs {
 		if !j.unwritten {
 			continue
 		}
-		if j.writeInFlight || j.entries() > mostEntries {
+		if j.writeInFlight || j.entries() > mostEntries || bytes >= maxBatchBytes {
 			left = append(left, j)
 			continue
 		}
@@ -141,6 +146,7 @@
 			return nil, err
 		}
 		mostEntries -= j.entries()
+		bytes += len(stored.Job) + len(stored.State)
 		j.unwritten, j.maybeStored, j.writeInFlight = false, true, true
 		b.Jobs = append(b.Jobs, stored)
 		b.takenJobs = append(b.takenJobs, takenJob{j, j.version, j.state})
