Admit work by what the team's tasks have taken where estimates are missing or far off

Work without one was free, work with a hundredth of it nearly so; all of a flood at four times the fleet's rate was accepted.

A missing estimate counts as 1 s, in the objective too, until eight runs of the team in the queue have succeeded, and then as their mean. A stated one is corrected by the ratio of actual to estimated durations only if that is off by over a factor of four in either direction: rough estimates decide as before.

--- a/internal/core/jobs/admit.go
+++ b/internal/core/jobs/admit.go
@@ -191,7 +191,7 @@
 	}
 	for _, s := range m.ready {
 		if l, ok := m.loads[s.job.queue.Service]; ok && s.rank <= rankNormal {
-			l.add(s.job.team, s.job.queue.Priority, workOf(s.spec.Need, s.waiting, s.spec.EstimateMS))
+			l.add(s.job.team, s.job.queue.Priority, workOf(s.spec.Need, s.waiting, m.expectedMS(s)))
 		}
 		if l, ok := m.loads[s.job.queue.Service]; ok && s.job.queue.Approval != nil && !s.approvalAnswered {
 			l.addApproval(s.job.team, s.job.queue, m.remainingApprovalMS(s))
@@ -226,7 +226,7 @@
 	l := m.loadOf(j.queue.Service)
 	for i := range j.spec.Steps {
 		if s := &j.spec.Steps[i]; len(s.After) == 0 {
-			l.add(j.team, j.queue.Priority, workOf(s.Need, s.Tasks, s.EstimateMS))
+			l.add(j.team, j.queue.Priority, workOf(s.Need, s.Tasks, m.expectedTaskMS(j.queue, j.team, s)))
 			if j.queue.Approval != nil {
 				l.addApproval(j.team, j.queue, m.statsOf(j.queue).stepMS)
 			}
--- a/internal/core/jobs/admit_test.go
+++ b/internal/core/jobs/admit_test.go
@@ -83,3 +83,42 @@
 		}
 	}
 }
+
+// floodWithEstimate submits four times what the fleet can do for 20 s with the given estimate, and returns how many of 400 jobs are accepted.
+func floodWithEstimate(t *testing.T, takesMS, estimateMS int64) int {
+	f := newFleet(t, 12, domain.Resources{CPUMilli: 16_000, MemoryMB: 32_000})
+	f.taskMS = func(StartOrder) int64 { return takesMS }
+	q := &Queue{Name: "q", Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2, ObjectiveMS: 3000}
+	urgent := *q
+	urgent.Name, urgent.Priority = "urgent", 0
+	f.m.Configure([]Queue{*q, urgent}, nil)
+	accepted := 0
+	for n := range 400 {
+		spec := Spec{Steps: []StepSpec{{Tasks: 4, Need: domain.Resources{CPUMilli: 8000, MemoryMB: 100}, EstimateMS: estimateMS}}}
+		if r := f.submit(domain.JobID(fmt.Sprintf("flood-%d", n)), q, "flood", spec); r.Refusal == NotRefused {
+			accepted++
+		}
+		if n%20 == 0 {
+			one := Spec{Steps: []StepSpec{{Tasks: 1, Need: domain.Resources{CPUMilli: 100, MemoryMB: 1}, EstimateMS: 1000}}}
+			if r := f.submit(domain.JobID(fmt.Sprintf("other-%d", n)), &urgent, "other", one); r.Refusal != NotRefused {
+				t.Errorf("job %d of another team in a more urgent queue refused with %v", n, r.Refusal)
+			}
+		}
+		f.runUntil(f.nowMS + 50)
+	}
+	return accepted
+}
+
+// Guards against accepting work without end because its caller leaves the estimate out or states a hundredth of it: all 400
+// jobs were accepted, where 230 are with the right estimate.
+func TestAdmissionBoundsWrongEstimates(t *testing.T) {
+	const takesMS = 2000
+	right := floodWithEstimate(t, takesMS, takesMS)
+	for name, estimateMS := range map[string]int64{"missing": 0, "a hundredth": takesMS / 100} {
+		accepted := floodWithEstimate(t, takesMS, estimateMS)
+		t.Logf("estimate %s: %d of 400 jobs accepted, %d with the right one", name, accepted, right)
+		if accepted > right {
+			t.Errorf("estimate %s: %d jobs accepted, %d with the right one", name, accepted, right)
+		}
+	}
+}
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -113,6 +113,7 @@
 			h.strikes = 0
 		}
 		m.updateSlowness(r)
+		m.recordDuration(r)
 		return
 	}
 	// If the task has failed before, the task is more likely to be the cause than the worker.
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -111,6 +111,7 @@
 	unwrittenJobs        []*job
 	approvalStats        map[domain.QueueID]*approvalStats
 	approvers            approvals.Pool
+	durations            map[durationKey]*durations
 	// activeTasks is the number of tasks that have a state of their own.
 	activeTasks int
 	memory      memory
@@ -146,6 +147,7 @@
 		listedVMs:       make(map[domain.WorkerID]waves.VMID),
 		knownIDs:        make(map[domain.WorkerID]bool),
 		approvalStats:   make(map[domain.QueueID]*approvalStats),
+		durations:       make(map[durationKey]*durations),
 		imageThrottles:  make(map[string]float64),
 	}
 }
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -163,6 +163,9 @@
 			start = max(start, ends[a])
 		}
 		ends[i] = start + s.EstimateMS
+		if s.EstimateMS == 0 {
+			ends[i] = start + defaultTaskMS
+		}
 		if q.Approval != nil {
 			ends[i] += int64(q.Approval.usualMS())
 		}
