Stop a run without progress only by evidence against its worker

Each stop struck the worker, and all 48 workers were avoided for seconds.

Cause: a run counted as stalled after 1.8 s or 8 % of the estimate. The estimate is a caller's word; the percentage of a task that takes over 180 s changes less often than that.

Now the time without progress comes from what the run itself has shown, else from the fastest run of its step, else from the team's earlier tasks in the queue, else from the estimate. Before a worker is blamed, others are asked: runs of the step that move elsewhere, or other runs that stand still on the worker, speak against the worker; other runs that move on it against the estimate. If none of the step moves on three workers, one of them is tried elsewhere first: a step is often packed on few workers, all of which may stand still. Without any evidence each stop doubles the time for the next, so a sound task of any length ends, at less than twice its time.

--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -34,6 +34,8 @@
 	// gangMembers holds the members of each run of a gang that have started.
 	gangMembers map[gangRunID]map[int]bool
 	violations  []string
+	// percentOf returns the progress that a worker reports of a task that has run for so long. It may be nil.
+	percentOf func(w domain.WorkerID, task TaskID, ageMS int64) int
 	// failRun decides which runs fail, and how long after their start. It is nil if none does.
 	failRun func(StartOrder) (afterMS int64, fails bool)
 	// crashes decides which starts terminate their worker's process. It is nil if none does.
@@ -88,8 +90,9 @@
 }
 
 type fakeRun struct {
-	run  int
-	need domain.Resources
+	run       int
+	need      domain.Resources
+	startedMS int64
 }
 
 type fakeEvent struct {
@@ -374,7 +377,7 @@
 	if f.runningRuns[o.Task]++; f.runningRuns[o.Task] > 1 && !t.step.spec.CopiesAllowed {
 		f.violate("%v runs twice", o.Task)
 	}
-	w.running[o.Task] = fakeRun{o.Run, need}
+	w.running[o.Task] = fakeRun{o.Run, need, f.nowMS}
 	if t.step.spec.LongRunning {
 		return
 	}
@@ -480,6 +483,9 @@
 		r := WorkerReport{Worker: w.id, StartedMS: w.startedMS, SentMS: sent, ReceivedMS: f.nowMS, ClockMS: f.nowMS + 5000}
 		for id, run := range w.running {
 			row := RunReport{Task: id, Run: run.run, Percent: int(f.nowMS/50) % 100}
+			if f.percentOf != nil {
+				row.Percent = f.percentOf(w.id, id, f.nowMS-run.startedMS)
+			}
 			if f.interference != nil {
 				row.Percent, row.Measure = fullSpeed, f.interference.measure(f, w, id)
 			}
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -143,15 +143,8 @@
 	w.slowness += (ratio - w.slowness) * slownessWeight
 }
 
-// Parameters of stall detection.
-const (
-	// A run is stalled after minStallMS without progress and minStallPercent of its estimated
-	// duration, in which its reported percentage should have changed several times.
-	minStallMS      = 1800
-	minStallPercent = 8
-	// runCheckIntervalMS is the interval at which runs are checked.
-	runCheckIntervalMS = 200
-)
+// runCheckIntervalMS is the interval at which runs are checked.
+const runCheckIntervalMS = 200
 
 // checkRuns resends unanswered stop orders, and stops runs that stall or have to leave their
 // worker.
@@ -198,23 +191,7 @@
 	if r.phase != runConfirmed || s.spec.LongRunning || s.spec.BestEffort || !r.reported {
 		return
 	}
-	stallMS := max(int64(minStallMS), s.spec.EstimateMS*minStallPercent/100)
-	progressMS := r.progressMS
-	if s.spec.Gang {
-		// A member that has finished its part waits for the others.
-		progressMS = s.lastProgressMS()
-	}
-	// Reports may be rarer than progress, so compare with the time of the last report.
-	if w.lastReportMS-progressMS < stallMS {
-		return
-	}
-	if s.spec.Gang {
-		m.stopStep(s, "no progress")
-	} else {
-		w.health.addStrike(m.nowMS)
-		m.out.recordWorker("worker_avoided", w.id, "a run made no progress")
-		m.stopRun(r, "no progress")
-	}
+	m.checkProgress(w, r)
 }
 
 // mustLeaveDraining reports whether a run should be stopped because its worker is draining: it is
@@ -231,17 +208,6 @@
 	return r.task.step.spec.EstimateMS * int64(100-min(r.percent, 100)) / 100
 }
 
-// lastProgressMS returns when a member of the gang last reported progress.
-func (s *step) lastProgressMS() int64 {
-	last := int64(0)
-	for _, t := range s.active {
-		for _, r := range t.runs {
-			last = max(last, r.progressMS)
-		}
-	}
-	return last
-}
-
 // stopStep stops all runs of a step.
 func (m *Machine) stopStep(s *step, reason string) {
 	for _, t := range s.active {
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -89,6 +89,11 @@
 	// gangMemberEnded is set once a member of the current run has ended.
 	gangMemberEnded bool
 	gangPlacedMS    int64
+	// stallDoublings is how often the time without progress after which a run is stalled has been doubled.
+	stallDoublings int
+	// trial is the task that is tried on another worker because none of the step makes progress, trialMS when it was stopped.
+	trial   *task
+	trialMS int64
 	// isolatedTasks is the number of tasks that run apart because workers terminated under them.
 	isolatedTasks  int
 	tasksPerWorker map[domain.WorkerID]int
@@ -175,6 +180,8 @@
 	formerAbandonedRun int
 	checkpoint         string
 	runs               []*run
+	// stalled is set once a run was stopped for lack of progress.
+	stalled bool
 	// notBeforeMS delays the next run.
 	notBeforeMS int64
 }
@@ -212,13 +219,16 @@
 	startLimitClockMS int64
 	// reported is set once a report of the worker has listed the run, and endLeftOut if the last report was full
 	// and the run's end is among those that it left out.
-	reported    bool
-	endLeftOut  bool
-	percent     int
-	progressMS  int64
-	stopSentMS  int64
-	reason      string
-	resendsLeft int
+	reported   bool
+	endLeftOut bool
+	percent    int
+	progressMS int64
+	// firstPercent and firstReportMS are of the first report that lists the run here.
+	firstPercent  int
+	firstReportMS int64
+	stopSentMS    int64
+	reason        string
+	resendsLeft   int
 	// measure is the last reported tail latency in ms of a serving task, zero if unknown.
 	measure int64
 	// throttle is the percentage of full speed that the worker has confirmed, and
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -248,6 +248,9 @@
 		r.phase = runConfirmed
 		r.confirmedMS = m.nowMS
 	}
+	if r.firstReportMS == 0 {
+		r.firstPercent, r.firstReportMS = row.Percent, m.nowMS
+	}
 	r.reported = true
 	r.measure = row.Measure
 	if row.Checkpoint != "" {
