Blame a failed run on its step or its worker by evidence

Cause: each failed run counted against its worker; two kept it out for 2.5, 5 and then 10 s. Failures of tasks that last never had the lower weight of repeated ones, they never succeed, and nothing bounded the share of workers that are avoided.

Now a step whose runs have failed on three workers is the cause, unless one of its runs has succeeded since or lasts clearly longer than the failed one did, or the worker fails other steps' runs too; such a failure neither strikes nor doubts the worker. Whatever the evidence, at most half of a service's workers are avoided for failures at a time (worker_not_avoided).

The model's tasks that last could not fail; now they can.

--- a/internal/core/jobs/fake_test.go
+++ b/internal/core/jobs/fake_test.go
@@ -378,15 +378,15 @@
 		f.violate("%v runs twice", o.Task)
 	}
 	w.running[o.Task] = fakeRun{o.Run, need, f.nowMS}
-	if t.step.spec.LongRunning {
-		return
-	}
 	if f.failRun != nil {
 		if afterMS, fails := f.failRun(o); fails {
 			f.after(afterMS, func() { f.end(w, o.Task, o.Run, EndFailed) })
 			return
 		}
 	}
+	if t.step.spec.LongRunning {
+		return
+	}
 	if t.step.spec.Gang {
 		f.runGangMember(w, o, t.step.spec.Tasks)
 		return
--- a/internal/core/jobs/health.go
+++ b/internal/core/jobs/health.go
@@ -15,6 +15,11 @@
 	lastSuccessMS int64
 	// strikes is the number of successive avoidances. Each doubles the next one's duration.
 	strikes int
+	// failedStep is the step whose run failed last, if none has succeeded since, and severalFailed is set if runs of others have, too.
+	failedStep    StepID
+	severalFailed bool
+	// struckUntilMS is when the avoidance for failures ends.
+	struckUntilMS int64
 }
 
 // Parameters of worker health.
@@ -33,6 +38,14 @@
 	provenMS    = 3000
 	avoidBaseMS = 2500
 	avoidMaxMS  = 12_000
+	// maxAvoidedShare is the share of a service's workers that are avoided for failures at most. Beyond, the work is more likely to be the
+	// cause, and workers are only doubted.
+	maxAvoidedShare = 0.5
+	// minFailingWorkers is the number of workers on which runs of a step have failed from which on the step is taken for the cause, unless
+	// one of its runs has succeeded since, or lasts longer than the failed ones did.
+	minFailingWorkers = 3
+	// provenRunMS is how much longer than twice the time of a failed run another run of its step has lasted that proves the step.
+	provenRunMS = 500
 	// slownessWeight is the weight of the newest run in the smoothed slowness.
 	slownessWeight = 0.25
 )
@@ -54,11 +67,31 @@
 
 func (h *health) addStrike(nowMS int64) {
 	h.strikes = min(h.strikes+1, 3)
-	h.avoidFor(nowMS, min(avoidMaxMS, int64(avoidBaseMS)<<(h.strikes-1)))
+	h.struckUntilMS = nowMS + min(avoidMaxMS, int64(avoidBaseMS)<<(h.strikes-1))
+	h.avoidUntilMS = max(h.avoidUntilMS, h.struckUntilMS)
 	h.failures = 0
 	h.failuresInRow = 0
 }
 
+// avoid gives the worker no new work for a while, unless too many of its service are avoided already.
+func (m *Machine) avoid(w *worker, why string) {
+	struck, all := 0, 0
+	for _, other := range m.sortedWorkers {
+		if other.service == w.service && other.registered {
+			all++
+			if m.nowMS < other.health.struckUntilMS {
+				struck++
+			}
+		}
+	}
+	if float64(struck+1) > maxAvoidedShare*float64(all) && all > 1 {
+		m.out.recordWorker("worker_not_avoided", w.id, "too many workers are avoided")
+		return
+	}
+	w.health.addStrike(m.nowMS)
+	m.out.recordWorker("worker_avoided", w.id, why)
+}
+
 // doubted reports whether the worker may fail what it starts: its last run failed, or many recent
 // ones did.
 func (h *health) doubted(nowMS int64) bool {
@@ -106,6 +139,8 @@
 	h := &w.health
 	h.decay(m.nowMS)
 	if kind == EndSucceeded {
+		r.task.step.failedOn = nil
+		h.failedStep, h.severalFailed = StepID{}, false
 		h.successes++
 		h.failuresInRow = 0
 		h.lastSuccessMS = m.nowMS
@@ -116,6 +151,10 @@
 		m.recordDuration(r)
 		return
 	}
+	if m.failsEverywhere(r) {
+		m.out.recordRun("step_fails_everywhere", r, "")
+		return
+	}
 	// If the task has failed before, the task is more likely to be the cause than the worker.
 	weight := 1.0
 	if len(r.task.failedRuns)+len(r.task.step.gangFailedRuns) > 0 {
@@ -125,9 +164,33 @@
 	h.failuresInRow += weight
 	h.lastFailureMS = m.nowMS
 	if h.failuresInRow >= minFailuresToAvoid || h.failures >= minFailuresToAvoid && h.failures > h.successes {
-		h.addStrike(m.nowMS)
-		m.out.recordWorker("worker_avoided", w.id, "too many failed runs")
+		m.avoid(w, "too many failed runs")
+	}
+}
+
+// failsEverywhere notes a failed run, and reports whether its step rather than its worker is the cause: runs of the step have failed on several
+// workers, none shows that it can do better, and those of other steps do not fail on the worker.
+func (m *Machine) failsEverywhere(r *run) bool {
+	s, h := r.task.step, &r.worker.health
+	id := r.task.id().StepOf()
+	h.severalFailed = h.severalFailed || h.failedStep != StepID{} && h.failedStep != id
+	h.failedStep = id
+	if len(s.failedOn) < minFailingWorkers && !slices.Contains(s.failedOn, r.worker.id) {
+		s.failedOn = append(s.failedOn, r.worker.id)
+	}
+	if len(s.failedOn) < minFailingWorkers || h.severalFailed {
+		return false
+	}
+	leastMS := provenRunMS + 2*(m.nowMS-r.placedMS)
+	for _, t := range s.active {
+		for _, other := range t.runs {
+			if other.phase == runConfirmed && m.nowMS-other.confirmedMS >= leastMS {
+				s.failedOn = nil
+				return false
+			}
+		}
 	}
+	return true
 }
 
 // updateSlowness updates the worker's slowness by the ratio of the run's duration to the
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -89,6 +89,8 @@
 	// gangMemberEnded is set once a member of the current run has ended.
 	gangMemberEnded bool
 	gangPlacedMS    int64
+	// failedOn are workers on which runs of the step have failed since one has succeeded, as many as prove that the step is the cause.
+	failedOn []domain.WorkerID
 	// stallDoublings is how often the time without progress after which a run is stalled has been doubled.
 	stallDoublings int
 	// trial is the task that is tried on another worker because none of the step makes progress, trialMS when it was stopped.
--- a/internal/core/jobs/stall.go
+++ b/internal/core/jobs/stall.go
@@ -72,8 +72,7 @@
 			// It has stalled on another worker before.
 			s.doubleStall()
 		}
-		w.health.addStrike(m.nowMS)
-		m.out.recordWorker("worker_avoided", w.id, "a run made no progress")
+		m.avoid(w, "a run made no progress")
 		r.task.stalled = true
 		m.stopRun(r, "no progress")
 	}
