Refuse a gang that is wider than the whole fleet

Its width is its caller's; a gang of which each task fits a worker, and all never do at once, was accepted and held room for good. It is refused at once as never_fits, with how many of its tasks fit the empty workers.

TestGangWiderThanFleetIsRefused: accepted before in two cases, refused after; a gang as wide as the fleet is accepted and runs.

--- a/internal/core/jobs/samerack_test.go
+++ b/internal/core/jobs/samerack_test.go
@@ -92,3 +92,32 @@
 		})
 	}
 }
+
+// Guards against a gang that is accepted although it is wider than the whole fleet: each of its tasks fits a worker, but all
+// of them never do at once.
+func TestGangWiderThanFleetIsRefused(t *testing.T) {
+	f := newFleet(t, 4, domain.Resources{CPUMilli: 8000, MemoryMB: 8000})
+	q := &Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, ObjectiveMS: 3000}
+	f.taskMS = func(StartOrder) int64 { return 500 }
+	for name, c := range map[string]struct {
+		step    StepSpec
+		refusal Refusal
+	}{
+		"as wide as the fleet":  {StepSpec{Tasks: 16, Gang: true}, NotRefused},
+		"one wider":             {StepSpec{Tasks: 17, Gang: true}, RefusedNeverFits},
+		"few per worker":        {StepSpec{Tasks: 5, Gang: true, MaxPerWorker: 1}, RefusedNeverFits},
+		"wider, but no gang":    {StepSpec{Tasks: 17}, NotRefused},
+		"wider and best-effort": {StepSpec{Tasks: 17, Gang: true, BestEffort: true}, NotRefused},
+	} {
+		c.step.Need, c.step.EstimateMS = domain.Resources{CPUMilli: 2000}, 500
+		r := f.submit(domain.JobID(name), q, "team", Spec{Steps: []StepSpec{c.step}})
+		if r.Refusal != c.refusal || r.Refusal != NotRefused && r.RetryAfterMS == 0 {
+			t.Errorf("%s: refusal %v, retry after %d ms, want %v", name, r.Refusal, r.RetryAfterMS, c.refusal)
+		}
+	}
+	f.runUntil(f.nowMS + 20_000)
+	f.check()
+	if len(f.completed) != 3 {
+		t.Errorf("%d of the 3 accepted jobs have completed", len(f.completed))
+	}
+}
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -181,15 +181,36 @@
 	known := slices.ContainsFunc(m.sortedWorkers, func(w *worker) bool { return w.service == q.Service })
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
-		refusal := m.refuseStep(q, s)
-		if known && refusal != NotRefused {
+		if !known {
+			continue
+		}
+		if refusal := m.refuseStep(q, s); refusal != NotRefused {
 			return refusal, fmt.Sprintf("no worker fits step %d: %d milli-cores, %d MB, %d accelerators, label %q",
 				i, s.Reserved().CPUMilli, s.Reserved().MemoryMB, s.Reserved().Accelerators, s.Label)
 		}
+		if fitting := m.countFittingGang(q, s); s.Gang && fitting < s.Tasks {
+			return RefusedNeverFits, fmt.Sprintf("%d of the %d tasks of gang %d fit the empty workers at once", fitting, s.Tasks, i)
+		}
 	}
 	return NotRefused, ""
 }
 
+// countFittingGang returns how many tasks of a gang fit the workers of the service at once while nothing else runs.
+func (m *Machine) countFittingGang(q *Queue, s *StepSpec) int {
+	need, fitting := s.Reserved(), 0
+	for _, w := range m.sortedWorkers {
+		if w.service != q.Service || !need.Fits(w.capacity) || !w.hasLabel(s.Label) {
+			continue
+		}
+		n := fitsIn(need, w.capacity, s.Tasks)
+		if s.MaxPerWorker > 0 {
+			n = min(n, s.MaxPerWorker)
+		}
+		fitting += n
+	}
+	return fitting
+}
+
 func (m *Machine) refuseStep(q *Queue, s *StepSpec) Refusal {
 	need, refusal := s.Reserved(), RefusedNeverFits
 	for _, w := range m.sortedWorkers {
