jobs: pause after a failed read of a parked job

A store that turns reads away at once was asked 320 times a second for parked jobs, one each 3 ms; now the next ones follow half a second after a failure. Found by reading the change.

--- a/internal/core/jobs/memory.go
+++ b/internal/core/jobs/memory.go
@@ -169,6 +169,7 @@
 }
 
 func (m *Machine) memoryView() MemoryView {
-	return MemoryView{Admitted: m.memory.open.admitted + m.memory.ended, Held: m.memory.open.held + m.memory.ended + int64(m.parked.count)*parkedJobBytes, Limit: share(m.memory.leastBytes, jobsMemoryShare),
-		ActiveTasks: m.activeTasks, ParkedJobs: m.parked.count}
+	parkedBytes := int64(m.parked.count) * parkedJobBytes
+	return MemoryView{Admitted: m.memory.open.admitted + m.memory.ended, Held: m.memory.open.held + m.memory.ended + parkedBytes,
+		Limit: share(m.memory.leastBytes, jobsMemoryShare), ActiveTasks: m.activeTasks, ParkedJobs: m.parked.count}
 }
--- a/internal/core/jobs/parked.go
+++ b/internal/core/jobs/parked.go
@@ -16,9 +16,10 @@
 	queue []*job
 	// failed holds the demanded jobs that could not be read.
 	failed []*job
-	// loading is the number of jobs that are being read, plannedMS when the next ones were last chosen.
+	// loading is the number of jobs that are being read, loadingBytes what they take then.
 	loading, loadingBytes int64
-	plannedMS             int64
+	// nextMS is when the next ones are chosen.
+	nextMS int64
 }
 
 // parking is the state of a parked job.
@@ -35,6 +36,8 @@
 	maxLoading = 16
 	// loadIntervalMS is the time between two choices of jobs to load.
 	loadIntervalMS = 50
+	// loadRetryMS is the least time after a failed read before others are begun.
+	loadRetryMS = 500
 	// minLoadShare is the least part of the memory for jobs that loaded ones may take beside the states of parked ones.
 	minLoadShare = 0.25
 )
@@ -121,10 +124,10 @@
 // job may run there unnoticed, but none of its tasks would be started either.
 func (m *Machine) planLoads() {
 	p := &m.parked
-	if p.count == 0 || m.nowMS-p.plannedMS < loadIntervalMS {
+	if p.count == 0 || m.nowMS < p.nextMS {
 		return
 	}
-	p.plannedMS = m.nowMS
+	p.nextMS = m.nowMS + loadIntervalMS
 	for _, j := range p.failed {
 		m.startLoading(j)
 	}
@@ -194,6 +197,7 @@
 		return
 	}
 	m.endLoading(j.parking)
+	m.parked.nextMS = m.nowMS + loadRetryMS
 	if j.parking.demanded {
 		m.parked.failed = append(m.parked.failed, j)
 		return
