--- a/internal/app/owner/memory_test.go
+++ b/internal/app/owner/memory_test.go
@@ -30,7 +30,8 @@
 	wide := func(steps int) jobs.Spec {
 		var spec jobs.Spec
 		for range steps {
-			spec.Steps = append(spec.Steps, jobs.StepSpec{Tasks: jobs.MaxTasksPerStep, Need: domain.Resources{CPUMilli: 500, MemoryMB: 100}})
+			// So short that the fleet could do them in time.
+			spec.Steps = append(spec.Steps, jobs.StepSpec{Tasks: jobs.MaxTasksPerStep, Need: domain.Resources{CPUMilli: 500, MemoryMB: 100}, EstimateMS: 1})
 		}
 		return spec
 	}
