jobs, owner: no work where its result is not needed

Found by reading the change as a whole; behaviour stays as it is.

- checkProgress computed the time without progress of each run each 200 ms, which goes over all runs of its step; it is at least 1.8 s, so runs that have moved since need no more than that.
- Each step of each submission went over all workers for the width of a gang that it is not.
- The least memory was kept twice, by the owner's term and by its machine, which takes the smaller one anyway.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -49,9 +49,6 @@
 	pendingCancels map[domain.JobID][]func(port.CancelReply, error)
 	polls          map[domain.WorkerID]*pollState
 	instances      liveInstances
-	// leastMemoryMB is the memory of the smallest VM of the instances that have announced themselves in this term. Any of them may own the
-	// cell next, also one that is away for a moment.
-	leastMemoryMB int64
 	// approversVersion is the version of the instance list that the machine has been given.
 	approversVersion int64
 	pollGroups       pollGroups
--- a/internal/app/owner/instances.go
+++ b/internal/app/owner/instances.go
@@ -69,15 +69,6 @@
 	slices.SortFunc(l.list, func(a, b *liveInstance) int { return strings.Compare(a.host.Address, b.host.Address) })
 }
 
-// noteMemory bounds the memory of jobs by that of the smallest VM. Zero means that it is not known.
-func (c *Cell) noteMemory(mb int64) {
-	if mb <= 0 || c.leastMemoryMB > 0 && mb >= c.leastMemoryMB {
-		return
-	}
-	c.leastMemoryMB = mb
-	c.machine.SetLeastMemory(mb << 20)
-}
-
 // hosts lists the instances that have announced themselves recently.
 func (l *liveInstances) hosts(now int64) []port.InstanceInfo {
 	l.expire(now)
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -201,7 +201,10 @@
 	return callLoop(ctx, c, func(reply func(port.AnnounceReply, error)) {
 		now := steady.NowMS()
 		c.instances.announce(h.Instance, c.peers)
-		c.noteMemory(h.Instance.MemoryMB)
+		// Any instance may own the cell next, also one that is away for a moment. Zero means that its memory is not known.
+		if mb := h.Instance.MemoryMB; mb > 0 {
+			c.machine.SetLeastMemory(mb << 20)
+		}
 		c.instances.expire(now)
 		r := port.AnnounceReply{Version: c.term.epoch<<versionBits + c.instances.changes, NextAnnounceMS: c.instances.announceIntervalMS()}
 		if r.Version != h.KnownVersion {
--- a/internal/core/jobs/stall.go
+++ b/internal/core/jobs/stall.go
@@ -35,14 +35,19 @@
 // may be missing or far off, so each stop of a step without proof against the worker doubles the time after which the next one follows.
 func (m *Machine) checkProgress(w *worker, r *run) {
 	s := r.task.step
-	stallMS := m.stallMS(r)
 	progressMS := r.progressMS
 	if s.spec.Gang {
 		// A member that has finished its part waits for the others.
 		progressMS = s.lastProgressMS()
 	}
 	// Reports may be rarer than progress, so compare with the time of the last report.
-	if w.lastReportMS-progressMS < stallMS {
+	idleMS := w.lastReportMS - progressMS
+	if idleMS < minStallMS {
+		return
+	}
+	// This goes over all runs of the step.
+	stallMS := m.stallMS(r)
+	if idleMS < stallMS {
 		return
 	}
 	if s.spec.Gang {
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -188,7 +188,10 @@
 			return refusal, fmt.Sprintf("no worker fits step %d: %d milli-cores, %d MB, %d accelerators, label %q",
 				i, s.Reserved().CPUMilli, s.Reserved().MemoryMB, s.Reserved().Accelerators, s.Label)
 		}
-		if fitting := m.countFittingGang(q, s); s.Gang && fitting < s.Tasks {
+		if !s.Gang {
+			continue
+		}
+		if fitting := m.countFittingGang(q, s); fitting < s.Tasks {
 			return RefusedNeverFits, fmt.Sprintf("%d of the %d tasks of gang %d fit the empty workers at once", fitting, s.Tasks, i)
 		}
 	}
