--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -32,7 +32,113 @@
 	r.checkTwice()
 }
 
-func crashes(*rig)            {}
-func otherKind(*rig)          {}
-func limitAfterTakeover(*rig) {}
-func bigConfig(*rig)          {}
+// crashes: workers crash three times under a task that never fails.
+func crashes(r *rig) {
+	const crashCount, downFor = 3, 1500 * time.Millisecond
+	r.configure(7, 5, resources{}, 0)
+	for n := range 8 {
+		r.workers = append(r.workers, newWorker(r, workerName(n), "a", resources{CPU: 16000, MemMB: 32768}))
+	}
+	for range 3 {
+		r.addInstance(nil).start()
+	}
+	r.awaitReady(10 * time.Second)
+	time.Sleep(2 * time.Second)
+	id := jobID(1)
+	r.submit(id, map[string]any{"spec": "work_ms=6000", "steps": []map[string]any{{"count": 1, "cpu": 4500, "mem_mb": 8000, "estimate_ms": 6000}}})
+	task := id + ".0.0.0"
+	for n := range crashCount {
+		w := r.awaitRun(task, n+1)
+		time.Sleep(2 * time.Second)
+		if !r.trouble {
+			break
+		}
+		w.crash()
+		time.Sleep(downFor)
+		w.start()
+		r.note("worker %s is up again", w.id)
+	}
+	states := r.awaitStates([]string{id}, 40*time.Second)
+	r.mu.Lock()
+	failed := r.task(task).failed
+	r.mu.Unlock()
+	if failed == 0 && states[id] != "completed" {
+		r.breaks("LOST: job %s is shown as %s; no run of its task has ended failed", id, states[id])
+	}
+}
+
+// awaitRun waits until the task has been started so many times, and returns the worker of the last start.
+func (r *rig) awaitRun(task string, starts int) *worker {
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		r.mu.Lock()
+		list := r.task(task).starts
+		r.mu.Unlock()
+		if len(list) < starts {
+			continue
+		}
+		for _, w := range r.workers {
+			if w.id == list[len(list)-1].worker {
+				return w
+			}
+		}
+	}
+	r.fail("task %s was not started %d times", task, starts)
+	return nil
+}
+
+// otherKind: a worker crashes and starts again under its ID as another kind. It registers with its first heartbeat.
+func otherKind(r *rig) {
+	const label = "a"
+	r.configure(7, 5, resources{}, 0)
+	for n := range 8 {
+		r.workers = append(r.workers, newWorker(r, workerName(n), label, resources{CPU: 16000, MemMB: 32768}))
+	}
+	for range 3 {
+		r.addInstance(nil).start()
+	}
+	r.awaitReady(10 * time.Second)
+	time.Sleep(2 * time.Second)
+	var ids []string
+	submitted := make(chan struct{})
+	go func() {
+		defer close(submitted)
+		for n := range 80 {
+			id := jobID(n)
+			ids = append(ids, id)
+			r.submit(id, map[string]any{"spec": "work_ms=800", "steps": []map[string]any{{"count": 4, "cpu": 2000, "mem_mb": 256, "estimate_ms": 800, "requires": label}}})
+			time.Sleep(60 * time.Millisecond)
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	if r.trouble {
+		w := r.workers[0]
+		w.crash()
+		time.Sleep(300 * time.Millisecond)
+		w.mu.Lock()
+		w.kind, w.registers = "b", false
+		w.mu.Unlock()
+		w.start()
+		r.note("worker %s is up again as kind b", w.id)
+		time.Sleep(heartbeat / 2)
+		w.mu.Lock()
+		w.register()
+		w.registers = true
+		w.mu.Unlock()
+		r.note("worker %s has registered as kind b", w.id)
+	}
+	<-submitted
+	r.awaitStates(ids, 30*time.Second)
+	r.mu.Lock()
+	var found []string
+	for name, t := range r.tasks {
+		for _, s := range t.starts {
+			if s.kind != label {
+				found = append(found, name+" on "+s.worker)
+			}
+		}
+	}
+	r.mu.Unlock()
+	for _, f := range found {
+		r.breaks("ROUTE: started %s without the label %q", f, label)
+	}
+}
--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -66,6 +66,7 @@
 	at     time.Time
 	worker string
 	run    int
+	kind   string
 }
 
 // doneRecord is an end of kind done. taken is when it was taken note of.
@@ -123,7 +124,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.task(run.task)
-	t.starts = append(t.starts, startRecord{run.started, w.id, run.number})
+	t.starts = append(t.starts, startRecord{run.started, w.id, run.number, w.kind})
 	t.live[w.id] = run
 }
 
@@ -448,7 +449,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig){"recurring": recurring, "crashes": crashes, "otherkind": otherKind, "limit": limitAfterTakeover, "bigconfig": bigConfig}
+	cases := map[string]func(*rig){"recurring": recurring, "crashes": crashes, "otherkind": otherKind}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD, in the root of the repository")
 		os.Exit(exitFailed)
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -37,7 +37,9 @@
 	capacity resources
 	server   *http.Server
 	up       bool
-	born     time.Time
+	// registers is set unless the script registers the life itself.
+	registers bool
+	born      time.Time
 	// clockBase is what the worker's clock shows at its start.
 	clockBase int64
 	seq       int64
@@ -73,7 +75,7 @@
 }
 
 func newWorker(r *rig, name, kind string, capacity resources) *worker {
-	w := &worker{rig: r, id: name, addr: freeAddress(), kind: kind, capacity: capacity}
+	w := &worker{rig: r, id: name, addr: freeAddress(), kind: kind, capacity: capacity, registers: true}
 	w.start()
 	go func() {
 		for range time.Tick(5 * time.Millisecond) {
@@ -85,7 +87,7 @@
 	go func() {
 		for range time.Tick(heartbeat) {
 			w.mu.Lock()
-			if w.up && !w.mute {
+			if w.up && !w.mute && w.registers {
 				w.register()
 			}
 			w.mu.Unlock()
