--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -142,3 +142,51 @@
 		r.breaks("ROUTE: started %s without the label %q", f, label)
 	}
 }
+
+// lateOrder: a start order gets no answer and is carried out 10 s later, by the next life of its worker.
+func lateOrder(r *rig) {
+	const delay, crashAfter, downFor = 10 * time.Second, 6 * time.Second, 500 * time.Millisecond
+	r.configure(7, 5, resources{}, 0)
+	for n := range 8 {
+		kind := "b"
+		if n == 0 {
+			kind = "a"
+		}
+		r.workers = append(r.workers, newWorker(r, workerName(n), kind, resources{CPU: 16000, MemMB: 32768}))
+	}
+	for range 3 {
+		r.addInstance(nil).start()
+	}
+	r.awaitReady(10 * time.Second)
+	time.Sleep(6 * time.Second)
+	if r.trouble {
+		for _, w := range r.workers {
+			w.mu.Lock()
+			w.holdStart = delay
+			w.mu.Unlock()
+		}
+	}
+	id := jobID(1)
+	r.submit(id, map[string]any{"spec": "work_ms=12000", "steps": []map[string]any{{"count": 1, "cpu": 4500, "mem_mb": 8000, "estimate_ms": 12000}}})
+	w := r.awaitRun(id+".0.0.0", 1)
+	for _, other := range r.workers {
+		other.mu.Lock()
+		other.holdStart = 0
+		other.mu.Unlock()
+	}
+	// Work on another worker, beside which the scheduler likes to place the next task.
+	r.submit(jobID(2), map[string]any{"spec": "work_ms=20000", "steps": []map[string]any{{"count": 1, "cpu": 11000, "mem_mb": 8000, "estimate_ms": 20000, "requires": "b"}}})
+	began := time.Now()
+	for n := range 24 {
+		r.submit(jobID(10+n), map[string]any{"spec": "work_ms=500", "steps": []map[string]any{{"count": 1, "cpu": 500, "mem_mb": 64, "estimate_ms": 500, "requires": "b"}}})
+	}
+	if r.trouble {
+		time.Sleep(crashAfter - time.Since(began))
+		w.crash()
+		time.Sleep(downFor)
+		w.start()
+		r.note("worker %s is up again", w.id)
+	}
+	r.awaitStates([]string{id}, 60*time.Second)
+	r.checkTwice()
+}
--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -124,6 +125,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.task(run.task)
+	for id, other := range t.live {
+		text := fmt.Sprintf("TWICE: task %s: run %d starts on %s while run %d is on %s, which is up", run.task, run.number, w.id, other.number, id)
+		r.broken = append(r.broken, text)
+		r.noteLocked("BROKEN %s", text)
+	}
 	t.starts = append(t.starts, startRecord{run.started, w.id, run.number, w.kind})
 	t.live[w.id] = run
 }
@@ -204,13 +210,17 @@
 	exited                                chan struct{}
 }
 
+// freeAddress returns an address that nobody listens on, outside the range from which outgoing connections take their ports.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(scriptError{err.Error()})
+	const lowest, ports = 12_000, 18_000
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports))
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	panic(scriptError{"no port is free"})
 }
 
 // addInstance writes the settings of an instance. link wraps its connections to the store, and may be nil.
@@ -449,7 +459,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig){"recurring": recurring, "crashes": crashes, "otherkind": otherKind}
+	cases := map[string]func(*rig){"recurring": recurring, "crashes": crashes, "otherkind": otherKind, "lateorder": lateOrder}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD, in the root of the repository")
 		os.Exit(exitFailed)
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -6,6 +6,7 @@
 	"hash/crc32"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +53,8 @@
 	lastEnd   int64
 	seen      int64
 	news      chan struct{}
+	// holdStart is how long the next start order is held on its way. It gets no answer, and is carried out by the life that is up then.
+	holdStart time.Duration
 	// mute leaves calls without an answer and does nothing for them, as behind a cut.
 	mute bool
 }
@@ -210,6 +213,9 @@
 		answer(rw, http.StatusMisdirectedRequest, map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli()})
 		return
 	}
+	if req.URL.Path == "/run-start" && w.holdStart > 0 {
+		w.holdOrder(req, c)
+	}
 	if c.Fence < w.fence {
 		w.refuse(rw, "fence")
 		return
@@ -219,6 +225,33 @@
 	f(rw, req, c)
 }
 
+// holdOrder holds a start order on its way and delivers it later. The caller gets no answer.
+func (w *worker) holdOrder(req *http.Request, c call) {
+	delay := w.holdStart
+	w.holdStart = 0
+	w.rig.note("held   start of %s run %d on its way to %s, until_ms %d, clock %d", c.Task, c.Run, w.id, c.UntilMS, w.clock())
+	time.AfterFunc(delay, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.up {
+			return
+		}
+		w.rig.note("late   start of %s run %d reaches %s, clock %d", c.Task, c.Run, w.id, w.clock())
+		if c.Fence < w.fence {
+			return
+		}
+		w.fence = c.Fence
+		w.advance()
+		reply := httptest.NewRecorder()
+		w.startRun(reply, nil, c)
+		w.rig.note("late   start of %s run %d gave %d %s", c.Task, c.Run, reply.Code, strings.TrimSpace(reply.Body.String()))
+	})
+	w.mu.Unlock()
+	<-req.Context().Done()
+	w.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
 func (w *worker) refuse(rw http.ResponseWriter, reason string) {
 	answer(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli(), "reason": reason})
 }
