--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -459,7 +460,7 @@
 }
 
 func main() {
-	cases := map[string]func(*rig){"recurring": recurring, "crashes": crashes, "otherkind": otherKind, "lateorder": lateOrder}
+	cases := map[string]func(*rig){"recurring": recurring, "otherkind": otherKind, "lateorder": lateOrder}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD, in the root of the repository")
 		os.Exit(exitFailed)
@@ -469,6 +470,13 @@
 		program = filepath.Join("target", "auburnpierd")
 	}
 	r := newRig(program, os.Args[2], os.Getenv("TROUBLE") != "0")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		r.end()
+		os.Exit(exitFailed)
+	}()
 	os.Exit(r.play(cases[os.Args[1]]))
 }
 
