--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -84,7 +84,7 @@
 		w.mu.Unlock()
 		w.start()
 		r.note("worker %s is up again as kind b", w.id)
-		time.Sleep(heartbeat / 2)
+		time.Sleep(heartbeat * 4 / 5)
 		w.mu.Lock()
 		w.register()
 		w.registers = true
