--- a/review/standins-3/rig.go
+++ b/review/standins-3/rig.go
@@ -36,7 +36,7 @@
 	exitFailed = 2
 )
 
-// errorf ends a script that could not run.
+// scriptError ends a script that could not run.
 type scriptError struct{ text string }
 
 // rig is one deployment.
@@ -57,11 +57,9 @@
 
 // taskRecord is what the workers saw of one task.
 type taskRecord struct {
-	live    map[string]*taskRun
-	starts  []startRecord
-	done    []doneRecord
-	failed  int
-	lastWas string
+	live   map[string]*taskRun
+	starts []startRecord
+	done   []doneRecord
 }
 
 type startRecord struct {
@@ -140,12 +138,8 @@
 	defer r.mu.Unlock()
 	t := r.task(e.task)
 	delete(t.live, workerID)
-	t.lastWas = e.how
-	switch e.how {
-	case "done":
+	if e.how == "done" {
 		t.done = append(t.done, doneRecord{at: e.at, worker: workerID, run: e.run, number: e.number})
-	case "failed":
-		t.failed++
 	}
 }
 
