--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -70,7 +70,7 @@
 		for n := range 80 {
 			id := jobID(n)
 			ids = append(ids, id)
-			r.submit(id, map[string]any{"spec": "work_ms=800", "steps": []map[string]any{{"count": 4, "cpu": 2000, "mem_mb": 256, "estimate_ms": 800, "requires": label}}})
+			r.submit(id, map[string]any{"spec": "work_ms=800", "steps": []map[string]any{{"count": 7, "cpu": 2000, "mem_mb": 256, "estimate_ms": 800, "requires": label}}})
 			time.Sleep(60 * time.Millisecond)
 		}
 	}()
