owner: raise a worker's fence with each of its lives

Cause: all calls of a term have one fence, its epoch, and a new life has seen none.

Change: the fence of calls to a worker is the epoch plus the restarts of the worker in the term, at most 255. Once a poll under the raised fence is answered, the present life refuses all that was sent before the restart was known, however late it arrives; what was carried out until then may have extended the lease to the longest, which is allowed for. The poll that raises the fence does not wait. An order that is refused by the raise of this owner is repeated or refused, any other refusal ends the term as before.

A life that begins after the proof, and carries out an order before its first answered call, is covered by neither.

--- a/internal/app/owner/cell.go
+++ b/internal/app/owner/cell.go
@@ -50,6 +50,7 @@
 	pendingSubmits map[domain.JobID][]func(port.SubmitReply, error)
 	pendingCancels map[domain.JobID][]func(port.CancelReply, error)
 	polls          map[domain.WorkerID]*pollState
+	fences         fences
 	instances      liveInstances
 	// approversVersion is the version of the instance list that the machine has been given.
 	approversVersion int64
@@ -101,6 +102,7 @@
 		pendingSubmits:      make(map[domain.JobID][]func(port.SubmitReply, error)),
 		pendingCancels:      make(map[domain.JobID][]func(port.CancelReply, error)),
 		polls:               make(map[domain.WorkerID]*pollState),
+		fences:              fences{epoch: t.epoch, raised: make(map[domain.WorkerID]int64)},
 		ackedEnds:           make(map[domain.WorkerID]int64),
 		unackedSinceMS:      make(map[domain.WorkerID]int64),
 		gauges:              gauges{names: make(map[string]bool), metrics: o.metrics},
@@ -134,7 +136,7 @@
 	c.cancel()
 }
 
-// endIfFenced ends the term if a worker rejected a call because of a later owner's fence.
+// endIfFenced ends the term if the platform rejected a call because of a later owner's fence.
 func (c *Cell) endIfFenced(err error) bool {
 	var fenced *port.FencedError
 	if !errors.As(err, &fenced) {
@@ -325,6 +327,8 @@
 	}
 	c.loadParked(output.Loads)
 	for _, id := range output.RemovedWorkers {
+		// The ID may register again, with orders of before still on their way.
+		c.raiseFence(id)
 		delete(c.polls, id)
 		delete(c.ackedEnds, id)
 		delete(c.processedEnds, id)
--- a/internal/app/owner/claim.go
+++ b/internal/app/owner/claim.go
@@ -112,9 +112,13 @@
 	if err != nil {
 		return port.Txn{}, err
 	}
+	last, err := cbor.Marshal(sequence{Epoch: t.epoch + maxFenceRaises, Token: t.token})
+	if err != nil {
+		return port.Txn{}, err
+	}
 	txn := port.Txn{
 		If:   []port.Condition{{Key: ownerKey, Revision: prevRevision}, {Key: sequenceKey, Revision: sequenceRevision}},
-		Puts: []port.Put{{Key: ownerKey, Value: value, Lease: t.lease}, {Key: sequenceKey, Value: seq}},
+		Puts: []port.Put{{Key: ownerKey, Value: value, Lease: t.lease}, {Key: sequenceKey, Value: last}},
 	}
 	for i := range t.chainRevisions {
 		txn.Puts = append(txn.Puts, port.Put{Key: chainKey(i), Value: seq})
--- a/internal/app/owner/faults_test.go
+++ b/internal/app/owner/faults_test.go
@@ -69,7 +69,7 @@
 	c.store.SetFault(leasestore.Down)
 	time.Sleep(300*time.Millisecond + 2*cell.options.UnconfirmedGrace)
 	order := []port.RelayedOrder{{Start: &jobs.StartOrder{Worker: c.ids[0], Task: jobs.TaskID{Job: "j"}, Run: 1, LimitClockMS: 1 << 40}}}
-	if err := cell.sendBatch(cell.localRelay, order); err != nil {
+	if err := cell.sendBatch(cell.localRelay, cell.term.epoch, order); err != nil {
 		t.Error(err)
 	}
 	if n := c.fleet.Starts(); n != 0 {
--- a/internal/app/owner/keys.go
+++ b/internal/app/owner/keys.go
@@ -40,6 +40,7 @@
 // sequence is the value of the keys rewritten by each claim and by each transaction of a write
 // chain. A transaction that is applied late finds a different revision and changes nothing.
 type sequence struct {
+	// Epoch is that of the term. Under sequenceKey it is the highest fence that the term may use.
 	Epoch  int64  `cbor:"1,keyasint"`
 	Number int64  `cbor:"2,keyasint"`
 	Token  string `cbor:"3,keyasint"`
--- a/internal/app/owner/misdirected_test.go
+++ b/internal/app/owner/misdirected_test.go
@@ -29,13 +29,13 @@
 	} {
 		for path, answer := range map[string]func(*Cell, string){
 			"direct": func(c *Cell, address string) {
-				c.handlePoll(id, jobs.WorkerReport{}, &port.WorkerTerminatedError{Worker: id, Address: address, Err: errMisdirected})
+				c.handlePoll(id, c.term.epoch, jobs.WorkerReport{}, &port.WorkerTerminatedError{Worker: id, Address: address, Err: errMisdirected})
 			},
 			"relayed": func(c *Cell, address string) {
 				// The first failure through a relay only leads to a direct poll.
 				c.polls[id].retryPauseMS = 1
 				c.handleRelayedReports([]port.RelayedPollResult{{Worker: id, Failure: errMisdirected.Error(), Replaced: true}},
-					map[domain.WorkerID]string{id: address})
+					map[domain.WorkerID]port.RelayedPoll{id: {Worker: id, Address: address, Request: port.PollRequest{Fence: c.term.epoch}}})
 			},
 		} {
 			t.Run(name+", "+path, func(t *testing.T) {
@@ -83,7 +83,7 @@
 			p := cell.polls["w0"]
 			p.retryPauseMS = 1
 			cell.handleRelayedReports([]port.RelayedPollResult{{Worker: p.id, Failure: "connection refused", Terminated: true}},
-				map[domain.WorkerID]string{p.id: p.address})
+				map[domain.WorkerID]port.RelayedPoll{p.id: {Worker: p.id, Address: p.address, Request: port.PollRequest{Fence: cell.term.epoch}}})
 		}
 		close(handled)
 	})
--- a/internal/app/owner/orders.go
+++ b/internal/app/owner/orders.go
@@ -74,12 +74,24 @@
 			continue
 		}
 		g.lastOrdersMS = now
-		g.callsInFlight++
-		go c.guarded("orders", func() {
-			err := c.sendBatch(g.relay, orders)
-			c.post(func() { c.finishGroupOrders(g, err) })
-		})
+		for fence, batch := range c.groupByFence(orders) {
+			g.callsInFlight++
+			go c.guarded("orders", func() {
+				err := c.sendBatch(g.relay, fence, batch)
+				c.post(func() { c.finishGroupOrders(g, err) })
+			})
+		}
+	}
+}
+
+// groupByFence divides orders by the present fences of their workers, since all orders of a call have one fence.
+func (c *Cell) groupByFence(orders []port.RelayedOrder) map[int64][]port.RelayedOrder {
+	groups := make(map[int64][]port.RelayedOrder, 1)
+	for _, o := range orders {
+		fence := c.fences.of(o.Worker())
+		groups[fence] = append(groups[fence], o)
 	}
+	return groups
 }
 
 // finishGroupOrders completes a call of orders through a relay.
@@ -97,8 +109,9 @@
 // orderDirectly sends an order from this instance once a slot for it is free.
 func (c *Cell) orderDirectly(o port.RelayedOrder) {
 	c.metrics.Counter("worker.order.direct").Inc(1)
+	fence := c.fences.of(o.Worker())
 	// Each failure is logged with its order.
-	c.runCall(func() { _ = c.sendBatch(c.localRelay, []port.RelayedOrder{o}) })
+	c.runCall(func() { _ = c.sendBatch(c.localRelay, fence, []port.RelayedOrder{o}) })
 }
 
 // runCall runs call in its own goroutine once one of the slots for direct calls is free.
@@ -118,6 +131,7 @@
 // unanswered so that it is sent again; an answer that still arrives counts as well.
 type orderCall struct {
 	cell   *Cell
+	fence  int64
 	orders []port.RelayedOrder
 	sentAt time.Time
 
@@ -126,11 +140,11 @@
 	timedOut bool
 }
 
-// sendBatch sends orders through a relay and reports each answer to the loop.
-func (c *Cell) sendBatch(relay port.OrderRelay, orders []port.RelayedOrder) error {
+// sendBatch sends orders with one fence through a relay and reports each answer to the loop.
+func (c *Cell) sendBatch(relay port.OrderRelay, fence int64, orders []port.RelayedOrder) error {
 	ctx, cancel := context.WithTimeout(c.ctx, maxOrderTimeout+orderRelayMargin)
 	defer cancel()
-	call := &orderCall{cell: c, orders: orders, sentAt: time.Now(), answered: make([]bool, len(orders))}
+	call := &orderCall{cell: c, fence: fence, orders: orders, sentAt: time.Now(), answered: make([]bool, len(orders))}
 	// The process may have been suspended since the decision.
 	if !c.mayCallWorkers(c.nowMS()) {
 		c.metrics.Counter("worker.order.claim_not_confirmed").Inc(int64(len(orders)))
@@ -139,7 +153,7 @@
 	}
 	timer := time.AfterFunc(c.responseTimes.orderTimeout(), call.onTimeout)
 	defer timer.Stop()
-	err := relay.SendOrders(ctx, port.OrderBatch{Fence: c.term.epoch, TimeoutMS: maxOrderTimeout.Milliseconds(), Orders: orders}, call.deliver)
+	err := relay.SendOrders(ctx, port.OrderBatch{Fence: fence, TimeoutMS: maxOrderTimeout.Milliseconds(), Orders: orders}, call.deliver)
 	if missing := call.finish(errNoResponse); err == nil && missing > 0 {
 		err = errNoResponse
 	}
@@ -164,8 +178,12 @@
 // handleAnswer reports one answer to the loop.
 func (call *orderCall) handleAnswer(a port.OrderResult) {
 	c, o := call.cell, &call.orders[a.Index]
-	if a.Fenced {
-		c.endTerm("worker " + string(o.Worker()) + " has seen the fence of a later owner")
+	if a.Fenced || o.Start != nil && a.Start == jobs.StartFenced {
+		c.post(func() {
+			if c.handleFenced(o.Worker(), call.fence) {
+				c.orderOutdated(o)
+			}
+		})
 		return
 	}
 	var err error
@@ -191,6 +209,18 @@
 	}
 }
 
+// orderOutdated handles an order that the worker refused because its fence was raised since.
+func (c *Cell) orderOutdated(o *port.RelayedOrder) {
+	switch {
+	case o.Start != nil:
+		c.machine.StartAnswered(o.Start.Worker, o.Start.Task, o.Start.Run, jobs.StartFenced)
+	case o.Stop != nil:
+		c.machine.StopAnswered(o.Stop.Worker, o.Stop.Task, o.Stop.Run, false)
+	case o.Throttle != nil:
+		c.machine.ThrottleAnswered(*o.Throttle, false)
+	}
+}
+
 // onTimeout reports the starts that have not been answered in time.
 func (call *orderCall) onTimeout() {
 	call.mu.Lock()
@@ -225,10 +255,6 @@
 			zap.Int("task", o.Task.Index), zap.Int("run", o.Run), zap.String("worker", string(o.Worker)),
 			zap.String("outcome", outcome.String()), zap.Error(err))
 	}
-	if outcome == jobs.StartFenced {
-		c.endTerm("worker " + string(o.Worker) + " has seen the fence of a later owner")
-		return
-	}
 	c.post(func() { c.machine.StartAnswered(o.Worker, o.Task, o.Run, outcome) })
 }
 
--- a/internal/app/owner/pollgroups.go
+++ b/internal/app/owner/pollgroups.go
@@ -237,9 +237,9 @@
 	ctx, cancel := context.WithTimeout(c.ctx, wait+relayMargin)
 	defer cancel()
 	answered := make(map[domain.WorkerID]bool, len(polls))
-	addresses := make(map[domain.WorkerID]string, len(polls))
+	sent := make(map[domain.WorkerID]port.RelayedPoll, len(polls))
 	for _, p := range polls {
-		addresses[p.Worker] = p.Address
+		sent[p.Worker] = p
 	}
 	err := g.relay.PollWorkers(ctx, polls, func(batch []port.RelayedPollResult) {
 		receivedMS := c.nowMS()
@@ -247,7 +247,7 @@
 			batch[i].Report.SentMS, batch[i].Report.ReceivedMS = sentMS, receivedMS
 			answered[batch[i].Worker] = true
 		}
-		c.post(func() { c.handleRelayedReports(batch, addresses) })
+		c.post(func() { c.handleRelayedReports(batch, sent) })
 	})
 	var missing []domain.WorkerID
 	for _, p := range polls {
@@ -258,24 +258,29 @@
 	c.post(func() { c.finishGroupPolls(g, round, missing, err) })
 }
 
-// handleRelayedReports handles reports that arrived through a relay, which polled the workers at the addresses.
-func (c *Cell) handleRelayedReports(batch []port.RelayedPollResult, addresses map[domain.WorkerID]string) {
+// handleRelayedReports handles reports that arrived through a relay, which was sent the given polls.
+func (c *Cell) handleRelayedReports(batch []port.RelayedPollResult, sent map[domain.WorkerID]port.RelayedPoll) {
 	for _, r := range batch {
+		poll, ok := sent[r.Worker]
+		if !ok {
+			c.metrics.Counter("worker.look.answer_invalid").Inc(1)
+			continue
+		}
+		fence := poll.Request.Fence
 		switch {
 		case r.Fenced:
-			c.endTerm("worker " + string(r.Worker) + " has seen the fence of a later owner")
-			return
+			c.handlePoll(r.Worker, fence, jobs.WorkerReport{}, &port.FencedError{Worker: r.Worker})
 		case r.Failure != "":
 			c.metrics.Counter("worker.look.relay_unanswered").Inc(1)
 			if p, ok := c.polls[r.Worker]; ok && p.retryPauseMS > 0 {
-				c.handlePoll(r.Worker, jobs.WorkerReport{}, relayedError(r, addresses[r.Worker]))
+				c.handlePoll(r.Worker, fence, jobs.WorkerReport{}, relayedError(r, poll.Address))
 				continue
 			}
 			// Check directly first whether the worker answers.
 			c.pollDirectlyFor(r.Worker, directPollMS)
 		default:
 			c.metrics.Counter("worker.look.relayed").Inc(1)
-			c.handlePoll(r.Worker, r.Report, nil)
+			c.handlePoll(r.Worker, fence, r.Report, nil)
 		}
 	}
 }
--- a/internal/app/owner/polls.go
+++ b/internal/app/owner/polls.go
@@ -33,6 +33,8 @@
 	// sentAck is the run-end number acknowledged by the poll in flight; confirmedAck is the highest
 	// one that the worker is known to have received.
 	sentAck, confirmedAck int64
+	// confirmedFence is the highest fence that the present incarnation is known to have seen.
+	confirmedFence int64
 	// misdirected counts consecutive polls of the current address that another incarnation answered.
 	misdirected int
 	// hash selects the worker's group.
@@ -120,7 +122,7 @@
 // pollRequest returns the request of the next poll, which the caller sends immediately.
 func (c *Cell) pollRequest(p *pollState, wait time.Duration) port.PollRequest {
 	p.sentAck = c.ackNumber(p)
-	r := port.PollRequest{Fence: c.term.epoch, Acknowledged: p.sentAck}
+	r := port.PollRequest{Fence: c.fences.of(p.id), Acknowledged: p.sentAck}
 	if p.answered {
 		limit, ok := c.machine.LeaseLimit(p.id)
 		if ok {
@@ -128,9 +130,9 @@
 			r.Wait = wait
 		}
 	}
-	if c.hasUnstoredEnds(p.id) {
+	if c.hasUnstoredEnds(p.id) || p.confirmedFence < r.Fence {
 		// The worker still reports ends that were already processed, so it would answer without
-		// waiting.
+		// waiting. A raised fence protects from late calls only once it is confirmed.
 		r.Wait = 0
 	}
 	return r
@@ -163,13 +165,10 @@
 	ctx, cancel := context.WithTimeout(c.ctx, request.Wait+c.responseTimes.pollMargin())
 	defer cancel()
 	report, err := c.workers.Poll(ctx, id, address, request)
-	if c.endIfFenced(err) {
-		return
-	}
 	report.SentMS, report.ReceivedMS = sentMS, c.nowMS()
 	c.post(func() {
 		release()
-		c.handlePoll(id, report, err)
+		c.handlePoll(id, request.Fence, report, err)
 	})
 }
 
@@ -182,12 +181,18 @@
 	}
 }
 
-func (c *Cell) handlePoll(id domain.WorkerID, report jobs.WorkerReport, err error) {
+// handlePoll handles the answer to a poll with the given fence.
+func (c *Cell) handlePoll(id domain.WorkerID, fence int64, report jobs.WorkerReport, err error) {
+	var fenced *port.FencedError
+	outdated := errors.As(err, &fenced) && c.handleFenced(id, fence)
 	p, ok := c.polls[id]
 	if !ok || c.resigning {
 		return
 	}
 	p.inFlight = false
+	if outdated {
+		return
+	}
 	if err != nil {
 		p.answered = false
 		p.directUntilMS = 0
@@ -210,10 +215,14 @@
 	p.answeredMS = c.nowMS()
 	p.confirmedAck = max(p.confirmedAck, p.sentAck)
 	if p.startedMS != report.StartedMS {
+		if p.startedMS != 0 {
+			c.raiseFence(id)
+		}
 		p.startedMS = report.StartedMS
-		c.ackedEnds[id], c.processedEnds[id], p.confirmedAck = 0, 0, 0
+		c.ackedEnds[id], c.processedEnds[id], p.confirmedAck, p.confirmedFence = 0, 0, 0, 0
 	}
 	c.machine.Report(report)
+	c.confirmFence(p, fence)
 	if n := len(report.Ends); n > 0 && report.Ends[n-1].Number > c.ackedEnds[id] {
 		if _, waits := c.unackedSinceMS[id]; !waits {
 			c.unackedSinceMS[id] = c.nowMS()
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -91,6 +91,14 @@
 	w.leaseExpiryMS = max(w.leaseExpiryMS, m.leaseEnd(min(lastMS, m.nowMS+maxOrderDelayMS), m.cfg.MaxLeaseMS))
 }
 
+// FenceConfirmed records that the worker's present incarnation refuses all calls that were sent before this owner
+// learned of its restart. One that it carried out until now may have extended the lease to the longest.
+func (m *Machine) FenceConfirmed(id domain.WorkerID) {
+	if w, ok := m.workers[id]; ok {
+		w.leaseExpiryMS = max(w.leaseExpiryMS, m.leaseEnd(m.nowMS, m.cfg.MaxLeaseMS))
+	}
+}
+
 // maxFormerLimitsMS is how long after the start of an incarnation orders may be sent with limits of the former
 // one's clock: a worker gets no new work maxReportAgeMS after its last report, and repeats end maxStartResends
 // timeouts of an order later.
--- a/internal/core/jobs/restart_test.go
+++ b/internal/core/jobs/restart_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// Guards against the same where the order reaches the next life later than any expected delay, just before that life
+// confirms a fence that refuses it.
+func TestLeaseExtendedUntilFenceIsConfirmed(t *testing.T) {
+	w := newRestartingWorker(t)
+	limit, _ := w.m.LeaseLimit("w")
+	w.restart()
+	w.report()
+	w.start(w.submit(t))
+	w.m.StartAnswered("w", TaskID{Job: "j"}, 1, StartAccepted)
+	for range 10 {
+		w.advance(w.m.nowMS + 1000)
+		w.report()
+		next, _ := w.m.LeaseLimit("w")
+		w.extend(next)
+	}
+	w.extend(limit)
+	w.m.FenceConfirmed("w")
+	w.cutOff(t)
+}
+
 // Guards against the same where the next life is cut off before it has answered a poll, and only the registry names it.
 func TestLeaseExtendedBeforeFirstReport(t *testing.T) {
 	for name, answer := range map[string]StartOutcome{"answered": StartAccepted, "answer lost": StartUnanswered} {
