owner: tests of an unconfirmed claim run in virtual time

TestUnconfirmedOwnerAnswersNoQuestions failed once of two runs of ./internal/app/... beside a soak and the tests of jobs ("cancel: error <nil> while the claim is not confirmed"). The test sets the claim to unconfirmed and then asks; the renewal every 75 ms may confirm it in between, and does so the likelier the longer the test waits for a processor. TestStoredJobIsNotRefusedWhileClaimIsUnconfirmed does the same.

--- a/internal/app/owner/owner_test.go
+++ b/internal/app/owner/owner_test.go
@@ -397,43 +397,52 @@
 // submission got no answer, and an owner whose claim was not confirmed at that moment refused the second
 // without looking the job up.
 func TestStoredJobIsNotRefusedWhileClaimIsUnconfirmed(t *testing.T) {
-	c := newCellTest(t, time.Minute)
-	i := c.start("a")
-	cell := i.awaitOwned(t)
-	if r := c.submit(cell, "stored", 1); !r.Accepted {
-		t.Fatalf("submission: %+v", r)
-	}
-	cell.confirmedUntilMS.Store(0)
-	if r := c.submit(cell, "stored", 1); !r.Accepted {
-		t.Errorf("the second submission of a stored job is answered with %+v, want accepted", r)
-	}
-	cell.confirmedUntilMS.Store(0)
-	if r := c.submit(cell, "new", 1); r.Accepted || r.RetryAfterMS == 0 {
-		t.Errorf("a new job is answered with %+v while the claim is not confirmed, want a refusal with a retry time", r)
-	}
+	inVirtualTime(t, func(t *testing.T) {
+		c := newVirtualTest(t, 4, time.Minute)
+		cell := c.start("a").awaitOwned(t)
+		if r := c.submit(cell, "stored", 1); !r.Accepted {
+			t.Fatalf("submission: %+v", r)
+		}
+		cell.unconfirmClaim()
+		if r := c.submit(cell, "stored", 1); !r.Accepted {
+			t.Errorf("the second submission of a stored job is answered with %+v, want accepted", r)
+		}
+		cell.unconfirmClaim()
+		if r := c.submit(cell, "new", 1); r.Accepted || r.RetryAfterMS == 0 {
+			t.Errorf("a new job is answered with %+v while the claim is not confirmed, want a refusal with a retry time", r)
+		}
+	})
+}
+
+// unconfirmClaim lets the claim count as unconfirmed until it is renewed, which takes virtual time.
+func (c *Cell) unconfirmClaim() {
+	synctest.Wait()
+	c.confirmedUntilMS.Store(0)
 }
 
 // Guards against answers of an owner that has lost its claim without knowing it, and does not know what its successor
 // has accepted: a job that is not known, or too few that wait.
 func TestUnconfirmedOwnerAnswersNoQuestions(t *testing.T) {
-	c := newCellTest(t, time.Minute)
-	cell := c.start("a").awaitOwned(t)
-	request := port.JobRequest{Job: "accepted by the successor", Team: "team"}
-	for name, ask := range map[string]func() error{
-		"state":   func() error { _, err := cell.State(t.Context(), request); return err },
-		"cancel":  func() error { _, err := cell.Cancel(t.Context(), request); return err },
-		"waiting": func() error { _, err := cell.WaitingJobs(t.Context(), "q"); return err },
-	} {
-		if err := ask(); err != nil {
-			t.Errorf("%s: %v while the claim is confirmed", name, err)
-		}
-		cell.confirmedUntilMS.Store(0)
-		var notOwner *port.NotOwnerError
-		if err := ask(); !errors.As(err, &notOwner) {
-			t.Errorf("%s: error %v while the claim is not confirmed, want *port.NotOwnerError", name, err)
+	inVirtualTime(t, func(t *testing.T) {
+		c := newVirtualTest(t, 4, time.Minute)
+		cell := c.start("a").awaitOwned(t)
+		request := port.JobRequest{Job: "accepted by the successor", Team: "team"}
+		for name, ask := range map[string]func() error{
+			"state":   func() error { _, err := cell.State(t.Context(), request); return err },
+			"cancel":  func() error { _, err := cell.Cancel(t.Context(), request); return err },
+			"waiting": func() error { _, err := cell.WaitingJobs(t.Context(), "q"); return err },
+		} {
+			if err := ask(); err != nil {
+				t.Errorf("%s: %v while the claim is confirmed", name, err)
+			}
+			cell.unconfirmClaim()
+			var notOwner *port.NotOwnerError
+			if err := ask(); !errors.As(err, &notOwner) {
+				t.Errorf("%s: error %v while the claim is not confirmed, want *port.NotOwnerError", name, err)
+			}
+			cell.extendConfirmed(virtualMS() + 1000)
 		}
-		cell.extendConfirmed(steady.NowMS() + 1000)
-	}
+	})
 }
 
 // Guards against a job that is shown as completed before this is stored: the workers that list the ends
