jobs: open the occurrences that workers name

Cause: a successor opens the first 16 occurrences that the store does not hold as done. What workers list of a later one named no task it had: the run was stopped as no longer needed, and the end was acknowledged. The same happened to occurrences that a predecessor with a clock ahead had opened.

Change: an occurrence that a worker names is opened, whatever its number and due time, so that its runs are adopted and its ends are stored before they are acknowledged. Each owner in a row finds them again until one has stored them. Tasks that have not begun wait until the occurrence is due by this instance's clock. A job has at most 512 steps of occurrences done without the store knowing (at least 16 occurrences), so what a successor opens is bounded; an occurrence each 20 ms keeps its pace through 9 s without the store.

--- a/internal/core/jobs/explain.go
+++ b/internal/core/jobs/explain.go
@@ -13,6 +13,7 @@
 // Reasons why a step waits, as shown in logs, metrics and explanations.
 const (
 	waitNotStored  = "job is not stored yet"
+	waitDue        = "the occurrence is not due yet"
 	waitSuspects   = "workers of the former owner have not reported"
 	waitTeamLimit  = "team is at its limit"
 	waitTeamUrgent = "the team's limit is left to its more urgent steps"
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -40,7 +40,9 @@
 	occurrences     map[int]*occurrence
 	nextOccurrence  int
 	doneOccurrences map[int]bool
-	started         bool
+	// storedOccurrences is the number of done occurrences that the store holds.
+	storedOccurrences int
+	started           bool
 	// storedState is the state that the store holds, and the one that callers see.
 	storedState State
 	unwritten   bool
@@ -86,6 +88,8 @@
 	approvalPending bool
 	// lastAttempt is set while one more failure would fail the job.
 	lastAttempt bool
+	// early is set while the occurrence is open before it is due.
+	early bool
 	// hasFailed is set once a run of the step has failed.
 	hasFailed bool
 	// ordered is set once a pass has put the step in order while it waits, by orderKey.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -75,6 +75,8 @@
 	job     *job
 	version int
 	state   State
+	// occurrences is the number of done occurrences.
+	occurrences int
 }
 
 // Empty reports whether there is nothing to write.
@@ -153,7 +155,7 @@
 		bytes += len(stored.Job) + len(stored.State)
 		j.unwritten, j.maybeStored, j.writeInFlight = false, true, true
 		b.Jobs = append(b.Jobs, stored)
-		b.takenJobs = append(b.takenJobs, takenJob{j, j.version, j.state})
+		b.takenJobs = append(b.takenJobs, takenJob{j, j.version, j.state, len(j.doneOccurrences)})
 	}
 	m.unwrittenJobs = left
 	return b, nil
@@ -204,6 +206,7 @@
 		j.durable = true
 		j.storedVersion = taken.version
 		j.storedState = taken.state
+		j.storedOccurrences = taken.occurrences
 		if taken.state.Terminal() {
 			m.stopJob(j)
 			m.compactEndedJob(j)
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"math"
 	"slices"
 
@@ -228,7 +229,7 @@
 		m.demandLoad(j)
 		return
 	}
-	t := m.findTask(row.Task)
+	t := m.findReportedTask(row.Task)
 	if t == nil || t.phase == taskDone || t.step.job.state.Terminal() {
 		m.out.Stops = append(m.out.Stops, StopOrder{w.id, w.address, row.Task, row.Run, "no longer needed"})
 		return
@@ -354,6 +355,28 @@
 	return m.task(s, id.Index)
 }
 
+// findReportedTask returns the task that a worker names. A former owner may have begun occurrences of a recurring job of which
+// the store holds nothing: while the store was down, beyond those that this owner has open, or by a clock that is ahead
+// of this one's. Such an occurrence is opened, so that no run or end of it is taken as not needed.
+func (m *Machine) findReportedTask(id TaskID) *task {
+	if j := m.jobs[id.Job]; j != nil && j.lacksOccurrence(id) {
+		m.openOccurrence(j, id.Occurrence)
+		m.out.recordJob("occurrence_found", j, fmt.Sprintf("occurrence %d, %d open", id.Occurrence, len(j.occurrences)))
+	}
+	return m.findTask(id)
+}
+
+// lacksOccurrence reports whether the task is one of an occurrence that is neither open nor done.
+func (j *job) lacksOccurrence(id TaskID) bool {
+	if j.state.Terminal() || !j.spec.Recurring() || id.Occurrence < 0 || id.Occurrence >= j.spec.Occurrences {
+		return false
+	}
+	if j.occurrences[id.Occurrence] != nil || j.doneOccurrences[id.Occurrence] {
+		return false
+	}
+	return id.Step >= 0 && id.Step < len(j.spec.Steps) && id.Index >= 0 && id.Index < j.spec.Steps[id.Step].Tasks
+}
+
 func (m *Machine) findStep(id StepID) *step {
 	j, ok := m.jobs[id.Job]
 	if !ok {
@@ -379,7 +402,7 @@
 	if e.Kind != EndSucceeded || w.withheldEnd > 0 {
 		return
 	}
-	t := m.findTask(e.Task)
+	t := m.findReportedTask(e.Task)
 	if t == nil && !abandoned || t != nil && !t.restartedAfter(e.Run) {
 		return
 	}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -550,9 +550,12 @@
 	}
 }
 
-// awaitsRecovery reports whether the step must not start yet because runs of a former owner may not be known.
+// awaitsRecovery reports whether the step must not start yet because runs of a former owner may not be known, or because
+// its occurrence was found before it is due by this instance's clock.
 func (m *Machine) awaitsRecovery(s *step) bool {
 	switch {
+	case s.early && !m.isDue(s):
+		s.waitReason = waitDue
 	case s.job.recovered && len(m.suspects) > 0:
 		s.waitReason = waitSuspects
 	case s.job.team.demanded > 0:
--- a/internal/core/jobs/spec.go
+++ b/internal/core/jobs/spec.go
@@ -93,6 +93,11 @@
 // Recurring reports whether the job has due times.
 func (s *Spec) Recurring() bool { return s.Occurrences > 0 }
 
+// dueUnixMS returns the Unix time in ms at which an occurrence of a recurring job is due.
+func (s *Spec) dueUnixMS(occurrence int) int64 {
+	return s.FirstUnixMS + int64(occurrence)*s.PeriodMS
+}
+
 // Validate lists every invalid field and how to correct it.
 func (s *Spec) Validate() fault.List {
 	var l fault.List
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -134,7 +134,7 @@
 // insert adds a job with its steps. The given occurrences are done.
 func (m *Machine) insert(j *job, spec *Spec, done []int) {
 	j.spec = spec
-	j.occurrences, j.doneOccurrences = make(map[int]*occurrence), make(map[int]bool, len(done))
+	j.occurrences, j.doneOccurrences, j.storedOccurrences = make(map[int]*occurrence), make(map[int]bool, len(done)), len(done)
 	for _, k := range done {
 		j.doneOccurrences[k] = true
 	}
@@ -367,12 +367,23 @@
 	}
 }
 
-// maxOpenOccurrences bounds the occurrences of a job that are open at once. Their number and period are the caller's: all may be due.
-const maxOpenOccurrences = 16
+const (
+	// maxOpenOccurrences bounds the occurrences of a job that are open at once. Their number and period are the caller's: all may be due.
+	maxOpenOccurrences = 16
+	// maxUnstoredSteps bounds the steps of the occurrences of a job that are done without the store knowing. A successor finds
+	// these occurrences through the workers, and may have many of them open until it has heard of all their tasks.
+	maxUnstoredSteps = 512
+)
+
+// mayOpenOccurrence reports whether the job may have another occurrence open.
+func (j *job) mayOpenOccurrence() bool {
+	unstored := len(j.doneOccurrences) - j.storedOccurrences
+	return len(j.occurrences) < maxOpenOccurrences && unstored < max(maxOpenOccurrences, maxUnstoredSteps/len(j.spec.Steps))
+}
 
 // openOccurrencesOf opens the job's occurrences that are due by this instance's clock.
 func (m *Machine) openOccurrencesOf(j *job) {
-	for len(j.occurrences) < maxOpenOccurrences && j.nextOccurrence < j.spec.Occurrences && j.spec.FirstUnixMS+int64(j.nextOccurrence)*j.spec.PeriodMS <= m.unixMS {
+	for j.nextOccurrence < j.spec.Occurrences && j.spec.dueUnixMS(j.nextOccurrence) <= m.unixMS && j.mayOpenOccurrence() {
 		if j.occurrences[j.nextOccurrence] == nil && !j.doneOccurrences[j.nextOccurrence] {
 			m.openOccurrence(j, j.nextOccurrence)
 		}
@@ -386,15 +397,26 @@
 func (m *Machine) openOccurrence(j *job, number int) *occurrence {
 	o := m.newOccurrence(j, number)
 	j.occurrences[number] = o
+	if j.spec.Recurring() && j.spec.dueUnixMS(number) > m.unixMS {
+		for _, s := range o.steps {
+			s.early = true
+		}
+	}
 	m.markReady(o)
 	return o
 }
 
+// isDue reports whether the step's occurrence is due by this instance's clock.
+func (m *Machine) isDue(s *step) bool {
+	s.early = s.job.spec.dueUnixMS(s.occurrence.number) > m.unixMS
+	return !s.early
+}
+
 // newOccurrence returns an occurrence of the job with its steps.
 func (m *Machine) newOccurrence(j *job, number int) *occurrence {
 	start := j.acceptedUnixMS
 	if j.spec.Recurring() {
-		start = j.spec.FirstUnixMS + int64(number)*j.spec.PeriodMS
+		start = j.spec.dueUnixMS(number)
 	}
 	startMS := m.nowMS + start - m.unixMS
 	o := &occurrence{job: j, number: number, open: len(j.spec.Steps), startMS: startMS, deadlineMS: startMS + j.objectiveMS(),
