jobs: leave the work of stored jobs alone that cannot be read

A stored job that could not be decoded was logged and skipped: its runs were stopped as no longer needed, its ends acknowledged, its state answered with 410, and a submission under its ID would have replaced it. One whose state names a missing step stayed in memory with the part that was read, so tasks that had succeeded were started again. A parked one that could not be read kept all later ends of the workers that list its ends from being processed.

Change: such a job is removed from memory as a whole and its ID is kept. Its runs are left alone, and its ends are held back as those of runs that were started elsewhere are: until the worker's lease has expired since. A submission under its ID has an unknown outcome; its state is read from the store.

--- a/internal/app/owner/recovery.go
+++ b/internal/app/owner/recovery.go
@@ -95,7 +95,9 @@
 		}
 	}
 	if err != nil {
-		c.log.Error("failed to recover a stored job", zap.String("job", string(id)), zap.Error(err))
+		c.metrics.Counter("jobs.unreadable").Inc(1)
+		c.log.Error("failed to recover a stored job; what runs of it is left alone", zap.String("job", string(id)), zap.Error(err))
+		c.machine.SetUnreadable(id)
 	}
 	return nil
 }
@@ -182,7 +184,8 @@
 				}
 				c.metrics.Counter("jobs.loaded").Inc(1)
 				if err := c.machine.JobLoaded(id, spec.Value, state.Value); err != nil {
-					c.log.Error("failed to load a parked job", zap.String("job", string(id)), zap.Error(err))
+					c.metrics.Counter("jobs.unreadable").Inc(1)
+					c.log.Error("failed to load a parked job; what runs of it is left alone", zap.String("job", string(id)), zap.Error(err))
 				}
 			})
 		})
--- a/internal/app/owner/serve.go
+++ b/internal/app/owner/serve.go
@@ -126,6 +126,10 @@
 		reply(port.SubmitReply{}, &port.NotOwnerError{Instance: c.options.Instance})
 		return
 	}
+	if c.machine.IsUnreadable(s.Job) {
+		reply(port.SubmitReply{OutcomeUnknown: true}, nil)
+		return
+	}
 	// A job that is known may be stored, so a refusal would be false.
 	if !c.claimConfirmed() && !c.machine.Knows(s.Job) {
 		c.metrics.Counter("refusal." + reasonStoreUnavailable).Inc(1)
@@ -165,9 +169,16 @@
 	return reply, err
 }
 
+// errJobUnreadable is returned for a stored job that this version cannot read. The caller reads its state from the store.
+var errJobUnreadable = errors.New("the job is stored and cannot be read by this version of the owner")
+
 // State implements port.OwnerService.
 func (c *Cell) State(ctx context.Context, j port.JobRequest) (port.StateReply, error) {
 	return callOwned(ctx, c, func(reply func(port.StateReply, error)) {
+		if c.machine.IsUnreadable(j.Job) {
+			reply(port.StateReply{}, errJobUnreadable)
+			return
+		}
 		state, team, queue, found := c.machine.StoredState(j.Job)
 		reply(port.StateReply{Found: found && j.Sees(team, queue), State: state}, nil)
 	})
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -120,7 +120,9 @@
 	// order lists the waiting steps during a pass, reordered those whose place has changed.
 	order, reordered []orderedStep
 	recurring        map[domain.JobID]*job
-	endedJobs        []*job
+	// unreadable are the stored jobs whose values cannot be decoded.
+	unreadable map[domain.JobID]bool
+	endedJobs  []*job
 	// suspects are the workers of a former owner that have not reported, with the time by which
 	// every task that may run on them has ended.
 	suspects map[domain.WorkerID]int64
@@ -188,6 +190,7 @@
 		workers:         make(map[domain.WorkerID]*worker),
 		jobs:            make(map[domain.JobID]*job),
 		recurring:       make(map[domain.JobID]*job),
+		unreadable:      make(map[domain.JobID]bool),
 		suspects:        make(map[domain.WorkerID]int64),
 		vms:             make(map[waves.VMID]vmHistory),
 		listedVMs:       make(map[domain.WorkerID]waves.VMID),
--- a/internal/core/jobs/parked.go
+++ b/internal/core/jobs/parked.go
@@ -169,15 +169,20 @@
 		err = fmt.Errorf("parked job %s has ended in the store", id)
 	}
 	if err != nil {
-		// A worker that lists a run of the job demands it again.
-		m.endLoading(j.parking)
-		m.withdrawDemand(j)
+		m.SetUnreadable(id)
 		return err
 	}
 	m.unpark(j)
 	if err := m.restore(j, &rec.Spec, state); err != nil {
+		m.SetUnreadable(id)
 		return err
 	}
+	m.resumeReports()
+	return nil
+}
+
+// resumeReports handles what workers have listed of a job that was parked until now.
+func (m *Machine) resumeReports() {
 	for _, w := range m.sortedWorkers {
 		rows, ends := w.parkedRuns, w.parkedEnds
 		w.parkedRuns = nil
@@ -187,7 +192,6 @@
 		}
 	}
 	m.needsPass = true
-	return nil
 }
 
 // JobNotLoaded handles a failed read of a parked job. It is read again.
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -429,6 +429,23 @@
 	return nil
 }
 
+// SetUnreadable records that the store holds a job whose values this version cannot read. Its tasks are neither started nor
+// stopped, and what workers list of them is not acknowledged: the owner that can read the job still needs it.
+func (m *Machine) SetUnreadable(id domain.JobID) {
+	m.unreadable[id] = true
+	if j, ok := m.jobs[id]; ok {
+		m.unpark(j)
+		m.removeJob(j)
+	}
+	m.resumeReports()
+}
+
+// IsUnreadable reports whether the store holds the job and this version cannot read it.
+func (m *Machine) IsUnreadable(id domain.JobID) bool { return m.unreadable[id] }
+
+// CountUnreadable returns the number of stored jobs that this version cannot read.
+func (m *Machine) CountUnreadable() int { return len(m.unreadable) }
+
 func (m *Machine) recoverEnded(id domain.JobID, state *StateRecord) {
 	j := &job{id: id, queue: &Queue{Name: state.Queue}, team: m.teamOf(state.Team), spec: &Spec{},
 		state: state.State, storedState: state.State, endedUnixMS: state.EndedUnixMS, maybeStored: true, durable: true, started: state.Started}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -229,6 +229,10 @@
 		m.demandLoad(j)
 		return
 	}
+	if m.unreadable[row.Task.Job] {
+		// It counts as unknown, so the worker gets no new work beside it.
+		return
+	}
 	t := m.findReportedTask(row.Task)
 	if t == nil || t.phase == taskDone || t.step.job.state.Terminal() {
 		m.out.Stops = append(m.out.Stops, StopOrder{w.id, w.address, row.Task, row.Run, "no longer needed"})
@@ -389,8 +393,8 @@
 	return o.steps[id.Step]
 }
 
-// withholdEnd prevents the acknowledgment of a success if the task was started again in the
-// meantime. A worker that did not respond until its lease expired may later list a run that
+// withholdEnd prevents the acknowledgment of an end whose job can't be read, and of a success if the task was started
+// again in the meantime. A worker that did not respond until its lease expired may later list a run that
 // succeeded before. Acknowledging it would count the task as done twice, although the second start
 // was correct given what was known.
 func (m *Machine) withholdEnd(w *worker, e EndReport) {
@@ -399,16 +403,26 @@
 	if abandoned {
 		delete(w.abandonedRuns, e.Task)
 	}
-	if e.Kind != EndSucceeded || w.withheldEnd > 0 {
+	if w.withheldEnd > 0 {
+		return
+	}
+	if m.unreadable[e.Task.Job] {
+		m.holdEnd(w, e, "its job can't be read from the store")
+		return
+	}
+	if e.Kind != EndSucceeded {
 		return
 	}
 	t := m.findReportedTask(e.Task)
 	if t == nil && !abandoned || t != nil && !t.restartedAfter(e.Run) {
 		return
 	}
+	m.holdEnd(w, e, "the task was started again while the worker did not respond")
+}
+
+func (m *Machine) holdEnd(w *worker, e EndReport, why string) {
 	w.withheldEnd = e.Number
-	m.out.Decisions = append(m.out.Decisions, Decision{Kind: "end_held", Worker: w.id, Task: e.Task, Run: e.Run,
-		Detail: "the task was started again while the worker did not respond"})
+	m.out.Decisions = append(m.out.Decisions, Decision{Kind: "end_held", Worker: w.id, Task: e.Task, Run: e.Run, Detail: why})
 }
 
 // restartedAfter reports whether a run of the task after the given one was, or may have been,
--- a/internal/core/jobs/submit.go
+++ b/internal/core/jobs/submit.go
@@ -107,8 +107,14 @@
 	if !ok || j.maybeStored {
 		return false
 	}
-	delete(m.jobs, id)
-	delete(m.recurring, id)
+	m.removeJob(j)
+	return true
+}
+
+// removeJob removes a job that has no runs, as if it had not been accepted.
+func (m *Machine) removeJob(j *job) {
+	delete(m.jobs, j.id)
+	delete(m.recurring, j.id)
 	j.state = Cancelled
 	m.unwrittenJobs = removeItem(m.unwrittenJobs, j)
 	// A job that was cancelled before is not to be evicted later: its ID may belong to another submission then.
@@ -119,7 +125,6 @@
 		}
 	}
 	m.dropJob(j)
-	return true
 }
 
 func removeItem[T comparable](list []T, item T) []T {
