jobs: use a restarted worker once the registry has described its life

The owner learned of the new life from the first poll, 1.2 s before the life registered, and used it with the labels, the service and the capacity of the former one.

Change: a worker gets no new work while the life that reported last is not the one that the registry has described. Entries without a start describe any life, as before. In previews the exclusion is not_described. A restarted worker is idle until its first heartbeat has been read.

No bound changed.

--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -492,6 +492,12 @@
 	return false
 }
 
+// isDescribed reports whether the registry has listed the incarnation that reported last. It may have other labels, another
+// service and another size than the one before. An entry of a registry that does not tell incarnations apart describes any.
+func (w *worker) isDescribed() bool {
+	return w.registeredStartMS == 0 || w.registeredStartMS == w.startedMS
+}
+
 // hasUnreportedLife reports whether the registry lists an incarnation of the worker that has not reported. The registry may
 // be behind and list the one before the present one.
 func (w *worker) hasUnreportedLife() bool {
--- a/internal/core/jobs/preview.go
+++ b/internal/core/jobs/preview.go
@@ -212,6 +212,7 @@
 	excludedSize:            {"size", "the worker is smaller than a task"},
 	excludedUnlisted:        {"unlisted", "the registry does not list the worker"},
 	excludedNoReport:        {"no_report", "the worker has not reported recently"},
+	excludedNotDescribed:    {"not_described", "the worker has restarted, and the registry does not list it since"},
 	excludedNotStored:       {"not_stored", "the worker is not in the stored list yet"},
 	excludedUnknownRuns:     {"unknown_runs", "the worker reports tasks that the owner does not track"},
 	excludedDraining:        {"draining", "the worker is draining"},
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -622,6 +622,7 @@
 	excludedSize
 	excludedUnlisted
 	excludedNoReport
+	excludedNotDescribed
 	excludedNotStored
 	excludedUnknownRuns
 	excludedDraining
@@ -644,6 +645,8 @@
 		return excludedUnlisted
 	case !w.contacted || !w.clockKnown:
 		return excludedNoReport
+	case !w.isDescribed():
+		return excludedNotDescribed
 	case !w.inStoredMembers:
 		return excludedNotStored
 	case w.unknownRuns != 0:
--- a/internal/standin/cellworker/worker.go
+++ b/internal/standin/cellworker/worker.go
@@ -130,6 +130,13 @@
 	clear(w.over)
 }
 
+// Born returns the Unix millisecond of a worker's present life.
+func (f *Fleet) Born(id domain.WorkerID) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].born
+}
+
 // Starts returns the number of runs that began.
 func (f *Fleet) Starts() int {
 	f.mu.Lock()
