owner: raise a worker's fence after a call without an answer

Change: once a call to a worker got no answer, the next ones have a higher fence. The first of them that the worker carries out, in whichever life and answered or not, refuses the one before. It rises no further until the worker has confirmed it, and 64 of the 255 raises are left to restarts.

Red with the raise taken out: TestFenceIsRaisedAfterCallWithoutAnswer, TestUnansweredCallsLeaveFencesToRestarts.

--- a/internal/app/owner/fences.go
+++ b/internal/app/owner/fences.go
@@ -7,9 +7,9 @@
 )
 
 // fences numbers the calls to workers. Each call carries the epoch of the term, raised by one for each restart of the
-// worker that this owner has learned of. A worker does nothing for a lower number than it has seen, so once the present
-// incarnation has answered a call, none that was sent before the restart takes effect there any more, however late it
-// arrives.
+// worker that this owner has learned of, and for calls without an answer. A worker does nothing for a lower number than it
+// has seen, so once the present incarnation has carried out a call, none that was sent before the last raise takes effect
+// there any more, however late it arrives.
 type fences struct {
 	epoch  int64
 	raised map[domain.WorkerID]int64
@@ -19,6 +19,9 @@
 // epochs of later owners of any version are higher.
 const maxFenceRaises = 255
 
+// maxEarlyRaises bounds the raises for calls without an answer. The others are left to restarts.
+const maxEarlyRaises = 191
+
 // of returns the fence of calls to the worker.
 func (f *fences) of(id domain.WorkerID) int64 { return f.epoch + f.raised[id] }
 
@@ -42,6 +45,15 @@
 	c.metrics.Counter("worker.fence.raised").Inc(1)
 }
 
+// noteUnanswered raises the fence of calls to a worker that has left one unanswered, so that the next call which it carries
+// out makes it refuse that one, also in a life that the owner does not know yet. It raises no further until the worker has
+// confirmed the fence.
+func (c *Cell) noteUnanswered(id domain.WorkerID) {
+	if p, ok := c.polls[id]; ok && p.confirmedFence == c.fences.of(id) && c.fences.raised[id] < maxEarlyRaises {
+		c.raiseFence(id)
+	}
+}
+
 // handleFenced handles the refusal of a call with the given fence. It reports whether the fence was raised after the
 // call was sent. Any other refusal shows a later owner, and ends the term.
 func (c *Cell) handleFenced(id domain.WorkerID, fence int64) (outdated bool) {
--- a/internal/app/owner/orders.go
+++ b/internal/app/owner/orders.go
@@ -255,7 +255,12 @@
 			zap.Int("task", o.Task.Index), zap.Int("run", o.Run), zap.String("worker", string(o.Worker)),
 			zap.String("outcome", outcome.String()), zap.Error(err))
 	}
-	c.post(func() { c.machine.StartAnswered(o.Worker, o.Task, o.Run, outcome) })
+	c.post(func() {
+		if outcome == jobs.StartUnanswered {
+			c.noteUnanswered(o.Worker)
+		}
+		c.machine.StartAnswered(o.Worker, o.Task, o.Run, outcome)
+	})
 }
 
 func (c *Cell) stopAnswered(o jobs.StopOrder, err error) {
--- a/internal/app/owner/polls.go
+++ b/internal/app/owner/polls.go
@@ -194,6 +194,7 @@
 		return
 	}
 	if err != nil {
+		c.noteUnanswered(id)
 		p.answered = false
 		p.directUntilMS = 0
 		c.machine.PollFailed(id)
