jobs: no starts on a worker whose last poll got no answer

Start orders went to a worker for 1.8 s after its last report, also when a poll had failed since.

Change: a worker whose last poll failed gets no new work until it answers.

Red before: TestUnansweredPollEndsStartsUntilNextReport.

--- a/internal/core/jobs/restart_test.go
+++ b/internal/core/jobs/restart_test.go
@@ -511,3 +511,19 @@
 		}
 	}
 }
+
+// Guards against start orders to a worker that has just crashed: its next life carries them out before the owner knows of it, and the
+// crash counts against tasks that never reached it.
+func TestUnansweredPollEndsStartsUntilNextReport(t *testing.T) {
+	m := storedSingleTask(t, 0)
+	report(m, nil)
+	m.PollFailed("w")
+	if starts := startedTasks(m); len(starts) != 0 {
+		t.Errorf("%v is started on a worker that does not answer", starts)
+	}
+	m.Advance(500, 500)
+	report(m, nil)
+	if starts := startedTasks(m); len(starts) != 1 {
+		t.Errorf("%d starts once the worker answers, want 1", len(starts))
+	}
+}
--- a/internal/core/jobs/schedule.go
+++ b/internal/core/jobs/schedule.go
@@ -661,7 +661,8 @@
 		return excludedUnconfirmedEnds
 	case m.nowMS < w.health.avoidUntilMS:
 		return excludedAvoided
-	case !m.reportedRecently(w):
+	case !m.reportedRecently(w) || w.pollFailed:
+		// What is sent to a worker that does not answer may reach its next life.
 		return excludedNoReport
 	}
 	return notExcluded
