jobs: a report under the raised fence proves the end of a run

After a restart of its worker a run with a start order that got no answer was without work for longer than the proof takes: the poll that followed its answered stop order waited for a second, and the stop order was sent again meanwhile. Found by measuring the cost of the proof.

Change: a poll that the present life has answered under the fence that was raised for it proves that no start order of before can begin there any more, since all of them have lower fences; a run that it does not list is over. Stop orders are sent as before, once, and remain the proof where the fences of a term are used up.

--- a/internal/app/owner/fences.go
+++ b/internal/app/owner/fences.go
@@ -34,15 +34,16 @@
 	return true
 }
 
-// raiseFence raises the fence of calls to a worker that has another incarnation, or may have one later. Beyond the bound,
-// only stop orders keep the incarnation from carrying out orders to the former one.
-func (c *Cell) raiseFence(id domain.WorkerID) {
+// raiseFence raises the fence of calls to a worker that has another incarnation, or may have one later, and reports whether
+// it did. Beyond the bound, only stop orders keep the incarnation from carrying out orders to the former one.
+func (c *Cell) raiseFence(id domain.WorkerID) bool {
 	if !c.fences.raise(id) {
 		c.metrics.Counter("worker.fence.exhausted").Inc(1)
 		c.log.Warn("worker has restarted too often to raise its fence in this term", zap.String("worker", string(id)), zap.Int("most", maxFenceRaises))
-		return
+		return false
 	}
 	c.metrics.Counter("worker.fence.raised").Inc(1)
+	return true
 }
 
 // noteUnanswered raises the fence of calls to a worker that has left one unanswered, so that the next call which it carries
--- a/internal/app/owner/polls.go
+++ b/internal/app/owner/polls.go
@@ -35,6 +35,8 @@
 	sentAck, confirmedAck int64
 	// confirmedFence is the highest fence that the present incarnation is known to have seen.
 	confirmedFence int64
+	// raisedForLife is set if the fence was raised when the present incarnation became known.
+	raisedForLife bool
 	// misdirected counts consecutive polls of the current address that another incarnation answered.
 	misdirected int
 	// hash selects the worker's group.
@@ -216,12 +218,11 @@
 	p.answeredMS = c.nowMS()
 	p.confirmedAck = max(p.confirmedAck, p.sentAck)
 	if p.startedMS != report.StartedMS {
-		if p.startedMS != 0 {
-			c.raiseFence(id)
-		}
+		p.raisedForLife = p.startedMS != 0 && c.raiseFence(id)
 		p.startedMS = report.StartedMS
 		c.ackedEnds[id], c.processedEnds[id], p.confirmedAck, p.confirmedFence = 0, 0, 0, 0
 	}
+	report.Fenced = p.raisedForLife && fence == c.fences.of(id)
 	c.machine.Report(report)
 	c.confirmFence(p, fence)
 	if n := len(report.Ends); n > 0 && report.Ends[n-1].Number > c.ackedEnds[id] {
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -35,6 +35,8 @@
 	SentMS, ReceivedMS int64
 	// ClockMS is the worker's clock when it responded.
 	ClockMS int64
+	// Fenced is set if the worker refuses by now all calls that were sent before this owner learned of its present incarnation.
+	Fenced  bool `cbor:"-"`
 	Running []RunReport
 	Ends    []EndReport
 }
@@ -213,9 +215,9 @@
 
 // preventLateStart has the present incarnation of the worker refuse the start orders of a run that a former one may
 // have had. The clock has restarted, so the time limit of the orders does not do that. The run is kept until the
-// incarnation has confirmed the stop order.
+// incarnation has confirmed the stop order or a fence above that of the orders.
 func (m *Machine) preventLateStart(r *run) {
-	r.phase, r.confirmedMS, r.reported = runSent, 0, false
+	r.phase, r.confirmedMS, r.reported, r.formerLife = runSent, 0, false, true
 	m.stopRun(r, "worker has restarted")
 }
 
@@ -274,6 +276,7 @@
 		r.phase = runConfirmed
 		r.confirmedMS = m.nowMS
 	}
+	r.formerLife = false
 	if r.firstReportMS == 0 {
 		r.firstPercent, r.firstReportMS = row.Percent, m.nowMS
 	}
@@ -317,6 +320,10 @@
 		if number, ok := seen[id]; ok && number == r.number {
 			continue
 		}
+		if r.formerLife && report.Fenced {
+			missing = append(missing, r)
+			continue
+		}
 		if r.confirmedMS == 0 {
 			// The start order may take effect until its limit, even if a stop order followed it.
 			if report.ClockMS > r.startLimitClockMS && report.SentMS >= r.placedMS {
--- a/internal/core/jobs/restart_test.go
+++ b/internal/core/jobs/restart_test.go
@@ -294,6 +294,41 @@
 	}
 }
 
+// Guards against a run that is kept longer than it takes to prove its end: the next life has answered a poll under a fence that refuses
+// the start orders, whether or not the stop order was answered. A run that began there late is no such run.
+func TestFencedReportProvesEndOfRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		stopped, began bool
+		kept           int
+	}{
+		"stop without an answer": {false, false, 0},
+		"stop answered":          {true, false, 0},
+		"began late":             {false, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newRestartingWorker(t)
+			o := w.submit(t)
+			w.advance(w.m.nowMS + 300)
+			w.m.StartAnswered("w", o.Task, o.Run, StartUnanswered)
+			w.m.StartAnswered("w", o.Task, o.Run, StartAccepted)
+			w.m.TakeOutput()
+			w.advance(w.m.nowMS + 6000)
+			w.restart()
+			w.report()
+			if c.began {
+				w.start(o)
+			}
+			if c.stopped {
+				w.m.StopAnswered("w", o.Task, o.Run, true)
+			}
+			w.m.Report(WorkerReport{Worker: "w", StartedMS: w.startedMS, SentMS: w.m.nowMS, ReceivedMS: w.m.nowMS, ClockMS: w.clock(), Running: w.running, Fenced: true})
+			if kept := len(w.m.runsOn("w")); kept != c.kept {
+				t.Errorf("%d runs are kept, want %d", kept, c.kept)
+			}
+		})
+	}
+}
+
 // Guards against the same where the order is accepted while the poll that shows the next life is under way: the former
 // life may have accepted it, and a transmission without an answer is left.
 func TestStartAcceptedDuringRestartIsNotGivenUpUnstopped(t *testing.T) {
