--- a/internal/core/jobs/occurrence_test.go
+++ b/internal/core/jobs/occurrence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -166,3 +167,34 @@
 		})
 	}
 }
+
+// BenchmarkFoundOccurrences measures what a successor takes for the occurrences of a job that the former owner began without the store: at most
+// maxUnstoredSteps steps, half of whose tasks are reported in a first report, so that all are open at once.
+func BenchmarkFoundOccurrences(b *testing.B) {
+	for _, steps := range []int{1, 8} {
+		b.Run(fmt.Sprintf("%d steps", steps), func(b *testing.B) {
+			specs := make([]StepSpec, steps)
+			for i := range specs {
+				specs[i] = smallStep(2)
+			}
+			found := maxUnstoredSteps / steps
+			heap := int64(0)
+			for b.Loop() {
+				m := New(testConfig(), 20_000, 20_000)
+				registerWorker(m)
+				m.Submit("j", &Queue{Name: "q", Service: "svc", MaxAttempts: 3, Stretch: 2, ObjectiveMS: 1000}, "team", recurringSpec(specs...))
+				before := heapBytes()
+				var ends []EndReport
+				for k := range found {
+					ends = append(ends, succeed(int64(k+1), 100+k, 0, 0))
+				}
+				report(m, ends[:min(len(ends), maxListedEnds-1)])
+				report(m, ends)
+				heap = max(heap, int64(heapBytes())-int64(before))
+				runtime.KeepAlive(m)
+			}
+			b.ReportMetric(float64(found), "occurrences")
+			b.ReportMetric(float64(heap)/float64(found), "B/occurrence")
+		})
+	}
+}
