owner: orders keep the fence under which they were decided

Found by reading the change. A start order that waited for its relay's next call, or a repeat that waited for the next pass, was sent under the fence of the moment at which it left. If its worker turned out to have restarted in between, it went to the new life under the fence whose confirmation proves that the run is over, so that the task could run twice.

Change: an order keeps the fence of the time at which it was decided, so that a raise refuses it, and repeats that are still to be sent to a worker are dropped when it turns out to have restarted.

Red before: TestRepeatIsNotSentToNextLife. TestPendingOrderKeepsItsFence needs the new type and was not run on the code before.

--- a/internal/app/owner/fences_test.go
+++ b/internal/app/owner/fences_test.go
@@ -181,3 +181,27 @@
 		}
 	})
 }
+
+// Guards against an order that waits for the next call to its relay while the worker's fence is raised, and is sent under the new
+// fence after that has proven that the order has no effect.
+func TestPendingOrderKeepsItsFence(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		c := newVirtualTest(t, 1, 20*time.Millisecond)
+		i := c.start("a")
+		cell := i.awaitOwned(t)
+		c.submit(cell, "j", 1)
+		c.awaitCompleted(i, "j")
+		fences := make(chan map[int64][]port.RelayedOrder, 1)
+		cell.post(func() {
+			g := &pollGroup{host: port.InstanceInfo{Instance: "relay"}}
+			cell.pollGroups.byZone[cell.polls["w0"].zone] = []*pollGroup{g}
+			cell.routeOrder(port.RelayedOrder{Start: &jobs.StartOrder{Worker: "w0"}}, cell.nowMS())
+			cell.raiseFence("w0")
+			cell.pollGroups.byZone = make(map[domain.ZoneID][]*pollGroup)
+			fences <- groupByFence(g.pendingOrders)
+		})
+		if sent := <-fences; len(sent) != 1 || len(sent[cell.term.epoch]) != 1 {
+			t.Errorf("the order is sent as %v, want under the fence %d", sent, cell.term.epoch)
+		}
+	})
+}
--- a/internal/app/owner/orders.go
+++ b/internal/app/owner/orders.go
@@ -52,7 +52,7 @@
 func (c *Cell) routeOrder(o port.RelayedOrder, now int64) {
 	if p, ok := c.polls[o.Worker()]; ok && now >= p.directUntilMS {
 		if g := c.pollGroups.groupFor(p); g != nil && now >= g.pausedUntilMS {
-			g.pendingOrders = append(g.pendingOrders, o)
+			g.pendingOrders = append(g.pendingOrders, pendingOrder{o, c.fences.of(o.Worker())})
 			return
 		}
 	}
@@ -68,13 +68,13 @@
 		orders := g.pendingOrders[:min(len(g.pendingOrders), port.MaxRelayedOrders)]
 		g.pendingOrders = g.pendingOrders[len(orders):]
 		if now < g.pausedUntilMS {
-			for _, o := range orders {
-				c.orderDirectly(o)
+			for _, p := range orders {
+				c.orderUnderFence(p)
 			}
 			continue
 		}
 		g.lastOrdersMS = now
-		for fence, batch := range c.groupByFence(orders) {
+		for fence, batch := range groupByFence(orders) {
 			g.callsInFlight++
 			go c.guarded("orders", func() {
 				err := c.sendBatch(g.relay, fence, batch)
@@ -84,12 +84,18 @@
 	}
 }
 
-// groupByFence divides orders by the present fences of their workers, since all orders of a call have one fence.
-func (c *Cell) groupByFence(orders []port.RelayedOrder) map[int64][]port.RelayedOrder {
+// pendingOrder is an order with the fence of the time at which it was decided. A fence that is raised before the order is sent
+// proves that the order has no effect.
+type pendingOrder struct {
+	order port.RelayedOrder
+	fence int64
+}
+
+// groupByFence divides orders by their fences, since all orders of a call have one.
+func groupByFence(orders []pendingOrder) map[int64][]port.RelayedOrder {
 	groups := make(map[int64][]port.RelayedOrder, 1)
-	for _, o := range orders {
-		fence := c.fences.of(o.Worker())
-		groups[fence] = append(groups[fence], o)
+	for _, p := range orders {
+		groups[p.fence] = append(groups[p.fence], p.order)
 	}
 	return groups
 }
@@ -108,10 +114,13 @@
 
 // orderDirectly sends an order from this instance once a slot for it is free.
 func (c *Cell) orderDirectly(o port.RelayedOrder) {
+	c.orderUnderFence(pendingOrder{o, c.fences.of(o.Worker())})
+}
+
+func (c *Cell) orderUnderFence(p pendingOrder) {
 	c.metrics.Counter("worker.order.direct").Inc(1)
-	fence := c.fences.of(o.Worker())
 	// Each failure is logged with its order.
-	c.runCall(func() { _ = c.sendBatch(c.localRelay, fence, []port.RelayedOrder{o}) })
+	c.runCall(func() { _ = c.sendBatch(c.localRelay, p.fence, []port.RelayedOrder{p.order}) })
 }
 
 // runCall runs call in its own goroutine once one of the slots for direct calls is free.
--- a/internal/app/owner/pollgroups.go
+++ b/internal/app/owner/pollgroups.go
@@ -63,7 +63,7 @@
 	lastPollsMS int64
 	// pendingOrders go out with the next call; lastOrdersMS is when the last call with orders was
 	// sent.
-	pendingOrders []port.RelayedOrder
+	pendingOrders []pendingOrder
 	lastOrdersMS  int64
 }
 
--- a/internal/core/jobs/records.go
+++ b/internal/core/jobs/records.go
@@ -443,9 +443,6 @@
 // IsUnreadable reports whether the store holds the job and this version cannot read it.
 func (m *Machine) IsUnreadable(id domain.JobID) bool { return m.unreadable[id] }
 
-// CountUnreadable returns the number of stored jobs that this version cannot read.
-func (m *Machine) CountUnreadable() int { return len(m.unreadable) }
-
 func (m *Machine) recoverEnded(id domain.JobID, state *StateRecord) {
 	j := &job{id: id, queue: &Queue{Name: state.Queue}, team: m.teamOf(state.Team), spec: &Spec{},
 		state: state.State, storedState: state.State, endedUnixMS: state.EndedUnixMS, maybeStored: true, durable: true, started: state.Started}
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -187,6 +187,8 @@
 		m.membersChanged = true
 		w.restarted, w.vm = true, ""
 		w.knownSinceMS, w.joinedMS = m.nowMS, 0
+		// An order that is repeated now would be one to the present incarnation.
+		m.out.Starts = slices.DeleteFunc(m.out.Starts, func(o StartOrder) bool { return o.Worker == w.id })
 		former := func(r *run) bool { return r.confirmedMS <= report.SentMS }
 		m.recordCrash(w, former)
 		m.endLostRuns(w, EndWorkerTerminated, "another incarnation has reported under the ID", func(r *run) bool { return former(r) && m.endsWithWorker(r) })
--- a/internal/core/jobs/restart_test.go
+++ b/internal/core/jobs/restart_test.go
@@ -294,6 +294,21 @@
 	}
 }
 
+// Guards against a repeated start order that is still to be sent when the worker turns out to have restarted: it would reach the next life under
+// the fence that proves that the run has ended.
+func TestRepeatIsNotSentToNextLife(t *testing.T) {
+	w := newRestartingWorker(t)
+	o := w.submit(t)
+	w.advance(w.m.nowMS + 300)
+	w.m.StartAnswered("w", o.Task, o.Run, StartUnanswered)
+	w.restart()
+	w.report()
+	w.m.StartAnswered("w", o.Task, o.Run, StartUnanswered)
+	if starts := w.m.TakeOutput().Starts; len(starts) != 0 {
+		t.Errorf("%d start orders are sent to the next life", len(starts))
+	}
+}
+
 // Guards against a run that is kept longer than it takes to prove its end: the next life has answered a poll under a fence that refuses
 // the start orders, whether or not the stop order was answered. A run that began there late is no such run.
 func TestFencedReportProvesEndOfRun(t *testing.T) {
