--- a/internal/app/owner/fences.go
+++ b/internal/app/owner/fences.go
@@ -47,7 +47,7 @@
 }
 
 // noteUnanswered raises the fence of calls to a worker that has left one unanswered, so that the next call which it carries
-// out makes it refuse that one, also in a life that the owner does not know yet. It raises no further until the worker has
+// out makes it refuse that one, also in an incarnation that the owner does not know yet. It raises no further until the worker has
 // confirmed the fence.
 func (c *Cell) noteUnanswered(id domain.WorkerID) {
 	if p, ok := c.polls[id]; ok && p.confirmedFence == c.fences.of(id) && c.fences.raised[id] < maxEarlyRaises {
--- a/internal/app/owner/fences_test.go
+++ b/internal/app/owner/fences_test.go
@@ -57,6 +57,17 @@
 	return r.pollFence
 }
 
+// ownerAfterJob returns an owner that has completed a job on worker w0.
+func ownerAfterJob(t *testing.T) *Cell {
+	t.Helper()
+	c := newVirtualTest(t, 1, 20*time.Millisecond)
+	i := c.start("a")
+	cell := i.awaitOwned(t)
+	c.submit(cell, "j", 1)
+	c.awaitCompleted(i, "j")
+	return cell
+}
+
 // Guards against calls to a worker's former life that the present one carries out late: a start order without an answer begins a
 // task again whose success was acknowledged, and a poll makes the worker forget ends that nobody has read.
 func TestCallsToFormerLifeAreRefused(t *testing.T) {
@@ -157,11 +168,7 @@
 // Guards against a worker that often leaves calls unanswered and uses up the fences that its restarts need.
 func TestUnansweredCallsLeaveFencesToRestarts(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		c := newVirtualTest(t, 1, 20*time.Millisecond)
-		i := c.start("a")
-		cell := i.awaitOwned(t)
-		c.submit(cell, "j", 1)
-		c.awaitCompleted(i, "j")
+		cell := ownerAfterJob(t)
 		raised := make(chan int64, 2)
 		cell.post(func() {
 			p := cell.polls["w0"]
@@ -186,11 +193,7 @@
 // fence after that has proven that the order has no effect.
 func TestPendingOrderKeepsItsFence(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		c := newVirtualTest(t, 1, 20*time.Millisecond)
-		i := c.start("a")
-		cell := i.awaitOwned(t)
-		c.submit(cell, "j", 1)
-		c.awaitCompleted(i, "j")
+		cell := ownerAfterJob(t)
 		fences := make(chan map[int64][]port.RelayedOrder, 1)
 		cell.post(func() {
 			g := &pollGroup{host: port.InstanceInfo{Instance: "relay"}}
--- a/internal/app/owner/polls.go
+++ b/internal/app/owner/polls.go
@@ -35,8 +35,8 @@
 	sentAck, confirmedAck int64
 	// confirmedFence is the highest fence that the present incarnation is known to have seen.
 	confirmedFence int64
-	// raisedForLife is set if the fence was raised when the present incarnation became known.
-	raisedForLife bool
+	// raisedForRestart is set if the fence was raised when the present incarnation became known.
+	raisedForRestart bool
 	// misdirected counts consecutive polls of the current address that another incarnation answered.
 	misdirected int
 	// hash selects the worker's group.
@@ -218,11 +218,11 @@
 	p.answeredMS = c.nowMS()
 	p.confirmedAck = max(p.confirmedAck, p.sentAck)
 	if p.startedMS != report.StartedMS {
-		p.raisedForLife = p.startedMS != 0 && c.raiseFence(id)
+		p.raisedForRestart = p.startedMS != 0 && c.raiseFence(id)
 		p.startedMS = report.StartedMS
 		c.ackedEnds[id], c.processedEnds[id], p.confirmedAck, p.confirmedFence = 0, 0, 0, 0
 	}
-	report.Fenced = p.raisedForLife && fence == c.fences.of(id)
+	report.Fenced = p.raisedForRestart && fence == c.fences.of(id)
 	c.machine.Report(report)
 	c.confirmFence(p, fence)
 	if n := len(report.Ends); n > 0 && report.Ends[n-1].Number > c.ackedEnds[id] {
--- a/internal/core/jobs/machine.go
+++ b/internal/core/jobs/machine.go
@@ -485,7 +485,7 @@
 // lateStartGraceMS only makes that less likely.
 func (m *Machine) hasLateStarts(w *worker) bool {
 	for _, r := range w.runs {
-		if r.startUnanswered && (m.nowMS-r.orderedMS < lateStartGraceMS || w.hasUnreportedLife()) {
+		if r.startUnanswered && (m.nowMS-r.orderedMS < lateStartGraceMS || w.hasUnreportedIncarnation()) {
 			return true
 		}
 	}
@@ -498,9 +498,9 @@
 	return w.registeredStartMS == 0 || w.registeredStartMS == w.startedMS
 }
 
-// hasUnreportedLife reports whether the registry lists an incarnation of the worker that has not reported. The registry may
+// hasUnreportedIncarnation reports whether the registry lists an incarnation of the worker that has not reported. The registry may
 // be behind and list the one before the present one.
-func (w *worker) hasUnreportedLife() bool {
+func (w *worker) hasUnreportedIncarnation() bool {
 	return w.registered && w.startedMS != 0 && w.registeredStartMS != 0 && w.registeredStartMS != w.startedMS && w.registeredStartMS != w.formerStartedMS
 }
 
--- a/internal/core/jobs/model.go
+++ b/internal/core/jobs/model.go
@@ -292,8 +292,8 @@
 	// startUnanswered is set once a start order for the run was not answered. Only a report of
 	// the worker then proves whether the order took effect.
 	startUnanswered bool
-	// formerLife is set once the worker has restarted since the last start order of the run was sent.
-	formerLife bool
+	// formerIncarnation is set once the worker has restarted since the last start order of the run was sent.
+	formerIncarnation bool
 	// window is the window in which the speed of the run is measured, nil if there is none.
 	window *speedWindow
 	pace   pace
--- a/internal/core/jobs/report.go
+++ b/internal/core/jobs/report.go
@@ -219,7 +219,7 @@
 // have had. The clock has restarted, so the time limit of the orders does not do that. The run is kept until the
 // incarnation has confirmed the stop order or a fence above that of the orders.
 func (m *Machine) preventLateStart(r *run) {
-	r.phase, r.confirmedMS, r.reported, r.formerLife = runSent, 0, false, true
+	r.phase, r.confirmedMS, r.reported, r.formerIncarnation = runSent, 0, false, true
 	m.stopRun(r, "worker has restarted")
 }
 
@@ -278,7 +278,7 @@
 		r.phase = runConfirmed
 		r.confirmedMS = m.nowMS
 	}
-	r.formerLife = false
+	r.formerIncarnation = false
 	if r.firstReportMS == 0 {
 		r.firstPercent, r.firstReportMS = row.Percent, m.nowMS
 	}
@@ -322,7 +322,7 @@
 		if number, ok := seen[id]; ok && number == r.number {
 			continue
 		}
-		if r.formerLife && report.Fenced {
+		if r.formerIncarnation && report.Fenced {
 			missing = append(missing, r)
 			continue
 		}
