--- a/internal/app/owner/restartcost_test.go
+++ b/internal/app/owner/restartcost_test.go
@@ -1,3 +1,7 @@
+//go:build !race
+
+// The race detector fails an assertion of its own, not one of the code, when so many goroutines run in virtual time.
+
 package owner
 
 import (
@@ -34,8 +38,8 @@
 	return c.Fleet.Poll(ctx, id, address, r)
 }
 
-// Guards against a proof that a lost run has ended which costs more than one stop order for each run with a start order without an
-// answer, or more than two polls of each restarted worker. It logs the cost at 1,500 workers.
+// Guards against a proof that a lost run has ended which costs more than one stop order for each lost run, or any where all start
+// orders were answered. It logs the cost at 1,500 workers.
 func TestCostOfWorkerRestarts(t *testing.T) {
 	const workers, restarted = 1500, 100
 	for name, loseEvery := range map[string]int{"all starts answered": 0, "each 20th without an answer": 20, "each second without an answer": 2} {
