--- a/internal/app/owner/fences_test.go
+++ b/internal/app/owner/fences_test.go
@@ -57,6 +57,16 @@
 	return r.pollFence
 }
 
+// newRecordedTest returns a test of one worker that has been up for an hour, and the record of the calls to it.
+func newRecordedTest(t *testing.T) (*cellTest, *recordedCalls) {
+	t.Helper()
+	c := newVirtualTest(t, 1, 20*time.Millisecond)
+	c.fleet.Age(time.Hour)
+	workers := &recordedCalls{Fleet: c.fleet}
+	c.workers = workers
+	return c, workers
+}
+
 // ownerAfterJob returns an owner that has completed a job on worker w0.
 func ownerAfterJob(t *testing.T) *Cell {
 	t.Helper()
@@ -72,10 +82,7 @@
 // task again whose success was acknowledged, and a poll makes the worker forget ends that nobody has read.
 func TestCallsToFormerLifeAreRefused(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		c := newVirtualTest(t, 1, 20*time.Millisecond)
-		c.fleet.Age(time.Hour)
-		workers := &recordedCalls{Fleet: c.fleet}
-		c.workers = workers
+		c, workers := newRecordedTest(t)
 		i := c.start("a")
 		c.submit(i.awaitOwned(t), "j", 1)
 		c.awaitCompleted(i, "j")
@@ -139,10 +146,7 @@
 // it: the call that follows the order is the first one that the next life answers.
 func TestFenceIsRaisedAfterCallWithoutAnswer(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		c := newVirtualTest(t, 1, 20*time.Millisecond)
-		c.fleet.Age(time.Hour)
-		workers := &recordedCalls{Fleet: c.fleet}
-		c.workers = workers
+		c, workers := newRecordedTest(t)
 		i := c.start("a")
 		cell := i.awaitOwned(t)
 		c.fleet.LoseEvery(1)
